--- /dev/null
+++ b/internal/model/record.go
@@ -0,0 +1,277 @@
+package model
+
+import "time"
+
+// VM is what the platform lists about a VM, with how it last looked. It is
+// soft state: the leader learns it anew from the platform.
+type VM struct {
+	ID       VMID
+	Worker   WorkerID
+	Zone     ZoneID
+	Rack     RackID
+	Capacity Resources
+	Health   VMHealth
+	// HealthSince is when Health last changed.
+	HealthSince Instant
+	// BootID changes at every reboot.
+	BootID string
+	// Drained says that the platform starts no task on it.
+	Drained bool
+	// Busy is the measured use, which lags; UsageAt is when it was measured.
+	Busy    Resources
+	UsageAt Instant
+}
+
+// VMHealth is how a VM looks to the platform.
+type VMHealth uint8
+
+const (
+	// VMUnknown: the heartbeat is late, or was never seen.
+	VMUnknown VMHealth = iota
+	// VMUp: the VM answers.
+	VMUp
+	// VMDown: the platform says that the VM failed.
+	VMDown
+	// VMRebooting: the VM is on its way through a reboot.
+	VMRebooting
+)
+
+// Ownership is the one entry that says which pool a VM belongs to.
+type Ownership struct {
+	VM VMID `cbor:"1,keyasint"`
+	// Pool is empty for a shared spare.
+	Pool PoolID `cbor:"2,keyasint"`
+	// Moving is set while the VM leaves Pool for Target: Pool places no new
+	// work there, Target does not yet.
+	Moving bool   `cbor:"3,keyasint,omitempty"`
+	Target PoolID `cbor:"4,keyasint,omitempty"`
+	// Generation grows with every change and fences older commands.
+	Generation uint64  `cbor:"5,keyasint"`
+	Since      Instant `cbor:"6,keyasint"`
+	// Reason says why the VM is here, in words.
+	Reason string `cbor:"7,keyasint,omitempty"`
+}
+
+// MaintenancePhase is how far a VM is in its maintenance.
+type MaintenancePhase uint8
+
+const (
+	// PhaseGranted: the permit is committed, no command was sent yet.
+	PhaseGranted MaintenancePhase = iota + 1
+	// PhaseDraining: the VM takes no new work and its tasks end.
+	PhaseDraining
+	// PhaseRebooting: a reboot was commanded.
+	PhaseRebooting
+	// PhaseSoaking: the VM is back, not yet counted as available.
+	PhaseSoaking
+)
+
+// Permit allows one VM to be unavailable on purpose. It is committed before
+// any command and counts against every budget of the VM's pool.
+type Permit struct {
+	VM    VMID             `cbor:"1,keyasint"`
+	Wave  WaveID           `cbor:"2,keyasint"`
+	Pool  PoolID           `cbor:"3,keyasint"`
+	Phase MaintenancePhase `cbor:"4,keyasint"`
+	Since Instant          `cbor:"5,keyasint"`
+	// BootID is the VM's boot before maintenance; a reboot is done when the
+	// platform shows another one.
+	BootID string `cbor:"6,keyasint,omitempty"`
+	// Generation fences commands of an earlier permit for the same VM.
+	Generation uint64 `cbor:"7,keyasint"`
+}
+
+// Maintained records that a VM went through a wave.
+type Maintained struct {
+	VM   VMID    `cbor:"1,keyasint"`
+	Wave WaveID  `cbor:"2,keyasint"`
+	At   Instant `cbor:"3,keyasint"`
+}
+
+// JobState is where a job is in its life.
+type JobState uint8
+
+const (
+	// JobQueued: waits for capacity or quota; Reason says which.
+	JobQueued JobState = iota + 1
+	// JobRunning: has an attempt whose lease was committed.
+	JobRunning
+	// JobDone: ended with success.
+	JobDone
+	// JobFailed: ended without success and is not tried again.
+	JobFailed
+	// JobCancelled: cancelled; it never starts after that.
+	JobCancelled
+	// JobHeld: failed on several good workers; an operator decides.
+	JobHeld
+	// JobUnplaceable: fits no VM shape or quota; it can never run.
+	JobUnplaceable
+	// JobOutcomeUnknown: not idempotent, and its attempt may have run.
+	JobOutcomeUnknown
+)
+
+var jobStateNames = [...]string{"", "queued", "running", "done", "failed", "cancelled", "held", "unplaceable", "outcome-unknown"}
+
+// String returns the form used in answers.
+func (s JobState) String() string {
+	if int(s) >= len(jobStateNames) {
+		return "invalid"
+	}
+	return jobStateNames[s]
+}
+
+// Final reports whether the job will not change by itself any more.
+func (s JobState) Final() bool { return s >= JobDone }
+
+// JobSpec is what a caller declares. Sizes and run times may be far off.
+type JobSpec struct {
+	ID       JobID     `cbor:"1,keyasint"`
+	Team     TeamID    `cbor:"2,keyasint"`
+	Pool     PoolID    `cbor:"3,keyasint"`
+	Kind     string    `cbor:"4,keyasint"`
+	Priority Priority  `cbor:"5,keyasint"`
+	Declared Resources `cbor:"6,keyasint"`
+	// Runtime is the declared run time; 0 when none was declared.
+	Runtime      time.Duration `cbor:"7,keyasint"`
+	Idempotent   bool          `cbor:"8,keyasint"`
+	Checkpoints  bool          `cbor:"9,keyasint"`
+	Throttleable bool          `cbor:"10,keyasint"`
+	// Payload is handed to the worker as it is.
+	Payload []byte `cbor:"11,keyasint,omitempty"`
+}
+
+// Job is a submitted job with its state.
+type Job struct {
+	Spec      JobSpec  `cbor:"1,keyasint"`
+	State     JobState `cbor:"2,keyasint"`
+	Reason    string   `cbor:"3,keyasint,omitempty"`
+	Submitted Instant  `cbor:"4,keyasint"`
+	Changed   Instant  `cbor:"5,keyasint"`
+	// Attempts counts the tasks started for the job.
+	Attempts int `cbor:"6,keyasint"`
+	// FailedOn lists the distinct workers on which an attempt failed.
+	FailedOn []WorkerID `cbor:"7,keyasint,omitempty"`
+	// Cancelled is set when a cancellation was accepted while an attempt ran.
+	Cancelled bool `cbor:"8,keyasint,omitempty"`
+	// Moves counts the relocations by maintenance or pool moves.
+	Moves int `cbor:"9,keyasint,omitempty"`
+}
+
+// TaskState is where a task is in its life.
+type TaskState uint8
+
+const (
+	// TaskStarting: committed, and the platform may or may not know of it.
+	TaskStarting TaskState = iota + 1
+	// TaskRunning: the platform confirmed the start.
+	TaskRunning
+	// TaskStopping: a stop was commanded.
+	TaskStopping
+)
+
+// Task is one attempt to run a job or an instance on a worker, under a lease.
+// It is committed before the platform is called and removed when it ended or
+// when its lease lapsed with the drift margin.
+type Task struct {
+	ID TaskID `cbor:"1,keyasint"`
+	// Job is empty for an instance of a service.
+	Job     JobID     `cbor:"2,keyasint,omitempty"`
+	Service ServiceID `cbor:"3,keyasint,omitempty"`
+	// Ordinal numbers the instances of a service from 0.
+	Ordinal    int       `cbor:"4,keyasint,omitempty"`
+	VM         VMID      `cbor:"5,keyasint"`
+	Worker     WorkerID  `cbor:"6,keyasint"`
+	Size       Resources `cbor:"7,keyasint"`
+	Priority   Priority  `cbor:"8,keyasint"`
+	State      TaskState `cbor:"9,keyasint"`
+	Generation uint64    `cbor:"10,keyasint"`
+	Started    Instant   `cbor:"11,keyasint"`
+	// LeaseUntil is when the worker stops the task by itself.
+	LeaseUntil Instant `cbor:"12,keyasint"`
+	// Throttled says that the task runs at reduced processor share.
+	Throttled bool `cbor:"13,keyasint,omitempty"`
+}
+
+// Quarantine keeps new work off a worker on which distinct jobs failed.
+type Quarantine struct {
+	Worker WorkerID `cbor:"1,keyasint"`
+	VM     VMID     `cbor:"2,keyasint"`
+	Since  Instant  `cbor:"3,keyasint"`
+	Reason string   `cbor:"4,keyasint"`
+	// ProbeAt is when one idempotent batch job may try the worker again.
+	ProbeAt Instant `cbor:"5,keyasint"`
+}
+
+// ClaimState is how far a claimed request is.
+type ClaimState uint8
+
+const (
+	// ClaimRunning: the claim is committed; the request may be on its way.
+	ClaimRunning ClaimState = iota + 1
+	// ClaimSettled: the outcome is known and Answer, if it fits, is kept.
+	ClaimSettled
+	// ClaimUnknown: the outcome can't be learned; the request never runs again.
+	ClaimUnknown
+)
+
+// Claim is the durable record that a non-idempotent request with a key was
+// handed to at most one upstream.
+type Claim struct {
+	Key     RequestKey `cbor:"1,keyasint"`
+	Service ServiceID  `cbor:"2,keyasint"`
+	// Digest is of method, path and body; the same key with another digest
+	// is refused.
+	Digest []byte `cbor:"3,keyasint"`
+	// Owner is the entry VM that sends the request, Incarnation its process.
+	Owner       NodeID     `cbor:"4,keyasint"`
+	Incarnation uint64     `cbor:"5,keyasint"`
+	State       ClaimState `cbor:"6,keyasint"`
+	Verdict     Verdict    `cbor:"7,keyasint"`
+	Claimed     Instant    `cbor:"8,keyasint"`
+	// Deadline is when the caller gives up.
+	Deadline Instant     `cbor:"9,keyasint"`
+	Answer   *KeptAnswer `cbor:"10,keyasint,omitempty"`
+}
+
+// KeptAnswer is an upstream's whole answer, kept for the caller to ask again.
+type KeptAnswer struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint,omitempty"`
+	Body        []byte `cbor:"3,keyasint,omitempty"`
+	// Dropped says that the body exceeded the limit and was not kept.
+	Dropped bool `cbor:"4,keyasint,omitempty"`
+}
+
+// AuditRecord is one accepted change. Records form a chain: each digest
+// covers the record and the digest before it, so an edit or a gap shows.
+type AuditRecord struct {
+	Sequence uint64  `cbor:"1,keyasint" json:"sequence"`
+	At       Instant `cbor:"2,keyasint" json:"at_ms"`
+	Actor    string  `cbor:"3,keyasint" json:"actor"`
+	Action   string  `cbor:"4,keyasint" json:"action"`
+	Subject  string  `cbor:"5,keyasint" json:"subject"`
+	Before   string  `cbor:"6,keyasint,omitempty" json:"before,omitempty"`
+	After    string  `cbor:"7,keyasint,omitempty" json:"after,omitempty"`
+	Cause    string  `cbor:"8,keyasint,omitempty" json:"cause,omitempty"`
+	Digest   string  `cbor:"9,keyasint" json:"digest"`
+}
+
+// Upstream is one instance as it announced itself.
+type Upstream struct {
+	Service  ServiceID
+	Instance InstanceID
+	// Address is IP:port.
+	Address string
+	VM      VMID
+	Zone    ZoneID
+	// Incarnation and Sequence order announcements of the same instance:
+	// the larger incarnation wins, then the larger sequence.
+	Incarnation uint64
+	Sequence    uint64
+	Slots       int
+	Connections int
+	// Leaving is sticky within an incarnation.
+	Leaving bool
+	// Expires is when the announcement lapses unless it is renewed.
+	Expires Instant
+}
