--- /dev/null
+++ b/internal/inifile/file.go
@@ -0,0 +1,151 @@
+// Package inifile reads INI files strictly. Reading never stops at the first
+// mistake: every problem is collected with its file, section and key, so that
+// one answer names them all. A key that no reader asked for is a problem too,
+// so that a misspelt key can't silently leave a default in force.
+//
+//	f := inifile.Load("site.ini", text)
+//	s := f.Section("site")
+//	revision := s.Int("revision", inifile.Required, 1, 1<<53)
+//	problems := f.Problems()
+package inifile
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Problem is one mistake in a file.
+type Problem struct {
+	File    string `json:"file"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	// Message says what is wrong and what is allowed.
+	Message string `json:"message"`
+}
+
+// String returns the form "file: [section] key: message".
+func (p Problem) String() string {
+	parts := []string{p.File + ":"}
+	if p.Section != "" {
+		parts = append(parts, "["+p.Section+"]")
+	}
+	if p.Key != "" {
+		parts = append(parts, p.Key+":")
+	}
+	return strings.Join(append(parts, p.Message), " ")
+}
+
+// File is a loaded file with the problems found so far.
+type File struct {
+	name     string
+	sections []*Section
+	problems []Problem
+}
+
+// MaxSize bounds the text of a file, in bytes.
+const MaxSize = 1 << 20
+
+// Load splits text into sections and keys. It always returns a file; what is
+// wrong with the text is in Problems.
+func Load(name string, text []byte) *File {
+	f := &File{name: name}
+	if len(text) > MaxSize {
+		f.Report("", "", fmt.Sprintf("is %d bytes long; at most %d are allowed", len(text), MaxSize))
+		return f
+	}
+	parsed, err := ini.LoadSources(loadOptions(), text)
+	if err != nil {
+		f.Report("", "", "is not an INI file: "+err.Error())
+		return f
+	}
+	f.addSections(parsed)
+	return f
+}
+
+// loadOptions keeps doubled sections and keys visible, which the library
+// would otherwise merge: with two "[pool a]" the second would silently win.
+func loadOptions() ini.LoadOptions {
+	return ini.LoadOptions{
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		AllowNonUniqueSections:     true,
+	}
+}
+
+func (f *File) addSections(parsed *ini.File) {
+	seen := map[string]bool{}
+	for _, section := range parsed.Sections() {
+		name := section.Name()
+		if name == ini.DefaultSection {
+			f.refuseKeysOutside(section)
+			continue
+		}
+		if seen[name] {
+			f.Report(name, "", "appears twice; a section may appear once")
+			continue
+		}
+		seen[name] = true
+		f.sections = append(f.sections, newSection(f, section))
+	}
+}
+
+func (f *File) refuseKeysOutside(section *ini.Section) {
+	for _, key := range section.Keys() {
+		f.Report("", key.Name(), "stands before the first section; move it into one")
+	}
+}
+
+// Section returns the section called name, or an empty one.
+func (f *File) Section(name string) *Section {
+	for _, s := range f.sections {
+		if s.name == name {
+			s.used = true
+			return s
+		}
+	}
+	return &Section{file: f, name: name, used: true}
+}
+
+// Has reports whether the file holds the section.
+func (f *File) Has(name string) bool {
+	for _, s := range f.sections {
+		if s.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Named returns the sections "[kind NAME]", sorted by name.
+func (f *File) Named(kind string) []*Section {
+	var named []*Section
+	for _, s := range f.sections {
+		found, label, ok := strings.Cut(s.name, " ")
+		if !ok || found != kind {
+			continue
+		}
+		s.used = true
+		s.label = strings.TrimSpace(label)
+		named = append(named, s)
+	}
+	sort.Slice(named, func(i, j int) bool { return named[i].label < named[j].label })
+	return named
+}
+
+// Report adds a problem.
+func (f *File) Report(section, key, message string) {
+	f.problems = append(f.problems, Problem{File: f.name, Section: section, Key: key, Message: message})
+}
+
+// Problems returns all problems, with one for each section and key that no
+// reader asked for. Call it after everything was read.
+func (f *File) Problems() []Problem {
+	all := append([]Problem(nil), f.problems...)
+	for _, s := range f.sections {
+		all = append(all, s.unread()...)
+	}
+	return all
+}
