--- /dev/null
+++ b/internal/datafolder/folder.go
@@ -0,0 +1,206 @@
+package datafolder
+
+import (
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+const (
+	lockName     = "lock"
+	identityName = "identity"
+	logName      = "log"
+	snapshotName = "snapshot"
+)
+
+// Options say whose folder is opened.
+type Options struct {
+	Path string
+	Site string
+	Node model.NodeID
+	// Disk is the file system; nil is that of the operating system.
+	Disk FS
+}
+
+// Folder is a locked data folder.
+type Folder struct {
+	path string
+	disk FS
+	lock io.Closer
+
+	mu       sync.Mutex
+	identity Identity
+}
+
+// identityFile is the stored form: the CRC covers Body.
+type identityFile struct {
+	Format int    `cbor:"1,keyasint"`
+	CRC    uint32 `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint"`
+}
+
+// Open locks a folder and reads its identity; an empty folder gets a new one.
+// It refuses a folder of another site, node or format, and a folder that holds
+// a log but no identity.
+func Open(o Options) (*Folder, error) {
+	if o.Disk == nil {
+		o.Disk = Disk{}
+	}
+	if err := o.Disk.MkdirAll(o.Path); err != nil {
+		return nil, Failed("make folder", o.Path, err)
+	}
+	lock, err := takeLock(o)
+	if err != nil {
+		return nil, err
+	}
+	f := &Folder{path: o.Path, disk: o.Disk, lock: lock}
+	if err := f.load(o); err != nil {
+		_ = lock.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// takeLock keeps a second process away: two processes that append to one log
+// would each overwrite promises of the other.
+func takeLock(o Options) (io.Closer, error) {
+	name := filepath.Join(o.Path, lockName)
+	lock, err := o.Disk.Lock(name)
+	if errors.Is(err, ErrLocked) {
+		return nil, &StorageError{File: name, Op: "lock", Err: err,
+			Remedy: "stop the other comfreyloom process that uses this data folder, or give this one its own"}
+	}
+	if err != nil {
+		return nil, Failed("lock", name, err)
+	}
+	return lock, nil
+}
+
+func (f *Folder) load(o Options) error {
+	if err := RemoveTemporary(f.disk, f.path); err != nil {
+		return err
+	}
+	name := f.identityPath()
+	data, err := f.disk.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return f.create(o)
+	}
+	if err != nil {
+		return Failed("read", name, err)
+	}
+	identity, err := decodeFile(name, data)
+	if err != nil {
+		return err
+	}
+	if err := checkOwner(name, identity, o); err != nil {
+		return err
+	}
+	f.identity = identity
+	return nil
+}
+
+// create makes a new identity, in a folder that holds nothing else. A log
+// without an identity means that the identity was deleted: under a new one the
+// votes in the log would be forgotten without the disk being known as lost.
+func (f *Folder) create(o Options) error {
+	names, err := f.disk.List(f.path)
+	if err != nil {
+		return Failed("list", f.path, err)
+	}
+	for _, name := range names {
+		if name == logName || name == snapshotName {
+			return &CorruptError{File: f.identityPath(),
+				Why: "the file is missing while " + name + " is there", Remedy: RemedyRejoin}
+		}
+	}
+	return f.SetIdentity(newIdentity(o.Site, o.Node))
+}
+
+func checkOwner(name string, identity Identity, o Options) error {
+	if identity.Site == o.Site && identity.Node == o.Node {
+		return nil
+	}
+	return &CorruptError{File: name,
+		Why: fmt.Sprintf("the folder belongs to site %q node %q, the settings say site %q node %q",
+			identity.Site, identity.Node, o.Site, o.Node),
+		Remedy: "correct data_folder, or site and node name, in the settings"}
+}
+
+func decodeFile(name string, data []byte) (Identity, error) {
+	var stored identityFile
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return Identity{}, &CorruptError{File: name, Why: err.Error(), Remedy: RemedyRejoin}
+	}
+	if stored.Format != FormatVersion {
+		return Identity{}, &CorruptError{File: name,
+			Why:    fmt.Sprintf("format version %d, this build reads %d", stored.Format, FormatVersion),
+			Remedy: "start the version of comfreyloom that wrote the folder, or a later one"}
+	}
+	if checksum(stored.Body) != stored.CRC {
+		return Identity{}, &CorruptError{File: name, Why: "checksum does not match", Remedy: RemedyRejoin}
+	}
+	identity, err := DecodeIdentity(stored.Body)
+	if err != nil {
+		return Identity{}, &CorruptError{File: name, Why: err.Error(), Remedy: RemedyRejoin}
+	}
+	return identity, nil
+}
+
+// Identity returns who owns the folder.
+func (f *Folder) Identity() Identity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.identity
+}
+
+// SetIdentity makes an identity durable. It is in force only when nil is returned.
+func (f *Folder) SetIdentity(identity Identity) error {
+	body, err := identity.Encode()
+	if err != nil {
+		return err
+	}
+	data, err := encoding.Marshal(identityFile{Format: FormatVersion, CRC: checksum(body), Body: body})
+	if err != nil {
+		return err
+	}
+	if err := Replace(f.disk, f.identityPath(), data); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.identity = identity
+	return nil
+}
+
+// Renew gives the folder a new disk identity in PhaseEmpty. The caller must
+// know that the disk never took part in the quorum.
+func (f *Folder) Renew() error {
+	old := f.Identity()
+	return f.SetIdentity(newIdentity(old.Site, old.Node))
+}
+
+// FS returns the file system of the folder.
+func (f *Folder) FS() FS { return f.disk }
+
+// LogPath is the directory of the log.
+func (f *Folder) LogPath() string { return filepath.Join(f.path, logName) }
+
+// SnapshotPath is the directory of the snapshot.
+func (f *Folder) SnapshotPath() string { return filepath.Join(f.path, snapshotName) }
+
+// Close gives the lock back.
+func (f *Folder) Close() error { return f.lock.Close() }
+
+func (f *Folder) identityPath() string { return filepath.Join(f.path, identityName) }
+
+func checksum(data []byte) uint32 {
+	return crc32.Checksum(data, crc32.MakeTable(crc32.Castagnoli))
+}
--- /dev/null
+++ b/internal/datafolder/voterid.go
@@ -0,0 +1,21 @@
+package datafolder
+
+import (
+	"strings"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+)
+
+const diskSeparator = "#"
+
+// VoterID joins a node and the identity of its disk.
+func VoterID(node model.NodeID, disk string) quorum.ID {
+	return quorum.ID(string(node) + diskSeparator + disk)
+}
+
+// NodeOf returns the node of a voter.
+func NodeOf(id quorum.ID) model.NodeID {
+	node, _, _ := strings.Cut(string(id), diskSeparator)
+	return model.NodeID(node)
+}
