platform: client interface, HTTP client and stand-in

Cause: the controller needs VMs, workers and tasks of a platform that may answer late, twice or not at all. Change: Client lists by cursor and sends commands with stable IDs and fences (term, generation, step); errors carry a verdict. standin is a platform in memory, in virtual or real time, direct or over HTTP, with failures and a bad network.

--- /dev/null
+++ b/internal/platform/report.go
@@ -0,0 +1,113 @@
+package platform
+
+import (
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// Cursor marks a position in a list of changes. The zero value asks for
+// everything.
+type Cursor string
+
+// VMReport is what the platform says about one VM and the worker on it.
+type VMReport struct {
+	VM       model.VMID      `json:"vm"`
+	Worker   model.WorkerID  `json:"worker"`
+	Zone     model.ZoneID    `json:"availability_zone"`
+	Rack     model.RackID    `json:"rack"`
+	Capacity model.Resources `json:"capacity"`
+	// Health is "up", "down", "rebooting" or "unknown".
+	Health string `json:"health"`
+	// HealthSince is when Health last changed.
+	HealthSince model.Instant `json:"health_since_ms"`
+	BootID      string        `json:"boot_id"`
+	Drained     bool          `json:"drained"`
+	// Fence is the highest that was accepted for the VM.
+	Fence Fence `json:"fence"`
+	// Revision grows with every change; a report of a lower one is older.
+	Revision uint64 `json:"revision"`
+}
+
+// VMList is a list of VMs that changed since a cursor.
+type VMList struct {
+	// Full says that VMs is the complete list; a VM not in it is gone.
+	Full    bool         `json:"full"`
+	Next    Cursor       `json:"next"`
+	VMs     []VMReport   `json:"vms"`
+	Removed []model.VMID `json:"removed,omitempty"`
+}
+
+// Ended says how a task ended; empty while it has not.
+type Ended string
+
+const (
+	// Succeeded: the task ended with success.
+	Succeeded Ended = "succeeded"
+	// Failed: the task ended without success.
+	Failed Ended = "failed"
+	// Stopped: a Stop ended it.
+	Stopped Ended = "stopped"
+	// Checkpointed: a Checkpoint ended it; the job's next task goes on from there.
+	Checkpointed Ended = "checkpointed"
+	// Lapsed: its lease ran out.
+	Lapsed Ended = "lapsed"
+	// NeverStarted: its start was refused, or stopped before it began.
+	NeverStarted Ended = "never-started"
+)
+
+// TaskReport is what the platform says about one task.
+type TaskReport struct {
+	Task   model.TaskID   `json:"task"`
+	Worker model.WorkerID `json:"worker"`
+	// Ended is empty while the task runs.
+	Ended      Ended         `json:"ended,omitempty"`
+	LeaseUntil model.Instant `json:"lease_until_ms"`
+	Throttled  bool          `json:"throttled,omitempty"`
+	// Remaining is the worker's own estimate of the run time left; 0 when it
+	// has none.
+	Remaining time.Duration `json:"remaining_ns,omitempty"`
+	// Revision grows with every change of the task.
+	Revision uint64 `json:"revision"`
+}
+
+// TaskList is a list of tasks that changed since a cursor.
+type TaskList struct {
+	// Full says that Tasks holds all tasks that the platform runs or remembers.
+	Full  bool         `json:"full"`
+	Next  Cursor       `json:"next"`
+	Tasks []TaskReport `json:"tasks"`
+}
+
+// Usage is the measured use of one task; it lags.
+type Usage struct {
+	Task   model.TaskID    `json:"task"`
+	Worker model.WorkerID  `json:"worker"`
+	VM     model.VMID      `json:"vm"`
+	Used   model.Resources `json:"used"`
+	At     model.Instant   `json:"at_ms"`
+}
+
+// UsageList is the usage measured since a cursor.
+type UsageList struct {
+	Next  Cursor  `json:"next"`
+	Usage []Usage `json:"usage"`
+}
+
+var healthNames = map[string]model.VMHealth{
+	"up": model.VMUp, "down": model.VMDown, "rebooting": model.VMRebooting, "unknown": model.VMUnknown,
+}
+
+// HealthName is the wire form of a VM's health.
+func HealthName(h model.VMHealth) string {
+	for name, health := range healthNames {
+		if health == h {
+			return name
+		}
+	}
+	return "unknown"
+}
+
+// ParseHealth is the inverse of HealthName. A text that this build does not
+// know reads as VMUnknown, which grants nothing.
+func ParseHealth(name string) model.VMHealth { return healthNames[name] }
--- /dev/null
+++ b/internal/platform/standin/command.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/platform"
+)
+
+// Send implements platform.Client.
+func (p *Platform) Send(_ context.Context, commands []platform.Command) ([]platform.Answer, error) {
+	defer p.enter()()
+	return p.sendAll(commands), nil
+}
+
+func (p *Platform) sendAll(commands []platform.Command) []platform.Answer {
+	answers := make([]platform.Answer, len(commands))
+	for i, c := range commands {
+		answers[i] = p.accept(c)
+	}
+	return answers
+}
+
+// accept carries out a command once: a known ID yields the first answer.
+func (p *Platform) accept(c platform.Command) platform.Answer {
+	if first, known := p.answers[c.ID]; known {
+		return first
+	}
+	answer := p.carryOut(c)
+	answer.ID = c.ID
+	if answer.Code != platform.Busy {
+		p.answers[c.ID] = answer
+		p.after(p.config.Remember, func() { delete(p.answers, c.ID) })
+	}
+	return answer
+}
+
+func (p *Platform) carryOut(c platform.Command) platform.Answer {
+	if c.Fence.Term < p.term {
+		return p.stale(c, "a later controller sent commands")
+	}
+	p.term = c.Fence.Term
+	if c.Kind.ForVM() {
+		return p.commandVM(c)
+	}
+	switch c.Kind {
+	case platform.Start:
+		return p.start(c)
+	case platform.Renew:
+		return p.renew(c)
+	default:
+		return p.commandTask(c)
+	}
+}
+
+func (p *Platform) stale(c platform.Command, reason string) platform.Answer {
+	if c.Kind == platform.Start {
+		p.bury(c.Task, p.vms[c.VM])
+	}
+	return platform.Answer{Code: platform.Stale, Reason: reason}
+}
+
+func refused(reason string) platform.Answer {
+	return platform.Answer{Code: platform.Refused, Reason: reason}
+}
+
+func (p *Platform) commandVM(c platform.Command) platform.Answer {
+	v := p.vms[c.VM]
+	if v == nil {
+		return refused("unknown VM")
+	}
+	if c.Fence.Before(v.fence) {
+		return p.stale(c, "a later step was accepted")
+	}
+	if c.Kind == platform.Reboot {
+		if answer, ok := p.mayReboot(v, c); !ok {
+			return answer
+		}
+	}
+	v.fence = c.Fence
+	v.revision = p.nextRevision()
+	switch c.Kind {
+	case platform.Drain:
+		v.drained = true
+	case platform.Undrain, platform.Return:
+		v.drained = false
+	case platform.Reboot:
+		p.reboot(p.rebootTarget(v))
+	}
+	return platform.Answer{Code: platform.Accepted}
+}
+
+func (p *Platform) mayReboot(v *vm, c platform.Command) (platform.Answer, bool) {
+	switch {
+	case v.bootID() != c.BootID:
+		return refused("other boot ID"), false
+	case v.health == model.VMDown || v.silent:
+		return platform.Answer{Code: platform.Busy, Reason: "VM does not answer"}, false
+	default:
+		return platform.Answer{}, true
+	}
+}
+
+// rebootTarget is the VM that a reboot hits, which may be the wrong one.
+func (p *Platform) rebootTarget(v *vm) *vm {
+	if p.config.WrongVM == 0 || p.random.Float64() >= p.config.WrongVM {
+		return v
+	}
+	other := p.vms[p.vmOrder[p.random.IntN(len(p.vmOrder))]]
+	if other == nil || other.health != model.VMUp {
+		return v
+	}
+	p.tally.WrongReboots++
+	return other
+}
+
+func (p *Platform) start(c platform.Command) platform.Answer {
+	if t := p.tasks[c.Task]; t != nil {
+		if t.ended == "" {
+			return platform.Answer{Code: platform.Accepted}
+		}
+		return refused("task has ended")
+	}
+	v := p.vms[c.VM]
+	if reason := p.whyNotStart(v, c); reason != "" {
+		p.bury(c.Task, v)
+		return refused(reason)
+	}
+	if c.Fence.Generation < v.taskFence {
+		return p.stale(c, "the VM has another owner")
+	}
+	p.startTask(v, c)
+	return platform.Answer{Code: platform.Accepted}
+}
+
+func (p *Platform) whyNotStart(v *vm, c platform.Command) string {
+	switch {
+	case v == nil:
+		return "unknown VM"
+	case c.Spec == nil || c.Spec.Worker != v.Worker:
+		return "unknown worker"
+	case v.health != model.VMUp || v.silent:
+		return "VM does not answer"
+	case v.drained:
+		return "VM is drained"
+	case c.LeaseUntil <= p.now:
+		return "lease is over"
+	default:
+		return ""
+	}
+}
+
+func (p *Platform) renew(c platform.Command) platform.Answer {
+	answer := platform.Answer{Code: platform.Accepted}
+	for _, id := range c.Tasks {
+		t := p.tasks[id]
+		if t == nil || t.ended != "" {
+			answer.Missing = append(answer.Missing, id)
+			continue
+		}
+		if t.vm.silent || c.LeaseUntil <= t.lease {
+			continue
+		}
+		t.lease = c.LeaseUntil
+		p.scheduleLapse(t)
+		p.touch(t)
+	}
+	return answer
+}
+
+func (p *Platform) commandTask(c platform.Command) platform.Answer {
+	t := p.tasks[c.Task]
+	if t == nil {
+		return p.commandUnknownTask(c)
+	}
+	if t.ended != "" {
+		return platform.Answer{Code: platform.Accepted, Reason: "task has ended"}
+	}
+	if t.vm.silent {
+		return platform.Answer{Code: platform.Busy, Reason: "VM does not answer"}
+	}
+	switch c.Kind {
+	case platform.Stop:
+		p.stop(t, platform.Stopped)
+	case platform.Checkpoint:
+		p.stop(t, platform.Checkpointed)
+	case platform.Throttle:
+		p.setThrottled(t, c.Throttled)
+	default:
+		return refused("unknown command")
+	}
+	return platform.Answer{Code: platform.Accepted}
+}
+
+// commandUnknownTask buries a task that is stopped before its start arrives,
+// so that the delayed start has no effect.
+func (p *Platform) commandUnknownTask(c platform.Command) platform.Answer {
+	if c.Kind == platform.Throttle {
+		return refused("unknown task")
+	}
+	p.bury(c.Task, p.vms[c.VM])
+	return platform.Answer{Code: platform.Accepted, Reason: "task never starts"}
+}
