--- /dev/null
+++ b/internal/state/apply_permit.go
@@ -0,0 +1,194 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// grant commits that one VM may be unavailable, before any command is sent
+// for it: a leader that takes over sees every VM which may be on its way down.
+func (c *core) grant(command *Command, a *Action, g *Grant) Refusal {
+	owner := c.owners.get(g.VM)
+	if owner == nil {
+		return "no such VM"
+	}
+	if c.permits.get(g.VM) != nil {
+		return refusef("VM %s is under maintenance", g.VM)
+	}
+	if owner.Moving && !c.rules.SkipPermit {
+		return refusef("VM %s is moving", g.VM)
+	}
+	wave := c.site.waves[g.Wave]
+	if refused := c.badWave(command, wave, owner); refused != "" {
+		return refused
+	}
+	c.head.PermitGeneration++
+	permit := &model.Permit{
+		VM:         g.VM,
+		Wave:       g.Wave,
+		Pool:       owner.Pool,
+		Phase:      model.PhaseGranted,
+		Since:      command.At,
+		BootID:     clip(g.BootID),
+		Generation: c.head.PermitGeneration,
+	}
+	c.putPermit(permit)
+	c.recordPermit(command, a, "grant-permit", nil, permit)
+	return ""
+}
+
+func (c *core) badWave(command *Command, wave *model.Wave, owner *model.Ownership) Refusal {
+	if wave == nil {
+		return "the manifest has no such wave"
+	}
+	if owner.Pool != "" && !slices.Contains(wave.Pools, owner.Pool) {
+		return refusef("wave %s does not cover pool %s", wave.ID, owner.Pool)
+	}
+	if command.At < wave.Start {
+		return refusef("wave %s has not started", wave.ID)
+	}
+	if WaveDone(wave, c.maintained.get(owner.VM)) {
+		return refusef("VM %s went through wave %s", owner.VM, wave.ID)
+	}
+	if wave.MaxParallel > 0 && c.derived.wavePermits[wave.ID] >= wave.MaxParallel {
+		return refusef("wave %s has %d VMs under maintenance, which is its most", wave.ID, wave.MaxParallel)
+	}
+	return ""
+}
+
+// WaveDone reports whether a VM, last maintained as m says (nil for never),
+// needs nothing more from the wave. Maintenance after the wave's start counts
+// whichever wave did it: with two waves over one pool, a VM would otherwise be
+// rebooted by turns without end, since only its last wave is kept.
+func WaveDone(wave *model.Wave, m *model.Maintained) bool {
+	if m == nil {
+		return false
+	}
+	return m.Wave == wave.ID || m.At >= wave.Start
+}
+
+// permitAt returns the permit of a VM if the decision saw it.
+func (c *core) permitAt(vm model.VMID, generation uint64) (*model.Permit, Refusal) {
+	permit := c.permits.get(vm)
+	if permit == nil {
+		return nil, refusef("VM %s has no permit", vm)
+	}
+	return permit, c.stale(vm, permit.Generation, generation)
+}
+
+func (c *core) setPhase(command *Command, a *Action, s *SetPhase) Refusal {
+	permit, refused := c.permitAt(s.VM, s.Generation)
+	if refused != "" {
+		return refused
+	}
+	if s.Phase == permit.Phase {
+		return ""
+	}
+	if s.Phase < permit.Phase || s.Phase > model.PhaseSoaking {
+		return refusef("VM %s is %s; it can't go to %s", s.VM, phaseName(permit.Phase), phaseName(s.Phase))
+	}
+	changed := *permit
+	changed.Phase = s.Phase
+	changed.Since = command.At
+	c.putPermit(&changed)
+	c.recordPermit(command, a, "set-phase", permit, &changed)
+	return ""
+}
+
+func (c *core) release(command *Command, a *Action, r *Release) Refusal {
+	permit, refused := c.permitAt(r.VM, r.Generation)
+	if refused != "" {
+		return refused
+	}
+	if r.Done {
+		if refused := c.notSoaked(command, permit); refused != "" {
+			return refused
+		}
+		c.maintained.put(r.VM, &model.Maintained{VM: r.VM, Wave: permit.Wave, At: command.At})
+	}
+	c.removePermit(permit)
+	c.recordPermit(command, a, "release-permit", permit, nil)
+	return ""
+}
+
+// notSoaked says why a VM does not count as maintained yet. A VM that counted
+// as available right after its reboot, and failed then, would break a budget.
+func (c *core) notSoaked(command *Command, p *model.Permit) Refusal {
+	if c.rules.SkipPermit {
+		return ""
+	}
+	if p.Phase != model.PhaseSoaking {
+		return refusef("VM %s is %s, not soaking", p.VM, phaseName(p.Phase))
+	}
+	wave := c.site.waves[p.Wave]
+	if wave != nil && command.At < p.Since.Add(wave.Soak) {
+		return refusef("VM %s soaks until %s", p.VM, p.Since.Add(wave.Soak).Time())
+	}
+	return ""
+}
+
+func (c *core) recordPermit(command *Command, a *Action, action string, from, to *model.Permit) {
+	subject := from
+	if subject == nil {
+		subject = to
+	}
+	c.record(command, entry{
+		action:  action,
+		subject: string(subject.VM),
+		before:  describePermit(from),
+		after:   describePermit(to),
+		cause:   a.Reason,
+	})
+}
+
+func describePermit(p *model.Permit) string {
+	if p == nil {
+		return "none"
+	}
+	return fmt.Sprintf("wave %s, %s, generation %d", p.Wave, phaseName(p.Phase), p.Generation)
+}
+
+var phaseNames = [...]string{"", "granted", "draining", "rebooting", "soaking"}
+
+func phaseName(p model.MaintenancePhase) string {
+	if int(p) >= len(phaseNames) {
+		return "invalid"
+	}
+	return phaseNames[p]
+}
+
+func (c *core) setQuarantine(command *Command, a *Action, s *SetQuarantine) Refusal {
+	worker := s.Quarantine.Worker
+	old := c.quarantines.get(worker)
+	if s.Release {
+		if old == nil {
+			return refusef("worker %s is not in quarantine", worker)
+		}
+		c.quarantines.remove(worker)
+		c.record(command, entry{
+			action:  "release-quarantine",
+			subject: string(worker),
+			before:  old.Reason,
+			cause:   a.Reason,
+		})
+		return ""
+	}
+	if refused := badID("worker", string(worker)); refused != "" {
+		return refused
+	}
+	if c.owners.get(s.Quarantine.VM) == nil {
+		return "no such VM"
+	}
+	quarantine := s.Quarantine
+	quarantine.Reason = clip(quarantine.Reason)
+	c.quarantines.put(worker, &quarantine)
+	c.record(command, entry{
+		action:  "quarantine",
+		subject: string(worker),
+		after:   quarantine.Reason,
+		cause:   a.Reason,
+	})
+	return ""
+}
--- /dev/null
+++ b/internal/state/check.go
@@ -0,0 +1,170 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// checker collects what does not hold in a view.
+type checker struct {
+	view   *View
+	broken []Broken
+}
+
+func (k *checker) expect(holds bool, invariant, format string, args ...any) {
+	if holds {
+		return
+	}
+	k.broken = append(k.broken, Broken{invariant, fmt.Sprintf(format, args...)})
+}
+
+// Check returns the invariants that do not hold in a view. It reads every row.
+func Check(v *View) []Broken {
+	k := &checker{view: v}
+	k.owners()
+	k.permits()
+	k.tasks()
+	k.jobs()
+	slices.SortFunc(k.broken, compareBroken)
+	return k.broken
+}
+
+func compareBroken(a, b Broken) int {
+	return cmp.Or(cmp.Compare(a.Invariant, b.Invariant), cmp.Compare(a.Detail, b.Detail))
+}
+
+// owners: a VM is in exactly one pool, and says so in one entry.
+func (k *checker) owners() {
+	for id, owner := range k.view.Owners {
+		k.expect(owner.VM == id, "one-pool", "the entry of VM %s is filed under %s", owner.VM, id)
+		k.expect(owner.Generation > 0, "generation-grows", "VM %s has no generation", id)
+		k.expect(owner.Moving || owner.Target == "", "one-pool", "VM %s has a target but is not moving", id)
+		k.expect(!owner.Moving || owner.Target != owner.Pool, "one-pool", "VM %s moves to its own pool", id)
+	}
+}
+
+// permits: only an owned VM that is not moving may be under maintenance.
+func (k *checker) permits() {
+	for id, permit := range k.view.Permits {
+		owner := k.view.Owners[id]
+		k.expect(owner != nil, "permit-owned", "VM %s has a permit but no entry", id)
+		if owner == nil {
+			continue
+		}
+		k.expect(!owner.Moving, "permit-owned", "VM %s has a permit and is moving", id)
+		k.expect(owner.Pool == permit.Pool, "permit-owned", "the permit of VM %s is of another pool", id)
+	}
+}
+
+// tasks: one task for an instance or job, on a VM of its pool.
+func (k *checker) tasks() {
+	instances := map[ordinalKey]model.TaskID{}
+	jobs := map[model.JobID]model.TaskID{}
+	for id, task := range k.view.Tasks {
+		k.expect(k.view.Owners[task.VM] != nil, "task-placed", "task %s is on VM %s, which has no entry", id, task.VM)
+		if task.Job != "" {
+			other := jobs[task.Job]
+			k.expect(other == "", "one-task", "job %s has two tasks", task.Job)
+			jobs[task.Job] = id
+			k.jobTask(task)
+			continue
+		}
+		key := ordinalKey{task.Service, task.Ordinal}
+		k.expect(instances[key] == "", "one-task", "instance %s/%d has two tasks", task.Service, task.Ordinal)
+		instances[key] = id
+	}
+}
+
+// jobTask: the job of a task runs, and on a VM of the job's pool.
+func (k *checker) jobTask(task *model.Task) {
+	job := k.view.Jobs[task.Job]
+	if job == nil {
+		k.expect(false, "one-task", "task %s runs job %s, which is not known", task.ID, task.Job)
+		return
+	}
+	k.expect(job.State == model.JobRunning, "one-task", "task %s runs job %s, which is %s", task.ID, task.Job, job.State)
+	owner := k.view.Owners[task.VM]
+	if owner != nil {
+		k.expect(owner.Pool == job.Spec.Pool, "task-placed", "task %s of pool %s is on VM %s of pool %s",
+			task.ID, job.Spec.Pool, task.VM, owner.Pool)
+	}
+}
+
+// jobs: a running job has a task.
+func (k *checker) jobs() {
+	running := map[model.JobID]bool{}
+	for _, task := range k.view.Tasks {
+		running[task.Job] = true
+	}
+	for id, job := range k.view.Jobs {
+		k.expect(job.State != model.JobRunning || running[id], "one-task", "job %s runs without a task", id)
+		k.expect(job.Attempts >= 0, "job-attempts", "job %s has %d attempts", id, job.Attempts)
+	}
+}
+
+// check returns what does not hold in the parts that a view does not show.
+func (c *core) check() []Broken {
+	k := &checker{}
+	k.auditChain(&c.audit)
+	k.expect(len(c.commands.byID) <= CommandMemory, "bounded", "%d command IDs are kept", len(c.commands.byID))
+	k.expect(c.claims.len() <= MaxClaims, "bounded", "%d claims are kept", c.claims.len())
+	k.expect(c.derived.keptBody <= MaxKeptBytes, "bounded", "%d bytes of answers are kept", c.derived.keptBody)
+	k.expect(c.jobs.len() <= MaxJobs, "bounded", "%d jobs are kept", c.jobs.len())
+	fresh := c.recount()
+	k.derivedCounts(c, fresh)
+	k.sums(c, fresh)
+	return k.broken
+}
+
+// auditChain: the kept records follow one another without gap or edit.
+func (k *checker) auditChain(t *auditTail) {
+	records := t.kept()
+	for i := 1; i < len(records); i++ {
+		before, r := records[i-1], records[i]
+		k.expect(r.Sequence == before.Sequence+1, "audit-chain", "record %d follows %d", r.Sequence, before.Sequence)
+		k.expect(r.Digest == ChainDigest(before.Digest, r), "audit-chain", "record %d does not fit the one before", r.Sequence)
+	}
+}
+
+// derivedCounts: the derived counts equal those of a fresh count.
+func (k *checker) derivedCounts(c, fresh *core) {
+	k.expect(maps.Equal(fresh.derived.vmTasks, c.derived.vmTasks), "derived", "tasks of VMs")
+	k.expect(maps.Equal(fresh.derived.poolVMs, c.derived.poolVMs), "derived", "VMs of pools")
+	k.expect(maps.Equal(fresh.derived.teamJobs, c.derived.teamJobs), "derived", "jobs of teams")
+	k.expect(maps.Equal(fresh.derived.wavePermits, c.derived.wavePermits), "derived", "permits of waves")
+	k.expect(fresh.derived.payload == c.derived.payload, "derived", "bytes of payloads")
+	k.expect(fresh.derived.keptBody == c.derived.keptBody, "derived", "bytes of answers")
+}
+
+// sums: the running sums, from which the digest is made, equal fresh ones.
+func (k *checker) sums(c, fresh *core) {
+	k.expect(fresh.owners.sum == c.owners.sum, "digest", "owners")
+	k.expect(fresh.permits.sum == c.permits.sum, "digest", "permits")
+	k.expect(fresh.maintained.sum == c.maintained.sum, "digest", "maintained")
+	k.expect(fresh.jobs.sum == c.jobs.sum, "digest", "jobs")
+	k.expect(fresh.tasks.sum == c.tasks.sum, "digest", "tasks")
+	k.expect(fresh.quarantines.sum == c.quarantines.sum, "digest", "quarantines")
+	k.expect(fresh.claims.sum == c.claims.sum, "digest", "claims")
+}
+
+// recount puts every row into an empty core.
+func (c *core) recount() *core {
+	fresh := newCore(c.rules)
+	rows := snapshotFile{
+		Owners:      c.owners.sorted(),
+		Permits:     c.permits.sorted(),
+		Maintained:  c.maintained.sorted(),
+		Tasks:       c.tasks.sorted(),
+		Quarantines: c.quarantines.sorted(),
+		Claims:      c.claims.sorted(),
+	}
+	for _, job := range c.jobs.sorted() {
+		rows.Jobs = append(rows.Jobs, jobRow{Job: job})
+	}
+	fresh.putRows(&rows)
+	return fresh
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -25,7 +25,8 @@
 	Plan          *Plan          `cbor:"16,keyasint,omitempty"`
 	StartTerm     *StartTerm     `cbor:"17,keyasint,omitempty"`
 	// Batch applies several commands as one entry, in order; it does not nest.
-	Batch []Command `cbor:"18,keyasint,omitempty"`
+	Batch      []Command   `cbor:"18,keyasint,omitempty"`
+	ForgetJobs *ForgetJobs `cbor:"19,keyasint,omitempty"`
 }
 
 // ApplyManifest makes a manifest the desired state.
@@ -72,6 +73,12 @@
 	Jobs []model.JobID `cbor:"1,keyasint"`
 }
 
+// ForgetJobs drops jobs that ended before the instant. Until then a resend of
+// a job's submission finds it and starts nothing.
+type ForgetJobs struct {
+	Before model.Instant `cbor:"1,keyasint"`
+}
+
 // StartTerm is the first command of a new leader; it fences earlier terms.
 type StartTerm struct {
 	Leader model.NodeID `cbor:"1,keyasint"`
@@ -160,6 +167,10 @@
 type RenewTasks struct {
 	Tasks      []model.TaskID `cbor:"1,keyasint"`
 	LeaseUntil model.Instant  `cbor:"2,keyasint"`
+	// AllBut renews every task except those in Tasks, so that the size of a
+	// renewal does not grow with the site. A lease recorded longer than the
+	// worker's is safe: its job only waits longer.
+	AllBut bool `cbor:"3,keyasint,omitempty"`
 }
 
 // UpdateTask changes state or throttling of a task.
@@ -222,7 +233,8 @@
 	Manifest *ManifestResult `cbor:"3,keyasint,omitempty"`
 	Claim    *ClaimResult    `cbor:"4,keyasint,omitempty"`
 	Job      *model.Job      `cbor:"5,keyasint,omitempty"`
-	// Actions has one entry for each action of a Plan, empty when it took effect.
+	// Actions has one entry for each action of a Plan and each job of a
+	// CancelJobs, empty when it took effect.
 	Actions []Refusal `cbor:"6,keyasint,omitempty"`
 	// Batch has one entry for each command of a Batch.
 	Batch []Result `cbor:"7,keyasint,omitempty"`
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,162 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// ErrStepBack says that a snapshot is older than what was applied. Installing
+// it would make accepted changes disappear from this VM.
+var ErrStepBack = errors.New("state: snapshot is older than the applied state")
+
+// Options sets up a Machine. The zero value is right for the product.
+type Options struct {
+	// Rules are faulty only in tests.
+	Rules Rules
+}
+
+// Machine is the state machine of one VM: one applier, any number of readers.
+type Machine struct {
+	mu      sync.RWMutex
+	core    *core
+	options Options
+	// view is nil after a change until somebody asks for it.
+	view atomic.Pointer[View]
+	// applied is closed and replaced whenever the index grows.
+	applied chan struct{}
+}
+
+// NewMachine returns an empty machine at index 0.
+func NewMachine(o Options) *Machine {
+	return &Machine{core: newCore(o.Rules), options: o, applied: make(chan struct{})}
+}
+
+// Apply applies the command that the log holds at index. Empty data advances
+// the index only. A command that can't be decoded or was applied before is
+// refused, on every VM alike.
+func (m *Machine) Apply(index uint64, data []byte) Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result := m.core.applyEntry(index, data)
+	m.changed()
+	return result
+}
+
+// changed drops the cached view and wakes those who wait for an index.
+func (m *Machine) changed() {
+	m.view.Store(nil)
+	close(m.applied)
+	m.applied = make(chan struct{})
+}
+
+// Applied returns the last index applied.
+func (m *Machine) Applied() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.core.index
+}
+
+// View returns the tables as of the last index. It is built when first asked
+// for and cached until the next change.
+func (m *Machine) View() *View {
+	if v := m.view.Load(); v != nil {
+		return v
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.viewLocked()
+}
+
+func (m *Machine) viewLocked() *View {
+	if v := m.view.Load(); v != nil {
+		return v
+	}
+	v := m.core.view()
+	m.view.Store(v)
+	return v
+}
+
+// Claim returns the claim of a key, nil when there is none.
+func (m *Machine) Claim(key model.RequestKey) *model.Claim {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.core.claims.get(key)
+}
+
+// Claims returns all claims in the order of their keys.
+func (m *Machine) Claims() []*model.Claim {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.core.claims.sorted()
+}
+
+// Audit returns at most limit of the kept audit records, from the sequence on.
+func (m *Machine) Audit(from uint64, limit int) []model.AuditRecord {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.core.audit.read(from, limit)
+}
+
+// Broken returns the invariants that applied changes broke since the start,
+// at most MaxBroken of them. It is empty unless the program has a fault.
+func (m *Machine) Broken() []Broken {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return append([]Broken(nil), m.core.broken...)
+}
+
+// Check checks every invariant of the tables; it reads all rows.
+func (m *Machine) Check() []Broken {
+	view := m.View()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return append(Check(view), m.core.check()...)
+}
+
+// Wait returns once index was applied, or with the error of ctx.
+func (m *Machine) Wait(ctx context.Context, index uint64) error {
+	for {
+		m.mu.RLock()
+		reached := m.core.index >= index
+		applied := m.applied
+		m.mu.RUnlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-applied:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Snapshot encodes the whole state. The applier waits only while the tables
+// are shared, not while they are encoded.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	state := m.core.freeze(m.viewLocked())
+	m.mu.Unlock()
+	return state.encode()
+}
+
+// Restore replaces the state by a snapshot, wholly or not at all. A snapshot
+// older than the applied index is refused with ErrStepBack.
+func (m *Machine) Restore(data []byte) error {
+	restored, err := restoreCore(data, m.options.Rules)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if restored.index < m.core.index && !m.options.Rules.SkipStepBack {
+		return ErrStepBack
+	}
+	m.core = restored
+	m.changed()
+	return nil
+}
