--- /dev/null
+++ b/internal/fleet/fill.go
@@ -0,0 +1,218 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// level is how badly a pool lacks VMs; a larger one goes first.
+type level uint8
+
+const (
+	// levelNone: it lacks none.
+	levelNone level = iota
+	// levelWant: waiting jobs or headroom would like one.
+	levelWant
+	// levelFloor: it is below its least size.
+	levelFloor
+	// levelHard: instances or urgent jobs have no room.
+	levelHard
+)
+
+// lack says how many VMs the pool lacks, and how badly.
+func (d *Demand) lack() (int, level) {
+	here := d.Ready + d.Coming
+	expected := here + d.Returning
+	switch {
+	case here < d.Hard:
+		return d.Hard - here, levelHard
+	case expected < d.Floor:
+		return d.Floor - expected, levelFloor
+	case expected < d.Want:
+		return d.Want - expected, levelWant
+	}
+	return 0, levelNone
+}
+
+// fillPools gives VMs to the pools that lack them, the worst lack first.
+func (d *decider) fillPools() {
+	s := newSources(d.ix)
+	stuck := make(map[*Demand]level)
+	for {
+		demand, lvl := d.neediest(stuck)
+		if demand == nil {
+			return
+		}
+		if !d.giveOne(demand, lvl, s) {
+			stuck[demand] = lvl
+		}
+	}
+}
+
+// neediest picks the pool with the worst lack, then the largest share lacking.
+func (d *decider) neediest(stuck map[*Demand]level) (*Demand, level) {
+	var best *Demand
+	bestLevel, bestShare := levelNone, 0.0
+	for _, demand := range d.demands {
+		n, lvl := demand.lack()
+		if lvl == levelNone || lvl <= stuck[demand] {
+			continue
+		}
+		share := float64(n) / float64(max(demand.Want, 1))
+		if lvl > bestLevel || lvl == bestLevel && share > bestShare {
+			best, bestLevel, bestShare = demand, lvl, share
+		}
+	}
+	return best, bestLevel
+}
+
+// giveOne finds one VM for the pool. It reports whether there was one.
+func (d *decider) giveOne(demand *Demand, lvl level, s *sources) bool {
+	spec := demand.Pool.Spec
+	if demand.Pool.Size() >= spec.MaxVMs {
+		return d.makeRoom(demand, lvl)
+	}
+	if v := s.takeNew(demand.Pool); v != nil {
+		d.move(v, spec.ID, fmt.Sprintf("pool %s %s", spec.ID, demand.Words()))
+		demand.Ready++
+		return true
+	}
+	if lvl == levelWant && !d.spareToSpare(s) {
+		return false
+	}
+	if v := s.takeSpare(demand.Pool); v != nil {
+		d.move(v, spec.ID, fmt.Sprintf("spare for pool %s, which %s", spec.ID, demand.Words()))
+		demand.Ready++
+		return true
+	}
+	if lvl == levelWant {
+		return false
+	}
+	return d.takeFromDonor(demand)
+}
+
+// spareToSpare reports whether a spare beyond those needed for the next
+// failure is left for a pool that merely wants one.
+func (d *decider) spareToSpare(s *sources) bool {
+	if s.surplusSpares < 0 {
+		s.surplusSpares = max(0, -sparesNeeded(d.ix, d.o, d.demands).Balance())
+	}
+	if s.surplusSpares == 0 {
+		return false
+	}
+	s.surplusSpares--
+	return true
+}
+
+// makeRoom takes a lost VM out of a pool that is at its largest size, so that
+// another can replace it.
+func (d *decider) makeRoom(demand *Demand, lvl level) bool {
+	if lvl == levelWant {
+		return false
+	}
+	for _, v := range demand.Pool.VMs {
+		if v.Moving() || v.Permit != nil || !v.Idle() || !lost(d.ix, v, d.o) {
+			continue
+		}
+		d.move(v, "", fmt.Sprintf("lost VM makes room in pool %s, which is at its largest size", demand.Pool.Spec.ID))
+		demand.Lost--
+		return true
+	}
+	return false
+}
+
+// takeFromDonor moves a VM from the pool that has the most to spare. The VM
+// with the least to relocate goes, and none that moved a short while ago.
+func (d *decider) takeFromDonor(demand *Demand) bool {
+	var best *VM
+	var donor *Demand
+	bestCost := 0
+	for _, other := range d.demands {
+		if other == demand || other.Surplus() <= 0 {
+			continue
+		}
+		for _, v := range other.Pool.VMs {
+			cost, ok := d.donorCost(v, other, demand.Pool.Spec)
+			if ok && (best == nil || cost < bestCost) {
+				best, donor, bestCost = v, other, cost
+			}
+		}
+	}
+	if best == nil || !best.Idle() && !d.mayMoveBusy() {
+		return false
+	}
+	idle := best.Idle()
+	d.move(best, demand.Pool.Spec.ID, fmt.Sprintf("pool %s has %d to spare; pool %s %s",
+		donor.Pool.Spec.ID, donor.Surplus(), demand.Pool.Spec.ID, demand.Words()))
+	donor.Ready--
+	if idle {
+		demand.Ready++
+	} else {
+		demand.Coming++
+	}
+	return true
+}
+
+// instanceMoveCost is what relocating an instance counts against a job's one.
+const instanceMoveCost = 3
+
+func (d *decider) donorCost(v *VM, from *Demand, to *model.Pool) (cost int, ok bool) {
+	settled := d.ix.Snap.Now.Sub(v.Owner.Since) >= d.o.MoveHold
+	if v.Block != Open || !settled || !Eligible(to, v.Listed) {
+		return 0, false
+	}
+	for _, t := range v.Tasks {
+		job := d.ix.Job(t.Job)
+		switch {
+		case t.Job == "":
+			cost += instanceMoveCost
+		case job == nil || !Yields(job, t):
+			return 0, false
+		default:
+			cost++
+		}
+	}
+	return cost, true
+}
+
+// evictMisfits takes VMs out of pools that they no longer fit: the manifest
+// dropped the pool, or changed its shape, availability zones or largest size.
+func (d *decider) evictMisfits() {
+	byPool := make(map[model.PoolID]*Demand, len(d.demands))
+	for _, demand := range d.demands {
+		byPool[demand.Pool.Spec.ID] = demand
+	}
+	for _, v := range d.ix.VMs {
+		if v.Owner == nil || v.Owner.Pool == "" || v.Moving() || v.Permit != nil || v.Listed == nil {
+			continue
+		}
+		if why := misfit(v, byPool[v.Owner.Pool]); why != "" && (v.Idle() || d.mayMoveBusy()) {
+			d.evict(v, byPool[v.Owner.Pool], why)
+		}
+	}
+}
+
+func (d *decider) evict(v *VM, demand *Demand, why string) {
+	if demand != nil && v.Block == Open {
+		demand.Ready--
+	}
+	d.move(v, "", why)
+}
+
+func misfit(v *VM, demand *Demand) string {
+	if demand == nil {
+		return fmt.Sprintf("the manifest has no pool %s", v.Owner.Pool)
+	}
+	spec := demand.Pool.Spec
+	spared := v.Block != Open || demand.Ready > demand.Hard
+	switch {
+	case !spared:
+		return ""
+	case !Eligible(spec, v.Listed):
+		return fmt.Sprintf("pool %s no longer allows the VM's shape or availability zone", spec.ID)
+	case demand.Pool.Size() > spec.MaxVMs:
+		return fmt.Sprintf("pool %s has %d VMs; its largest size is %d", spec.ID, demand.Pool.Size(), spec.MaxVMs)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/fleet/plan.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// Plan enters actions that a decision took in this round, so that decisions
+// after it neither repeat nor contradict them. Every decision of this package
+// and of placement plans what it returns; other packages may call it too.
+func (ix *Index) Plan(actions ...state.Action) {
+	for i := range actions {
+		ix.plan(&actions[i])
+	}
+}
+
+func (ix *Index) plan(a *state.Action) {
+	switch {
+	case a.BeginMove != nil:
+		ix.planMove(a.BeginMove)
+	case a.FinishMove != nil:
+		ix.planFinish(a.FinishMove.VM)
+	case a.ForgetVM != nil:
+		ix.planForget(a.ForgetVM.VM)
+	case a.Grant != nil:
+		ix.planGrant(a.Grant)
+	case a.StartTask != nil:
+		ix.planStart(&a.StartTask.Task)
+	case a.EndTask != nil:
+		ix.planned.ended[a.EndTask.Task] = true
+	case a.SetQuarantine != nil:
+		ix.planQuarantine(a.SetQuarantine)
+	case a.SetJob != nil:
+		ix.planned.jobs[a.SetJob.Job] = a.SetJob.State != model.JobQueued
+	}
+}
+
+// Ending reports whether a decision of this round ends the task.
+func (ix *Index) Ending(id model.TaskID) bool { return ix.planned.ended[id] }
+
+func (ix *Index) planMove(m *state.BeginMove) {
+	v := ix.vms[m.VM]
+	if v == nil {
+		return
+	}
+	if v.Owner == nil {
+		ix.setOwner(v, &model.Ownership{VM: v.ID, Pool: m.Target, Generation: 1, Since: ix.Snap.Now})
+		return
+	}
+	next := *v.Owner
+	next.Moving, next.Target, next.Since = true, m.Target, ix.Snap.Now
+	next.Generation++
+	ix.setOwner(v, &next)
+}
+
+func (ix *Index) planFinish(id model.VMID) {
+	v := ix.vms[id]
+	if v == nil || v.Owner == nil {
+		return
+	}
+	next := model.Ownership{VM: id, Pool: v.Owner.Target, Generation: v.Owner.Generation + 1, Since: ix.Snap.Now}
+	ix.setOwner(v, &next)
+}
+
+func (ix *Index) planForget(id model.VMID) {
+	if v := ix.vms[id]; v != nil && v.Owner != nil {
+		ix.setOwner(v, nil)
+	}
+}
+
+func (ix *Index) setOwner(v *VM, owner *model.Ownership) {
+	if v.Owner != nil {
+		ix.leavePool(v)
+	}
+	v.Owner = owner
+	if owner != nil {
+		ix.joinPool(v)
+	}
+	v.Block = v.block()
+}
+
+func (ix *Index) planGrant(g *state.Grant) {
+	v := ix.vms[g.VM]
+	if v == nil {
+		return
+	}
+	v.Permit = &model.Permit{VM: g.VM, Wave: g.Wave, Pool: v.Pool(), Phase: model.PhaseGranted, Since: ix.Snap.Now}
+	v.Block = v.block()
+}
+
+func (ix *Index) planStart(t *model.Task) {
+	task := *t
+	ix.planned.jobs[task.Job] = task.Job != ""
+	if v := ix.vms[task.VM]; v != nil {
+		v.placed++
+	}
+	ix.addTask(&task)
+}
+
+func (ix *Index) planQuarantine(q *state.SetQuarantine) {
+	v := ix.workers[q.Quarantine.Worker]
+	if v == nil {
+		return
+	}
+	record := q.Quarantine
+	v.Quarantine = &record
+	if q.Release {
+		v.Quarantine = nil
+	}
+	v.Block = v.block()
+}
+
+// PlacedNow counts the tasks that decisions of this round start on the VM.
+func (v *VM) PlacedNow() int { return v.placed }
+
+// Members returns the VMs of the pool that do not move out.
+func (p *Pool) Members() []*VM {
+	return slices.DeleteFunc(slices.Clone(p.VMs), (*VM).Moving)
+}
+
+// Size counts the VMs that are, or will be, in the pool: those moving out are
+// still in it and those moving in are counted already.
+func (p *Pool) Size() int { return len(p.VMs) + len(p.Incoming) }
--- /dev/null
+++ b/internal/fleet/sources.go
@@ -0,0 +1,127 @@
+package fleet
+
+import "github.com/comfreyloom/comfreyloom/internal/model"
+
+// sources are the VMs that pools can be given: new ones and shared spares,
+// grouped by failure domain and capacity, so that choosing one does not look
+// at every VM.
+type sources struct {
+	ix     *Index
+	fresh  []*group
+	spares []*group
+	// members counts the VMs by pool and rack, and by pool and zone.
+	members map[*Pool]*spreadCount
+	// surplusSpares is how many spares are not needed; below 0 not worked out.
+	surplusSpares int
+}
+
+// group holds VMs that are alike for the choice.
+type group struct {
+	rack, zone int
+	capacity   model.Resources
+	vms        []*VM
+}
+
+type spreadCount struct {
+	rack []int
+	zone []int
+}
+
+type groupKey struct {
+	rack     int
+	capacity model.Resources
+}
+
+func newSources(ix *Index) *sources {
+	s := &sources{ix: ix, members: make(map[*Pool]*spreadCount), surplusSpares: -1}
+	s.fresh = grouped(ix.VMs, func(v *VM) bool { return v.Owner == nil && v.Healthy() && usable(v) })
+	s.spares = grouped(ix.Spares, SpareReady)
+	return s
+}
+
+// SpareReady reports whether a VM is a shared spare that can join a pool now.
+func SpareReady(v *VM) bool {
+	return v.Block == BlockSpare && v.Idle() && v.Healthy() && usable(v)
+}
+
+func usable(v *VM) bool { return v.Permit == nil && v.Quarantine == nil && !v.Listed.Drained }
+
+func grouped(vms []*VM, keep func(*VM) bool) []*group {
+	var groups []*group
+	byKey := make(map[groupKey]*group)
+	for _, v := range vms {
+		if !keep(v) {
+			continue
+		}
+		key := groupKey{v.Rack, v.Capacity()}
+		g := byKey[key]
+		if g == nil {
+			g = &group{rack: v.Rack, zone: v.Zone, capacity: v.Capacity()}
+			byKey[key] = g
+			groups = append(groups, g)
+		}
+		g.vms = append(g.vms, v)
+	}
+	return groups
+}
+
+func (s *sources) takeNew(p *Pool) *VM   { return s.take(p, s.fresh) }
+func (s *sources) takeSpare(p *Pool) *VM { return s.take(p, s.spares) }
+
+// take removes the VM that spreads the pool best: the rack, then the
+// availability zone, with the fewest of its VMs, then the least left over.
+func (s *sources) take(p *Pool, groups []*group) *VM {
+	count := s.count(p)
+	var best *group
+	var bestScore [4]int64
+	for _, g := range groups {
+		if len(g.vms) == 0 || !Eligible(p.Spec, g.vms[0].Listed) {
+			continue
+		}
+		left := g.capacity.Minus(p.Spec.Shape)
+		score := [4]int64{int64(count.rack[g.rack]), int64(count.zone[g.zone]), left.Accelerators, left.MilliCPU + left.MemoryMB}
+		if best == nil || less(score, bestScore) {
+			best, bestScore = g, score
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	v := best.vms[0]
+	best.vms = best.vms[1:]
+	count.rack[best.rack]++
+	count.zone[best.zone]++
+	return v
+}
+
+func (s *sources) count(p *Pool) *spreadCount {
+	if c := s.members[p]; c != nil {
+		return c
+	}
+	c := &spreadCount{rack: make([]int, len(s.ix.Racks)), zone: make([]int, len(s.ix.Zones))}
+	for _, v := range p.VMs {
+		c.add(v)
+	}
+	for _, v := range p.Incoming {
+		c.add(v)
+	}
+	s.members[p] = c
+	return c
+}
+
+// add counts a VM unless it is gone: the failed do not spread anything.
+func (c *spreadCount) add(v *VM) {
+	if v.Rack >= 0 && v.Healthy() {
+		c.rack[v.Rack]++
+		c.zone[v.Zone]++
+	}
+}
+
+func less(a, b [4]int64) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placement/evacuate.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// Evacuate asks for the end of tasks that may not stay: of cancelled jobs, on
+// VMs that move to another pool, instances which the manifest no longer asks
+// for, and instances that lie too close together. An instance is stopped only
+// while its service stays above its budget without it.
+func Evacuate(ix *fleet.Index) []Wish {
+	var wishes []Wish
+	margins := stopMargins(ix)
+	for _, v := range ix.VMs {
+		if v.Idle() {
+			continue
+		}
+		for _, t := range v.SortedTasks() {
+			if t.State == model.TaskStopping || ix.Ending(t.ID) {
+				continue
+			}
+			if w, ok := evacuateTask(ix, v, t, margins); ok {
+				wishes = append(wishes, w)
+			}
+		}
+	}
+	return append(wishes, spreadOut(ix, margins)...)
+}
+
+// stopMargins is how many available instances each service can spare now.
+// Instances that were told to stop may still serve and are taken off.
+func stopMargins(ix *fleet.Index) map[model.ServiceID]int {
+	margins := make(map[model.ServiceID]int, len(ix.Services))
+	for _, s := range ix.Services {
+		margin := s.Available - s.Spec.MinAvailable
+		for _, t := range s.Tasks {
+			if t != nil && t.State == model.TaskStopping && ix.InstanceAvailable(t) {
+				margin--
+			}
+		}
+		margins[s.Spec.ID] = margin
+	}
+	return margins
+}
+
+func evacuateTask(ix *fleet.Index, v *fleet.VM, t *model.Task, margins map[model.ServiceID]int) (Wish, bool) {
+	if t.Job != "" {
+		return evacuateJob(ix, v, t)
+	}
+	s := ix.Service(t.Service)
+	switch {
+	case s == nil:
+		return Wish{Stop, ForMove, t, fmt.Sprintf("the manifest has no service %s", t.Service)}, true
+	case t.Ordinal >= s.Spec.Instances:
+		return Wish{Stop, ForMove, t, fmt.Sprintf("service %s asks for %d instances", t.Service, s.Spec.Instances)}, true
+	case v.Moving(), v.Pool() != s.Spec.Pool:
+		why := fmt.Sprintf("VM %s leaves pool %s", v.ID, s.Spec.Pool)
+		return Wish{Stop, ForMove, t, why}, spend(ix, t, margins)
+	}
+	return Wish{}, false
+}
+
+// spend takes an instance off its service's margin, unless it is not
+// available anyway.
+func spend(ix *fleet.Index, t *model.Task, margins map[model.ServiceID]int) bool {
+	if !ix.InstanceAvailable(t) {
+		return true
+	}
+	if margins[t.Service] <= 0 {
+		return false
+	}
+	margins[t.Service]--
+	return true
+}
+
+// evacuateJob stops cancelled jobs, and batch jobs that can be undone on VMs
+// that move. Others end by themselves: a move can wait.
+func evacuateJob(ix *fleet.Index, v *fleet.VM, t *model.Task) (Wish, bool) {
+	job := ix.Job(t.Job)
+	switch {
+	case job == nil:
+		return Wish{}, false
+	case job.Cancelled:
+		return Wish{Stop, ForCancel, t, "the job was cancelled"}, true
+	case !v.Moving() || t.Priority != model.Batch || !job.Spec.Idempotent:
+		return Wish{}, false
+	}
+	kind := Stop
+	if job.Spec.Checkpoints {
+		kind = Checkpoint
+	}
+	return Wish{kind, ForMove, t, fmt.Sprintf("VM %s moves to another pool", v.ID)}, true
+}
+
+// spreadOut asks for the move of one instance of each service of which one
+// VM carries more instances than the service can spare, when another open VM
+// could carry one without the same fault.
+func spreadOut(ix *fleet.Index, margins map[model.ServiceID]int) []Wish {
+	var wishes []Wish
+	for _, s := range ix.Services {
+		spare := s.Spec.Instances - s.Spec.MinAvailable
+		p := ix.Pool(s.Spec.Pool)
+		if p == nil || spare <= 0 || margins[s.Spec.ID] <= 0 {
+			continue
+		}
+		count := newSpread(ix, s)
+		t := crowded(ix, s, count, spare)
+		if t == nil {
+			continue
+		}
+		if v, _ := count.pick(p, s.Spec.Size); v != nil && count.vm[v] < spare && spend(ix, t, margins) {
+			why := fmt.Sprintf("VM %s carries %d of %d instances; service %s can spare %d", t.VM, count.vm[ix.VM(t.VM)], s.Spec.Instances, s.Spec.ID, spare)
+			wishes = append(wishes, Wish{Stop, ForSpread, t, why})
+		}
+	}
+	return wishes
+}
+
+func crowded(ix *fleet.Index, s *fleet.Service, count *spread, spare int) *model.Task {
+	for _, t := range s.Tasks {
+		if t == nil || t.State != model.TaskRunning || ix.Ending(t.ID) {
+			continue
+		}
+		if v := ix.VM(t.VM); v != nil && v.Block == fleet.Open && count.vm[v] > spare {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/placement/instances.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// Shortage is an instance that found no VM, with the reason.
+type Shortage struct {
+	Service model.ServiceID
+	Ordinal int
+	No      No
+	Reason  string
+}
+
+// Instances starts a task for each ordinal of each service that has none,
+// spread over availability zones, racks and VMs.
+func Instances(ix *fleet.Index) []state.Action {
+	actions, _ := placeInstances(ix)
+	return actions
+}
+
+func placeInstances(ix *fleet.Index) ([]state.Action, []Shortage) {
+	var actions []state.Action
+	var shortages []Shortage
+	for _, s := range ix.Services {
+		p := ix.Pool(s.Spec.Pool)
+		if p == nil {
+			continue
+		}
+		var count *spread
+		for ordinal, task := range s.Tasks {
+			if task != nil {
+				continue
+			}
+			if count == nil {
+				count = newSpread(ix, s)
+			}
+			v, no := count.pick(p, s.Spec.Size)
+			if v == nil {
+				shortages = append(shortages, shortage(s, p, ordinal, no))
+				continue
+			}
+			a := startInstance(ix, s, ordinal, v)
+			ix.Plan(a)
+			count.add(v)
+			actions = append(actions, a)
+		}
+	}
+	return actions, shortages
+}
+
+func startInstance(ix *fleet.Index, s *fleet.Service, ordinal int, v *fleet.VM) state.Action {
+	task := model.Task{
+		ID:       instanceTaskID(ix, s, ordinal),
+		Service:  s.Spec.ID,
+		Ordinal:  ordinal,
+		Size:     s.Spec.Size,
+		Priority: model.Urgent,
+	}
+	return start(ix, v, task, fmt.Sprintf("instance %d of service %s has no task", ordinal, s.Spec.ID))
+}
+
+func shortage(s *fleet.Service, p *fleet.Pool, ordinal int, no No) Shortage {
+	reason := fmt.Sprintf("no open VM of pool %s has %s left", p.Spec.ID, sizeWords(s.Spec.Size))
+	if no == NoOpenVM {
+		reason = fmt.Sprintf("no VM of pool %s takes new work: %s", p.Spec.ID, blockWords(p))
+	}
+	return Shortage{Service: s.Spec.ID, Ordinal: ordinal, No: no, Reason: reason}
+}
+
+// spread counts the instances of one service by failure domain.
+type spread struct {
+	zone, rack []int
+	vm         map[*fleet.VM]int
+}
+
+func newSpread(ix *fleet.Index, s *fleet.Service) *spread {
+	c := &spread{zone: make([]int, len(ix.Zones)), rack: make([]int, len(ix.Racks)), vm: make(map[*fleet.VM]int)}
+	for _, t := range s.Tasks {
+		if t == nil {
+			continue
+		}
+		if v := ix.VM(t.VM); v != nil {
+			c.add(v)
+		}
+	}
+	return c
+}
+
+func (c *spread) add(v *fleet.VM) {
+	c.vm[v]++
+	if v.Rack >= 0 {
+		c.zone[v.Zone]++
+		c.rack[v.Rack]++
+	}
+}
+
+// pick chooses the VM whose loss, alone or with its rack or availability
+// zone, would take the fewest instances of the service with it.
+func (c *spread) pick(p *fleet.Pool, size model.Resources) (*fleet.VM, No) {
+	var best *fleet.VM
+	var bestScore [5]int64
+	no := NoOpenVM
+	for _, v := range p.VMs {
+		if v.Block != fleet.Open {
+			continue
+		}
+		no = NoRoom
+		free := v.Free()
+		if !size.Fits(free) {
+			continue
+		}
+		score := c.score(p, v, free)
+		if best == nil || lessScore(score, bestScore) {
+			best, bestScore = v, score
+		}
+	}
+	if best == nil {
+		return nil, no
+	}
+	return best, Placed
+}
+
+func (c *spread) score(p *fleet.Pool, v *fleet.VM, free model.Resources) [5]int64 {
+	pending := int64(0)
+	if p.Wave != nil && !v.Maintained {
+		pending = 1
+	}
+	return [5]int64{int64(c.vm[v]), int64(c.rack[v.Rack]), int64(c.zone[v.Zone]), pending, -free.MilliCPU}
+}
+
+func lessScore(a, b [5]int64) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placement/jobs.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"container/heap"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// planner places the queued jobs of one round.
+type planner struct {
+	ix      *fleet.Index
+	o       Options
+	w       *weigher
+	rooms   map[model.PoolID]*room
+	words   map[reasonKey]string
+	total   model.Resources
+	starts  int
+	reasons int
+	actions []state.Action
+	wishes  []Wish
+	// yielding are the tasks that were asked to yield in this round.
+	yielding map[model.TaskID]bool
+}
+
+func decideJobs(ix *fleet.Index, o Options, shortages []Shortage) ([]state.Action, []Wish) {
+	o = o.withDefaults(ix)
+	p := &planner{
+		ix:       ix,
+		o:        o,
+		w:        &weigher{ix: ix, o: o},
+		total:    totalCapacity(ix),
+		rooms:    make(map[model.PoolID]*room),
+		words:    make(map[reasonKey]string),
+		yielding: make(map[model.TaskID]bool),
+	}
+	if ix.Snap.View.Site == nil {
+		return nil, nil
+	}
+	p.reserveInstances(shortages)
+	levels := byPriority(ix, o, p.total)
+	for level := range levels {
+		p.placeLevel(&levels[level], level == 0)
+	}
+	return p.actions, p.wishes
+}
+
+func totalCapacity(ix *fleet.Index) model.Resources {
+	var total model.Resources
+	for _, v := range ix.VMs {
+		total = total.Plus(v.Capacity())
+	}
+	return total
+}
+
+// placeLevel tries every job of the level. One that can't run now is passed
+// over and does not block the next; an urgent one holds room for itself.
+func (p *planner) placeLevel(l *lanes, urgent bool) {
+	heap.Init(l)
+	for l.Len() > 0 && p.starts < p.o.MaxStarts {
+		lane, j := l.next()
+		if p.place(j, urgent) {
+			lane.weigh(p.total)
+		}
+		l.settle()
+	}
+}
+
+func (p *planner) place(j *model.Job, urgent bool) bool {
+	r, size, no := p.admit(j)
+	if no != Placed {
+		p.explain(j, size, no)
+		return false
+	}
+	if s := r.probe(j, size); s != nil {
+		p.start(j, s, size, "probe of a quarantined worker")
+		return true
+	}
+	s, no := r.find(p.w, j, size)
+	if no == Placed {
+		p.start(j, s, size, "")
+		return true
+	}
+	if urgent && p.reserve(r, j, size) {
+		no = Reserved
+	}
+	p.explain(j, size, no)
+	return false
+}
+
+// admit checks what does not depend on a VM: pool, team, shape and quota. It
+// returns the size to place.
+func (p *planner) admit(j *model.Job) (*room, model.Resources, No) {
+	r := p.room(j.Spec.Pool)
+	if r == nil {
+		return nil, j.Spec.Declared, UnknownPool
+	}
+	team := p.ix.Team(j.Spec.Team)
+	if team == nil {
+		return r, j.Spec.Declared, UnknownTeam
+	}
+	size, no := p.fitShape(r, j)
+	if no != Placed {
+		return r, size, no
+	}
+	quota := team.Spec.Quota
+	switch {
+	case !withinQuota(j.Spec.Declared, quota) && !withinQuota(size, quota):
+		return r, j.Spec.Declared, OverQuota
+	case !withinQuota(size, quota):
+		return r, size, QuotaByEstimate
+	case !withinQuota(team.Used.Plus(size), quota):
+		return r, size, QuotaInUse
+	}
+	return r, size, Placed
+}
+
+// fitShape judges what the job needs and whether any VM of the pool, empty,
+// could hold it. While the platform's list may be partial nothing is ruled
+// out: a job told that it can never run is not tried again.
+func (p *planner) fitShape(r *room, j *model.Job) (model.Resources, No) {
+	declared := j.Spec.Declared
+	size := declared
+	if p.o.Sizes != nil {
+		size = p.o.Sizes.Size(&j.Spec)
+	}
+	if r.fitsAnyVM(size) {
+		return size, Placed
+	}
+	if r.fitsAnyVM(declared) {
+		return r.clip(size, declared), Placed
+	}
+	if r.partial || p.spareFits(r, declared) {
+		return size, CapacityUnknown
+	}
+	return declared, TooLarge
+}
+
+// spareFits reports whether a shared spare that may join the pool is large enough.
+func (p *planner) spareFits(r *room, declared model.Resources) bool {
+	for _, v := range p.ix.Spares {
+		if fleet.Eligible(r.pool.Spec, v.Listed) && declared.Fits(v.Capacity()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *planner) room(id model.PoolID) *room {
+	if r, ok := p.rooms[id]; ok {
+		return r
+	}
+	var r *room
+	if pool := p.ix.Pool(id); pool != nil {
+		r = newRoom(p.ix, pool)
+	}
+	p.rooms[id] = r
+	return r
+}
+
+func (p *planner) start(j *model.Job, s *slot, size model.Resources, reason string) {
+	task := model.Task{ID: jobTaskID(p.ix.Snap.Region, j), Job: j.Spec.ID, Size: size, Priority: j.Spec.Priority}
+	a := start(p.ix, s.vm, task, reason)
+	p.ix.Plan(a)
+	p.actions = append(p.actions, a)
+	p.starts++
+}
+
+// explain tells a job why it waits, or that it can never run. A job that
+// waits for the same reason as before is not written again.
+func (p *planner) explain(j *model.Job, size model.Resources, no No) {
+	if p.reasons >= p.o.MaxReasons && !no.Never() {
+		return
+	}
+	reason := p.reasonWords(j, size, no)
+	if !no.Never() && reason == j.Reason {
+		return
+	}
+	next := model.JobQueued
+	if no.Never() {
+		next = model.JobUnplaceable
+	}
+	a := state.Action{Reason: reason, SetJob: &state.SetJob{Job: j.Spec.ID, State: next, Reason: reason}}
+	p.ix.Plan(a)
+	p.actions = append(p.actions, a)
+	p.reasons++
+}
--- /dev/null
+++ b/internal/placement/task.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// jobTaskID names an attempt by its number, so that deciding twice on the
+// same state names the same task.
+func jobTaskID(region model.RegionID, j *model.Job) model.TaskID {
+	return taskID(region, fmt.Sprintf("%s.%d", local(string(j.Spec.ID)), j.Attempts+1))
+}
+
+// instanceTaskID names an attempt by the log index on which it was decided:
+// the next attempt of the ordinal can only be decided on a later one.
+func instanceTaskID(ix *fleet.Index, s *fleet.Service, ordinal int) model.TaskID {
+	name := fmt.Sprintf("%s.%d.%d", local(string(s.Spec.ID)), ordinal, ix.Snap.View.Index)
+	return taskID(ix.Snap.Region, name)
+}
+
+func taskID(region model.RegionID, name string) model.TaskID {
+	if region == "" {
+		return model.TaskID(name)
+	}
+	return model.TaskID(model.Qualify(region, name))
+}
+
+func local(id string) string {
+	_, name := model.SplitQualified(id)
+	return name
+}
+
+// start builds the action that commits an attempt on a VM with its lease.
+func start(ix *fleet.Index, v *fleet.VM, t model.Task, reason string) state.Action {
+	t.VM = v.ID
+	t.Worker = v.Listed.Worker
+	t.State = model.TaskStarting
+	t.Generation = v.Generation()
+	t.Started = ix.Now()
+	t.LeaseUntil = ix.LeaseUntil()
+	return state.Action{Reason: reason, StartTask: &state.StartTask{Task: t, Pool: v.Pool()}}
+}
