--- /dev/null
+++ b/internal/slots/config.go
@@ -0,0 +1,74 @@
+package slots
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreyloom/comfreyloom/internal/admission"
+	"github.com/comfreyloom/comfreyloom/internal/balance"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+)
+
+// Services is the part of the desired state that a dispatcher needs.
+type Services interface {
+	Service(model.ServiceID) (model.Service, bool)
+	Team(model.TeamID) (model.Team, bool)
+}
+
+// Config says what a dispatcher works with.
+type Config struct {
+	Self model.NodeID
+	Zone model.ZoneID
+	// Nodes are all entry VMs of the settings, live or not. Static shares are
+	// taken over them, so that every entry VM computes the same shares.
+	Nodes []model.NodeID
+	// Members returns the entry VMs that are live as this one sees it.
+	Members  func() []model.NodeID
+	Registry *registry.Registry
+	Services Services
+	// Now is a clock that never steps; nil takes a monotonic one that starts
+	// at the wall clock.
+	Now func() model.Instant
+	// Random returns a number in 0..n-1; nil takes math/rand/v2.
+	Random func(n int) int
+	// Metrics and Log may be nil.
+	Metrics   metrics.Registry
+	Log       log.Interface
+	Admission admission.Options
+	Balance   balance.Options
+}
+
+// Clock returns a clock that starts at the wall clock and goes on with the
+// monotonic one. A lease measured by the wall clock would last too long, or
+// end too early, when the wall clock is set.
+func Clock() func() model.Instant {
+	start := time.Now()
+	return func() model.Instant { return model.InstantOf(start.Add(time.Since(start))) }
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = Clock()
+	}
+	if c.Random == nil {
+		c.Random = rand.IntN
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Log == nil {
+		c.Log = log.Log
+	}
+	if len(c.Nodes) == 0 {
+		c.Nodes = []model.NodeID{c.Self}
+	}
+	if c.Members == nil {
+		nodes := c.Nodes
+		c.Members = func() []model.NodeID { return nodes }
+	}
+	return c
+}
--- /dev/null
+++ b/internal/slots/dispatcher_test.go
@@ -0,0 +1,105 @@
+package slots
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+)
+
+// siteOf is a site with one service.
+type siteOf struct{ service model.Service }
+
+func (s siteOf) Service(id model.ServiceID) (model.Service, bool) {
+	return s.service, id == s.service.ID
+}
+
+func (s siteOf) Team(id model.TeamID) (model.Team, bool) {
+	return model.Team{ID: id, MaxRequests: 100}, true
+}
+
+// fakeClock is an Instant that a test moves.
+type fakeClock struct{ now atomic.Int64 }
+
+func (c *fakeClock) Now() model.Instant      { return model.Instant(c.now.Load()) }
+func (c *fakeClock) Advance(d time.Duration) { c.now.Add(d.Milliseconds()) }
+
+func announce(t *testing.T, r *registry.Registry, sequence uint64, leaving bool, instances ...int) {
+	t.Helper()
+	for _, n := range instances {
+		_, err := r.Announce(model.Upstream{
+			Service: "drafts", Instance: model.InstanceID(fmt.Sprintf("i%d", n)),
+			Address: fmt.Sprintf("127.0.0.1:%d", 9000+n), Incarnation: 1, Sequence: sequence,
+			Slots: 8, Connections: 64, Leaving: leaving,
+		}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func newAlone(t *testing.T, slots, queueLimit int) (*Dispatcher, *fakeClock, *registry.Registry) {
+	t.Helper()
+	clock := &fakeClock{}
+	r := registry.New(registry.Options{})
+	d := New(Config{
+		Self: "n1", Registry: r, Now: clock.Now,
+		Services: siteOf{model.Service{ID: "drafts", Slots: slots, Connections: 64, QueueLimit: queueLimit, Timeout: 10 * time.Second}},
+	})
+	return d, clock, r
+}
+
+type result struct {
+	grant *Grant
+	err   error
+}
+
+// asking starts an Acquire and waits until it is in the queue.
+func asking(d *Dispatcher, ask Ask) chan result {
+	out := make(chan result, 1)
+	queued := d.counters.queued.Count() + d.counters.refused.Count()
+	go func() {
+		grant, err := d.Acquire(context.Background(), ask)
+		out <- result{grant, err}
+	}()
+	for d.counters.queued.Count()+d.counters.refused.Count() == queued {
+		time.Sleep(100 * time.Microsecond)
+	}
+	return out
+}
+
+// Symptom: an urgent draft waits for minutes behind overnight reconciliations.
+// Sequence: the queue is full of batch requests when an urgent one comes.
+// Cause: a queue that serves in order of arrival, or refuses when it is full.
+// The batch request that is shed for it learns so at once, not at its deadline.
+func TestUrgentGoesBeforeBatchFlood(t *testing.T) {
+	is := is.New(t)
+	d, clock, r := newAlone(t, 1, 3)
+	announce(t, r, 1, false, 1)
+	deadline := model.Instant(60_000)
+	running, err := d.Acquire(context.Background(), Ask{Service: "drafts", Priority: model.Batch, Deadline: deadline})
+	is.NoErr(err)
+	var batch []chan result
+	for range 3 {
+		batch = append(batch, asking(d, Ask{Service: "drafts", Priority: model.Batch, Deadline: deadline}))
+	}
+	urgent := asking(d, Ask{Service: "drafts", Priority: model.Urgent, Deadline: deadline})
+	shed := <-batch[2]
+	var rejection *Rejection
+	is.True(errors.As(shed.err, &rejection))
+	is.True(rejection.RetryAfter > 0)
+	clock.Advance(time.Second)
+	running.Release(Answered)
+	first := <-urgent
+	is.NoErr(first.err)
+	is.Equal(d.counters.granted.Count(), int64(2))
+	first.grant.Release(Answered)
+	is.NoErr((<-batch[0]).err)
+}
--- a/internal/slots/types.go
+++ b/internal/slots/types.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/balance"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -21,17 +22,14 @@
 }
 
 // Outcome says how an attempt at an instance ended, for outlier ejection.
-type Outcome uint8
+type Outcome = balance.Outcome
 
+// The outcomes of an attempt; see package balance.
 const (
-	// Answered: the instance gave a whole answer, whatever its status below 500.
-	Answered Outcome = iota + 1
-	// Busy: the instance refused for lack of capacity; the request did not run.
-	Busy
-	// Failed: a connection error, truncated answer, timeout or status 5xx.
-	Failed
-	// Abandoned: the caller went away; says nothing about the instance.
-	Abandoned
+	Answered  = balance.Answered
+	Busy      = balance.Busy
+	Failed    = balance.Failed
+	Abandoned = balance.Abandoned
 )
 
 // Grant is one slot at one instance. It must be released exactly once.
