--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
 )
 
 func (ix *Index) addPoolMembers() {
@@ -22,7 +23,7 @@
 	}
 	if p := ix.pools[v.Owner.Pool]; p != nil {
 		p.VMs = append(p.VMs, v)
-		v.Maintained = p.Wave != nil && ix.wentThrough(v.ID, p.Wave.ID)
+		v.Maintained = p.Wave != nil && state.WaveDone(p.Wave, ix.Snap.View.Maintained[v.ID])
 	}
 	if p := ix.pools[v.Owner.Target]; p != nil && v.Owner.Moving {
 		p.Incoming = append(p.Incoming, v)
@@ -46,11 +47,6 @@
 	return slices.DeleteFunc(vms, func(o *VM) bool { return o == v })
 }
 
-func (ix *Index) wentThrough(vm model.VMID, wave model.WaveID) bool {
-	m := ix.Snap.View.Maintained[vm]
-	return m != nil && m.Wave == wave
-}
-
 func (ix *Index) addTasks() {
 	for _, t := range ix.Snap.View.Tasks {
 		ix.addTask(t)
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -50,7 +50,7 @@
 		return
 	}
 	next := *v.Owner
-	next.Moving, next.Target, next.Since = true, m.Target, ix.Snap.Now
+	next.Moving, next.Target, next.Since = v.Owner.Pool != m.Target, m.Target, ix.Snap.Now
 	next.Generation++
 	ix.setOwner(v, &next)
 }
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -25,7 +25,7 @@
 }
 
 func decideJobs(ix *fleet.Index, o Options, shortages []Shortage) ([]state.Action, []Wish) {
-	o = o.withDefaults(ix)
+	o = o.withDefaults()
 	p := &planner{
 		ix:       ix,
 		o:        o,
@@ -160,7 +160,7 @@
 }
 
 func (p *planner) start(j *model.Job, s *slot, size model.Resources, reason string) {
-	task := model.Task{ID: jobTaskID(p.ix.Snap.Region, j), Job: j.Spec.ID, Size: size, Priority: j.Spec.Priority}
+	task := model.Task{ID: jobTaskID(p.ix, j), Job: j.Spec.ID, Size: size, Priority: j.Spec.Priority}
 	a := start(p.ix, s.vm, task, reason)
 	p.ix.Plan(a)
 	p.actions = append(p.actions, a)
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -21,34 +21,39 @@
 // here before that, by a clock that runs ahead of the worker's, a second
 // attempt would run beside the first; the margin is for that.
 func Leases(ix *fleet.Index, o Options) []state.Action {
-	o = o.withDefaults(ix)
+	o = o.withDefaults()
 	var actions []state.Action
-	var renewed []model.TaskID
-	for _, t := range sortedTasks(ix) {
+	var renewed, lapsing []model.TaskID
+	due := false
+	for _, t := range ix.Snap.View.Tasks {
 		switch {
 		case ix.Now() > t.LeaseUntil.Add(o.DriftMargin):
 			actions = append(actions, lapse(ix, t))
-		case t.LeaseUntil.Sub(ix.Now()) < ix.Lease()/2 && renewable(ix, t):
+		case renewable(ix, t):
 			renewed = append(renewed, t.ID)
+			due = due || t.LeaseUntil.Sub(ix.Now()) < ix.Lease()/2
+		default:
+			lapsing = append(lapsing, t.ID)
 		}
 	}
-	if len(renewed) > 0 {
-		actions = append(actions, state.Action{RenewTasks: &state.RenewTasks{Tasks: renewed, LeaseUntil: ix.LeaseUntil()}})
+	slices.SortFunc(actions, func(a, b state.Action) int { return cmp.Compare(a.EndTask.Task, b.EndTask.Task) })
+	if due {
+		actions = append(actions, renew(ix, renewed, lapsing))
 	}
 	ix.Plan(actions...)
 	return actions
 }
 
-// sortedTasks lists the tasks whose lease is in its second half, by ID.
-func sortedTasks(ix *fleet.Index) []*model.Task {
-	var due []*model.Task
-	for _, t := range ix.Snap.View.Tasks {
-		if t.LeaseUntil.Sub(ix.Now()) < ix.Lease()/2 {
-			due = append(due, t)
-		}
+// renew extends all leases that are to go on to one instant. It names the
+// tasks that lapse where they are fewer, which they are but for disasters, so
+// that a renewal does not grow with the site.
+func renew(ix *fleet.Index, renewed, lapsing []model.TaskID) state.Action {
+	r := &state.RenewTasks{Tasks: renewed, LeaseUntil: ix.LeaseUntil()}
+	if len(lapsing) < len(renewed) {
+		r.Tasks, r.AllBut = lapsing, true
 	}
-	slices.SortFunc(due, func(a, b *model.Task) int { return cmp.Compare(a.ID, b.ID) })
-	return due
+	slices.Sort(r.Tasks)
+	return state.Action{RenewTasks: r}
 }
 
 func lapse(ix *fleet.Index, t *model.Task) state.Action {
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -23,7 +23,7 @@
 	// one, so that it can't starve. Default 1 h.
 	BatchAge time.Duration
 	// DriftMargin is added to a lease before it counts as lapsed: clocks of
-	// workers may run slower than ours. Default a tenth of the lease.
+	// workers may run slower than ours. Default and least state.DriftMargin.
 	DriftMargin time.Duration
 	// SoonDrained says when VMs will be drained, as far as it is known; jobs
 	// that would still run then go elsewhere if they can.
@@ -37,15 +37,13 @@
 	defaultMaxStarts  = 500
 	defaultMaxReasons = 500
 	defaultBatchAge   = time.Hour
-	// driftShare is the default drift margin as a share of the lease.
-	driftShare = 10
 )
 
-func (o Options) withDefaults(ix *fleet.Index) Options {
+func (o Options) withDefaults() Options {
 	o.MaxStarts = cmp.Or(o.MaxStarts, defaultMaxStarts)
 	o.MaxReasons = cmp.Or(o.MaxReasons, defaultMaxReasons)
 	o.BatchAge = cmp.Or(o.BatchAge, defaultBatchAge)
-	o.DriftMargin = cmp.Or(o.DriftMargin, ix.Lease()/driftShare)
+	o.DriftMargin = max(o.DriftMargin, state.DriftMargin)
 	return o
 }
 
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -8,14 +8,15 @@
 	"github.com/comfreyloom/comfreyloom/internal/state"
 )
 
-// jobTaskID names an attempt by its number, so that deciding twice on the
-// same state names the same task.
-func jobTaskID(region model.RegionID, j *model.Job) model.TaskID {
-	return taskID(region, fmt.Sprintf("%s.%d", local(string(j.Spec.ID)), j.Attempts+1))
+// jobTaskID names an attempt by the log index on which it was decided: the
+// next attempt of the job can only be decided on a later one, and deciding
+// twice on the same state names the same task. The number of attempts would
+// not do: it is taken back when an attempt never started.
+func jobTaskID(ix *fleet.Index, j *model.Job) model.TaskID {
+	return taskID(ix.Snap.Region, fmt.Sprintf("%s.%d", local(string(j.Spec.ID)), ix.Snap.View.Index))
 }
 
-// instanceTaskID names an attempt by the log index on which it was decided:
-// the next attempt of the ordinal can only be decided on a later one.
+// instanceTaskID names an attempt of an instance in the same way.
 func instanceTaskID(ix *fleet.Index, s *fleet.Service, ordinal int) model.TaskID {
 	name := fmt.Sprintf("%s.%d.%d", local(string(s.Spec.ID)), ordinal, ix.Snap.View.Index)
 	return taskID(ix.Snap.Region, name)
