node, membership: client, server, log, follower, heartbeats and spreading

Cause: voters, learners and entry VMs need proposals, the feed, membership and the registry's deltas from one another. Change: membership as a pure core; node with three links a peer, a server behind checks of site and token, state.Log with retries under one command ID, a follower that refuses to step back, heartbeats and a registry spreader.

--- /dev/null
+++ b/internal/node/fetch.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"errors"
+
+	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/samber/oops"
+)
+
+// snapshotFetch is a snapshot of which the first part is here.
+type snapshotFetch struct {
+	meta  quorum.SnapshotMeta
+	total uint64
+	data  []byte
+}
+
+// takeChunk adds a part of a snapshot and installs the snapshot when it is whole.
+func (f *Follower) takeChunk(c *nodepb.SnapshotChunk) error {
+	meta, err := decodeMeta(c.Meta)
+	if err != nil {
+		return errors.Join(ErrBadFeed, err)
+	}
+	if applied := f.config.Machine.Applied(); meta.Index <= applied || meta.Term < f.lastTerm {
+		return oops.Wrapf(ErrStepBack, "snapshot of index %d term %d, here are %d and %d",
+			meta.Index, meta.Term, applied, f.lastTerm)
+	}
+	f.startFetch(meta, c.Total)
+	if err := f.fetch.add(c); err != nil {
+		return err
+	}
+	if uint64(len(f.fetch.data)) < f.fetch.total {
+		return nil
+	}
+	return f.install()
+}
+
+// startFetch begins anew unless the chunk belongs to the snapshot that is
+// being fetched: after a rotation another voter may offer another one.
+func (f *Follower) startFetch(meta quorum.SnapshotMeta, total uint64) {
+	if f.fetch != nil && f.fetch.meta.Index == meta.Index && f.fetch.meta.Term == meta.Term && f.fetch.total == total {
+		return
+	}
+	f.fetch = &snapshotFetch{meta: meta, total: total}
+}
+
+func (s *snapshotFetch) add(c *nodepb.SnapshotChunk) error {
+	if c.Total > maxSnapshotBytes || c.Offset != uint64(len(s.data)) {
+		return oops.Wrapf(ErrBadFeed, "chunk at %d of %d, have %d", c.Offset, c.Total, len(s.data))
+	}
+	end := c.Offset + uint64(len(c.Data))
+	if end > c.Total || (len(c.Data) == 0 && end < c.Total) {
+		return oops.Wrapf(ErrBadFeed, "chunk of %d bytes at %d of %d", len(c.Data), c.Offset, c.Total)
+	}
+	s.data = append(s.data, c.Data...)
+	return nil
+}
+
+// install replaces the state by the fetched snapshot.
+func (f *Follower) install() error {
+	fetched := f.fetch
+	f.fetch = nil
+	if err := f.config.Machine.Restore(fetched.data); err != nil {
+		return errors.Join(ErrBadFeed, err)
+	}
+	f.snapshots.Inc(1)
+	f.lastTerm = fetched.meta.Term
+	if applied := f.config.Machine.Applied(); applied != fetched.meta.Index {
+		return oops.Wrapf(ErrBadFeed, "snapshot of index %d restored index %d", fetched.meta.Index, applied)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/guard.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/security"
+	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
+)
+
+const (
+	// maxRequestBytes bounds the body of a call.
+	maxRequestBytes = 4 << 20
+	// maxServerConnections bounds the open connections of all peers: two
+	// links of each of 18 processes, twice over for those that reconnect.
+	maxServerConnections = 128
+	// maxStreams bounds the calls in progress on one connection.
+	maxStreams = 64
+	// maxHeaderBytes bounds the headers of a call.
+	maxHeaderBytes = 8 << 10
+	// callReadTimeout bounds how long a call's body may take to arrive.
+	callReadTimeout = 10 * time.Second
+	// callWriteTimeout bounds a call with its long poll and its reply.
+	callWriteTimeout = maxFollowWait + 15*time.Second
+	// serverIdleTimeout closes a connection without calls.
+	serverIdleTimeout = 5 * time.Minute
+)
+
+// guard refuses calls with a wrong site, token or form before the body is read.
+type guard struct {
+	site       string
+	authorizer *security.Authorizer
+	next       http.Handler
+	wrongSite  metrics.Counter
+	wrongForm  metrics.Counter
+}
+
+func newGuard(c ServerConfig, next http.Handler) http.Handler {
+	return &guard{
+		site:       c.Site,
+		authorizer: c.Authorizer,
+		next:       next,
+		wrongSite:  metrics.GetOrRegisterCounter("node.refused.site", c.Metrics),
+		wrongForm:  metrics.GetOrRegisterCounter("node.refused.form", c.Metrics),
+	}
+}
+
+// ServeHTTP checks a call and passes it on.
+func (g *guard) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if err := g.check(r); err != nil {
+		_ = twirp.WriteError(w, err) // the peer is gone if this fails
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+	g.next.ServeHTTP(w, r)
+}
+
+func (g *guard) check(r *http.Request) error {
+	if g.authorizer != nil {
+		if _, err := g.authorizer.Authorize(r); err != nil {
+			return twirp.NewError(twirp.Unauthenticated, err.Error())
+		}
+	}
+	// A process with the settings of another site must not join this one:
+	// its log and its upstreams are not ours.
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(siteHeader)), []byte(g.site)) != 1 {
+		g.wrongSite.Inc(1)
+		return twirp.NewError(twirp.PermissionDenied, "this process belongs to another site")
+	}
+	if r.Header.Get("Content-Type") != "application/protobuf" || r.ContentLength > maxRequestBytes {
+		g.wrongForm.Inc(1)
+		return twirp.NewError(twirp.Malformed, "calls are protobuf of at most 4 MiB")
+	}
+	return nil
+}
+
+// NewHTTPServer returns the HTTP server for the nodes' listener. Its long
+// polls end with ctx, so that a graceful stop does not wait for them.
+func NewHTTPServer(ctx context.Context, handler http.Handler) *http.Server {
+	connections := &connectionLimit{}
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         unencryptedHTTP2(),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnState:         connections.track,
+		ReadHeaderTimeout: callReadTimeout,
+		ReadTimeout:       callReadTimeout,
+		WriteTimeout:      callWriteTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      serverIdleTimeout / 10,
+			PingTimeout:          callReadTimeout,
+			WriteByteTimeout:     callReadTimeout,
+		},
+	}
+}
+
+// connectionLimit closes connections above the bound as they arrive.
+type connectionLimit struct{ open atomic.Int64 }
+
+func (c *connectionLimit) track(conn net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		if c.open.Add(1) > maxServerConnections {
+			_ = conn.Close() // refused; there is nobody to tell
+		}
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
--- /dev/null
+++ b/internal/node/log.go
@@ -0,0 +1,251 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+)
+
+const (
+	// attemptTimeout bounds one try at one process.
+	attemptTimeout = 2 * time.Second
+	// callLimit bounds a call whose context has no deadline.
+	callLimit = 30 * time.Second
+	// retryPause is the pause after the first try; it grows to maxRetryPause.
+	retryPause    = 2 * time.Millisecond
+	maxRetryPause = 160 * time.Millisecond
+)
+
+// LogConfig sets up a Log.
+type LogConfig struct {
+	Self    model.NodeID
+	Machine Machine
+	// Voter is nil on a learner.
+	Voter  Voter
+	Client *Client
+	// Voters are the names of all voters, as in the settings.
+	Voters  []model.NodeID
+	Leader  *LeaderHint
+	Metrics metrics.Registry
+	// Clock is nil in the product.
+	Clock func() model.Instant
+}
+
+// Log is the control log on voters and learners. It is safe for concurrent use.
+type Log struct {
+	config  LogConfig
+	retries metrics.Counter
+	unknown metrics.Counter
+}
+
+var _ state.Log = (*Log)(nil)
+
+// NewLog returns the control log of this process.
+func NewLog(c LogConfig) *Log {
+	if c.Clock == nil {
+		c.Clock = wallClock
+	}
+	return &Log{
+		config:  c,
+		retries: metrics.GetOrRegisterCounter("node.propose.retries", c.Metrics),
+		unknown: metrics.GetOrRegisterCounter("node.propose.unknown", c.Metrics),
+	}
+}
+
+// Propose commits a command and returns its result once it is applied here.
+// It tries again under the same ID until ctx ends, so a lost answer has no
+// second effect.
+func (l *Log) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if c.ID == "" {
+		return state.Result{}, oops.In("node").Wrapf(state.ErrNotProposed, "the command has no ID")
+	}
+	ctx, cancel := limited(ctx)
+	defer cancel()
+	result, err := l.commit(ctx, c)
+	if err != nil {
+		return state.Result{}, oops.In("node").With("command", c.ID).Wrap(err)
+	}
+	if err := l.config.Machine.Wait(ctx, result.Index); err != nil {
+		l.unknown.Inc(1)
+		return result, oops.In("node").With("command", c.ID).
+			Wrapf(state.ErrOutcomeUnknown, "committed at index %d, not applied here in time", result.Index)
+	}
+	return result, nil
+}
+
+// commit tries one process after another until one of them commits. Once a
+// try may have entered the command, the outcome stays unknown until a later
+// try tells it: giving up then must not read as "was not proposed".
+func (l *Log) commit(ctx context.Context, c state.Command) (state.Result, error) {
+	outcome := state.ErrNotProposed
+	tries := l.newTries()
+	for ctx.Err() == nil {
+		result, err := l.try(ctx, tries.next(), c)
+		if err == nil {
+			return result, nil
+		}
+		if !errors.Is(err, state.ErrNotProposed) {
+			outcome = state.ErrOutcomeUnknown
+		}
+		l.retries.Inc(1)
+		tries.wait(ctx)
+	}
+	if errors.Is(outcome, state.ErrOutcomeUnknown) {
+		l.unknown.Inc(1)
+	}
+	return state.Result{}, outcome
+}
+
+func (l *Log) try(ctx context.Context, target model.NodeID, c state.Command) (state.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if target == l.config.Self && l.config.Voter != nil {
+		return proposeHere(ctx, l.config.Voter, c, l.config.Clock())
+	}
+	return l.proposeAt(ctx, target, c)
+}
+
+// proposeHere proposes at this process's own voter. The leader sets the time,
+// so that it comes from one clock whoever sent the command.
+func proposeHere(ctx context.Context, voter Voter, c state.Command, now model.Instant) (state.Result, error) {
+	c.At = now
+	for i := range c.Batch {
+		c.Batch[i].At = now
+	}
+	data, err := state.Encode(c)
+	if err != nil {
+		return state.Result{}, oops.Wrapf(errors.Join(state.ErrNotProposed, err), "encode command")
+	}
+	return voter.Propose(ctx, data)
+}
+
+func (l *Log) proposeAt(ctx context.Context, target model.NodeID, c state.Command) (state.Result, error) {
+	p, err := l.config.Client.peer(target)
+	if err != nil {
+		return state.Result{}, errors.Join(state.ErrNotProposed, err)
+	}
+	data, err := state.Encode(c)
+	if err != nil {
+		return state.Result{}, errors.Join(state.ErrNotProposed, err)
+	}
+	reply, err := p.work.node.Propose(ctx, &nodepb.ProposeRequest{Node: string(l.config.Self), Command: data})
+	if err != nil {
+		l.config.Leader.Doubt(target)
+		p.failed(p.work, err)
+		return state.Result{}, errors.Join(proposeOutcome(err), err)
+	}
+	l.hear(target, reply.Leader, reply.Term)
+	return proposeResult(reply)
+}
+
+// hear takes in the hint of a process that was asked as the leader.
+func (l *Log) hear(asked model.NodeID, leader string, term uint64) {
+	if model.NodeID(leader) != asked {
+		l.config.Leader.Doubt(asked)
+	}
+	l.config.Leader.Learn(model.NodeID(leader), term)
+}
+
+func proposeResult(reply *nodepb.ProposeReply) (state.Result, error) {
+	switch reply.Outcome {
+	case nodepb.ProposeOutcome_PROPOSE_OUTCOME_COMMITTED:
+		result, err := state.DecodeResult(reply.Result)
+		if err != nil {
+			return state.Result{}, errors.Join(state.ErrOutcomeUnknown, err)
+		}
+		return result, nil
+	case nodepb.ProposeOutcome_PROPOSE_OUTCOME_NOT_PROPOSED:
+		return state.Result{}, state.ErrNotProposed
+	default:
+		return state.Result{}, state.ErrOutcomeUnknown
+	}
+}
+
+// proposeOutcome maps a failed call: only one that never left, or that the
+// peer refused at its door, proves that nothing was proposed.
+func proposeOutcome(err error) error {
+	if neverSent(err) || refusedAtDoor(err) {
+		return state.ErrNotProposed
+	}
+	return state.ErrOutcomeUnknown
+}
+
+// Confirm waits until everything that was committed before the call is
+// applied here, as a quorum confirms.
+func (l *Log) Confirm(ctx context.Context) (uint64, error) {
+	ctx, cancel := limited(ctx)
+	defer cancel()
+	tries := l.newTries()
+	for ctx.Err() == nil {
+		index, err := l.readIndex(ctx, tries.next())
+		if err == nil {
+			return index, l.WaitApplied(ctx, index)
+		}
+		tries.wait(ctx)
+	}
+	return 0, oops.In("node").Wrapf(ctx.Err(), "no quorum confirmed the state in time")
+}
+
+var errNotConfirmed = errors.New("node: not the leader, or not confirmed")
+
+func (l *Log) readIndex(ctx context.Context, target model.NodeID) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if target == l.config.Self && l.config.Voter != nil {
+		return l.config.Voter.ReadIndex(ctx)
+	}
+	p, err := l.config.Client.peer(target)
+	if err != nil {
+		return 0, err
+	}
+	reply, err := p.small.node.ReadIndex(ctx, &nodepb.ReadIndexRequest{Node: string(l.config.Self)})
+	if err != nil {
+		l.config.Leader.Doubt(target)
+		p.failed(p.small, err)
+		return 0, err
+	}
+	l.hear(target, reply.Leader, reply.Term)
+	if !reply.Confirmed {
+		return 0, errNotConfirmed
+	}
+	return reply.Index, nil
+}
+
+// View returns the tables as of the last index applied here.
+func (l *Log) View() *state.View { return l.config.Machine.View() }
+
+// Claim returns the claim of a key, nil when there is none.
+func (l *Log) Claim(key model.RequestKey) *model.Claim { return l.config.Machine.Claim(key) }
+
+// Audit returns at most limit audit records from the sequence on.
+func (l *Log) Audit(from uint64, limit int) []model.AuditRecord {
+	return l.config.Machine.Audit(from, limit)
+}
+
+// WaitApplied waits until this process has applied the index.
+func (l *Log) WaitApplied(ctx context.Context, index uint64) error {
+	return l.config.Machine.Wait(ctx, index)
+}
+
+// Leader returns the leader and its term as last heard.
+func (l *Log) Leader() (model.NodeID, uint64) {
+	if l.config.Voter != nil {
+		if s := l.config.Voter.Standing(); s.Leader != "" {
+			return s.Leader, s.Term
+		}
+	}
+	return l.config.Leader.Get()
+}
+
+func limited(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, has := ctx.Deadline(); has {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, callLimit)
+}
--- /dev/null
+++ b/internal/node/peer.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/ring"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// sendQueue bounds the batches that wait for one peer.
+	sendQueue = 256
+	// maxExchangeBatches bounds the batches that one call joins.
+	maxExchangeBatches = 64
+	// bulkBytes is the size from which quorum messages use the bulk link.
+	bulkBytes = 64 << 10
+	// exchangeTimeout bounds one delivery of quorum messages.
+	exchangeTimeout = 2 * time.Second
+	// failurePause is the least time between a failed delivery and the next,
+	// so that a peer that refuses connections costs little.
+	failurePause = 50 * time.Millisecond
+)
+
+// peer is another process of the site. Its three links keep calls apart that
+// would delay one another: small carries heartbeats and quorum messages, work
+// carries proposals and slot lending, whose number grows with the load, and
+// bulk carries the feed, snapshots and large batches.
+type peer struct {
+	name, self        model.NodeID
+	small, work, bulk *link
+	outgoing          *ring.Ring[[]quorum.Message]
+	answers           answerSlot
+	receive           func([]quorum.Message)
+
+	dropped, failures metrics.Counter
+}
+
+func newPeer(name model.NodeID, address string, c ClientConfig) *peer {
+	credentials := credentials{site: c.Site, token: c.Token}
+	return &peer{
+		name:     name,
+		self:     c.Self,
+		small:    newLink(address, credentials, c.Dial),
+		work:     newLink(address, credentials, c.Dial),
+		bulk:     newLink(address, credentials, c.Dial),
+		outgoing: ring.New[[]quorum.Message](sendQueue),
+		receive:  func([]quorum.Message) {},
+		dropped:  metrics.GetOrRegisterCounter("node.exchange.dropped", c.Metrics),
+		failures: metrics.GetOrRegisterCounter("node.call.failed", c.Metrics),
+	}
+}
+
+// send passes messages to a waiting call of the peer, or queues them.
+func (p *peer) send(messages []quorum.Message) {
+	if p.answers.put(messages) {
+		return
+	}
+	if p.outgoing.TryPut(messages) != nil {
+		p.dropped.Inc(int64(len(messages)))
+	}
+}
+
+// run delivers queued messages until ctx ends.
+func (p *peer) run(ctx context.Context) {
+	for {
+		batch, err := p.outgoing.Get(ctx)
+		if err != nil {
+			return
+		}
+		if p.exchange(ctx, p.join(batch)) != nil {
+			pause(ctx, failurePause)
+		}
+	}
+}
+
+// join adds what else is queued, so that one call carries it all.
+func (p *peer) join(batch []quorum.Message) []quorum.Message {
+	for range maxExchangeBatches {
+		more, ok := p.outgoing.TryGet()
+		if !ok {
+			break
+		}
+		batch = append(batch[:len(batch):len(batch)], more...)
+	}
+	return batch
+}
+
+func (p *peer) exchange(ctx context.Context, messages []quorum.Message) error {
+	data, err := encode(messages)
+	if err != nil {
+		p.dropped.Inc(int64(len(messages)))
+		return err
+	}
+	link := p.small
+	if len(data) >= bulkBytes {
+		link = p.bulk
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := link.node.Exchange(ctx, &nodepb.ExchangeRequest{Node: string(p.self), Messages: data})
+	if err != nil {
+		p.dropped.Inc(int64(len(messages)))
+		p.failed(link, err)
+		return err
+	}
+	answers, err := decodeMessages(reply.Messages)
+	if err == nil && len(answers) > 0 {
+		p.receive(answers)
+	}
+	return err
+}
+
+// failed counts a failed call and makes the next one use a new connection.
+func (p *peer) failed(l *link, err error) {
+	p.failures.Inc(1)
+	if !neverSent(err) {
+		l.renew()
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/server_log.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/twitchtv/twirp"
+)
+
+const (
+	// maxFollowWait bounds a long poll.
+	maxFollowWait = 25 * time.Second
+	// feedBytes bounds the entries of one reply; one entry is always sent.
+	feedBytes = 512 << 10
+	// chunkBytes bounds the part of a snapshot in one reply.
+	chunkBytes = 512 << 10
+)
+
+// Propose commits a command if this process leads.
+func (s *Server) Propose(ctx context.Context, r *nodepb.ProposeRequest) (*nodepb.ProposeReply, error) {
+	voter, err := s.needVoter()
+	if err != nil {
+		return nil, err
+	}
+	command, err := state.Decode(r.Command)
+	if err != nil {
+		s.badInput.Inc(1)
+		return nil, twirp.InvalidArgumentError("command", err.Error())
+	}
+	result, err := proposeHere(ctx, voter, command, s.config.Clock())
+	standing := voter.Standing()
+	reply := &nodepb.ProposeReply{Leader: string(standing.Leader), Term: standing.Term}
+	if err != nil {
+		reply.Outcome = outcomeOf(err)
+		return reply, nil
+	}
+	reply.Outcome = nodepb.ProposeOutcome_PROPOSE_OUTCOME_COMMITTED
+	reply.Result, err = state.EncodeResult(result)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return reply, nil
+}
+
+// outcomeOf maps an error of a proposal; what it does not know is unknown.
+func outcomeOf(err error) nodepb.ProposeOutcome {
+	if errors.Is(err, state.ErrNotProposed) && !errors.Is(err, state.ErrOutcomeUnknown) {
+		return nodepb.ProposeOutcome_PROPOSE_OUTCOME_NOT_PROPOSED
+	}
+	return nodepb.ProposeOutcome_PROPOSE_OUTCOME_UNKNOWN
+}
+
+// ReadIndex returns a confirmed index if this process leads.
+func (s *Server) ReadIndex(ctx context.Context, _ *nodepb.ReadIndexRequest) (*nodepb.ReadIndexReply, error) {
+	voter, err := s.needVoter()
+	if err != nil {
+		return nil, err
+	}
+	index, err := voter.ReadIndex(ctx)
+	standing := voter.Standing()
+	return &nodepb.ReadIndexReply{
+		Confirmed: err == nil,
+		Index:     index,
+		Leader:    string(standing.Leader),
+		Term:      standing.Term,
+	}, nil
+}
+
+// Follow returns what was committed from an index on. Many changes travel in
+// one reply; when there is none, the call waits.
+func (s *Server) Follow(ctx context.Context, r *nodepb.FollowRequest) (*nodepb.FollowReply, error) {
+	voter, err := s.needVoter()
+	if err != nil {
+		return nil, err
+	}
+	if snapshot := s.snapshots.get(r.SnapshotIndex); snapshot != nil {
+		return s.followReply(voter, Feed{Snapshot: snapshot}, r.SnapshotOffset)
+	}
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxFollowWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	feed, err := voter.Committed(ctx, r.From, feedBytes)
+	if err != nil && ctx.Err() == nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return s.followReply(voter, feed, 0)
+}
+
+func (s *Server) followReply(voter Voter, feed Feed, offset uint64) (*nodepb.FollowReply, error) {
+	standing := voter.Standing()
+	reply := &nodepb.FollowReply{
+		Commit: max(feed.Commit, standing.Commit),
+		Term:   standing.Term,
+		Leader: string(standing.Leader),
+	}
+	var err error
+	if feed.Snapshot != nil {
+		s.snapshots.put(feed.Snapshot)
+		reply.Snapshot, err = chunk(feed.Snapshot, offset)
+	} else if len(feed.Entries) > 0 {
+		reply.Entries, err = encode(feed.Entries)
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return reply, nil
+}
+
+func chunk(snapshot *quorum.Snapshot, offset uint64) (*nodepb.SnapshotChunk, error) {
+	meta, err := encode(snapshot.Meta)
+	if err != nil {
+		return nil, err
+	}
+	total := uint64(len(snapshot.Data))
+	from := min(offset, total)
+	to := min(from+chunkBytes, total)
+	return &nodepb.SnapshotChunk{Meta: meta, Offset: from, Total: total, Data: snapshot.Data[from:to]}, nil
+}
+
+// snapshotCache keeps the snapshot that was served last, so that a learner
+// which fetches it in chunks gets all of them from the same one although the
+// voter compacts its log meanwhile.
+type snapshotCache struct {
+	mu     sync.Mutex
+	latest *quorum.Snapshot
+}
+
+func (c *snapshotCache) get(index uint64) *quorum.Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latest == nil || index == 0 || c.latest.Meta.Index != index {
+		return nil
+	}
+	return c.latest
+}
+
+func (c *snapshotCache) put(snapshot *quorum.Snapshot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.latest == nil || snapshot.Meta.Index >= c.latest.Meta.Index {
+		c.latest = snapshot
+	}
+}
--- /dev/null
+++ b/internal/node/wire.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/membership"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
+)
+
+const (
+	// maxListed bounds each list in a beat.
+	maxListed = 64
+	// maxNameBytes bounds the name of a process.
+	maxNameBytes = 128
+	// maxAge bounds an age; older is not told apart.
+	maxAge = 24 * time.Hour
+)
+
+// errBadBeat says that a beat has lists, names or ages out of bounds.
+var errBadBeat = errors.New("node: the beat is not valid")
+
+// toWire returns the message for a beat.
+func (h *Heartbeats) toWire(b membership.Beat) *nodepb.Beat {
+	m := &nodepb.Beat{
+		Node:             string(b.From),
+		Incarnation:      b.Incarnation,
+		Sequence:         b.Sequence,
+		KnownIncarnation: b.Known,
+		Applied:          b.Applied,
+		Ready:            b.Ready,
+		Leaving:          b.Leaving,
+		Leader:           string(b.Leader),
+		Term:             b.Term,
+		Commit:           b.Commit,
+		ViewTerm:         b.View.Term,
+		ViewVersion:      b.View.Version,
+	}
+	if b.Confirmed {
+		m.ConfirmedAgeMs = uint64(max(b.Age, 0)/time.Millisecond) + 1
+	}
+	for _, live := range b.View.Live {
+		m.Members = append(m.Members, &nodepb.Member{Node: string(live.Node), Incarnation: live.Incarnation})
+	}
+	for _, name := range b.Doubts {
+		m.Doubts = append(m.Doubts, string(name))
+	}
+	for _, hearing := range b.Hearings {
+		m.Hearings = append(m.Hearings, &nodepb.Hearing{
+			Node:        string(hearing.Node),
+			Incarnation: hearing.Incarnation,
+			AgeMs:       uint64(max(hearing.Age, 0) / time.Millisecond),
+			Ready:       hearing.Ready,
+		})
+	}
+	if h.config.Spreader != nil {
+		m.RegistryDigest = h.config.Spreader.digest()
+	}
+	return m
+}
+
+// fromWire checks a message and returns its beat.
+func fromWire(m *nodepb.Beat) (membership.Beat, error) {
+	if m.Node == "" || len(m.Node) > maxNameBytes || len(m.Members) > maxListed || len(m.Doubts) > maxListed || len(m.Hearings) > maxListed {
+		return membership.Beat{}, errBadBeat
+	}
+	b := membership.Beat{
+		From:        model.NodeID(m.Node),
+		Incarnation: m.Incarnation,
+		Sequence:    m.Sequence,
+		Known:       m.KnownIncarnation,
+		Applied:     m.Applied,
+		Ready:       m.Ready,
+		Leaving:     m.Leaving,
+		Leader:      model.NodeID(m.Leader),
+		Term:        m.Term,
+		Commit:      m.Commit,
+		Confirmed:   m.ConfirmedAgeMs > 0,
+		View:        membership.View{Term: m.ViewTerm, Version: m.ViewVersion},
+	}
+	if b.Confirmed {
+		b.Age = age(m.ConfirmedAgeMs - 1)
+	}
+	for _, live := range m.Members {
+		b.View.Live = append(b.View.Live, membership.Member{Node: model.NodeID(live.Node), Incarnation: live.Incarnation})
+	}
+	for _, name := range m.Doubts {
+		b.Doubts = append(b.Doubts, model.NodeID(name))
+	}
+	for _, hearing := range m.Hearings {
+		b.Hearings = append(b.Hearings, membership.Hearing{
+			Node:        model.NodeID(hearing.Node),
+			Incarnation: hearing.Incarnation,
+			Age:         age(hearing.AgeMs),
+			Ready:       hearing.Ready,
+		})
+	}
+	return b, nil
+}
+
+// age converts milliseconds, so large that they would overflow included.
+func age(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxAge/time.Millisecond))) * time.Millisecond
+}
