caller, upstream: request path from caller to upstream with verdicts, claims and announcements

Cause: callers need an answer with a verdict, and upstreams a place to announce themselves. Change: HTTP for callers (services, jobs, late answers, readiness) and for announcements, a transport which decides at the connection whether a byte of a request may have left, keyed claims in the control log, and a stand-in upstream.

--- /dev/null
+++ b/internal/caller/harness_test.go
@@ -0,0 +1,238 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/slots"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/upstream"
+	"github.com/comfreyloom/comfreyloom/internal/upstream/standin"
+)
+
+// sharedLog is a control log without a network: every entry VM of a test
+// applies to one machine. Its hooks lose proposals and answers.
+type sharedLog struct {
+	mu      sync.Mutex
+	machine *state.Machine
+	index   uint64
+	// before and after, when set, see each command before it is applied and
+	// after; an error of before keeps it from being applied.
+	before, after atomic.Pointer[func(state.Command) error]
+}
+
+func (l *sharedLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if err := hook(&l.before, c); err != nil {
+		return state.Result{}, err
+	}
+	data, err := state.Encode(c)
+	if err != nil {
+		return state.Result{}, err
+	}
+	l.mu.Lock()
+	l.index++
+	result := l.machine.Apply(l.index, data)
+	l.mu.Unlock()
+	if err := hook(&l.after, c); err != nil {
+		return state.Result{}, err
+	}
+	return result, ctx.Err()
+}
+
+func hook(h *atomic.Pointer[func(state.Command) error], c state.Command) error {
+	if f := h.Load(); f != nil {
+		return (*f)(c)
+	}
+	return nil
+}
+
+func (l *sharedLog) View() *state.View                               { return l.machine.View() }
+func (l *sharedLog) Claim(key model.RequestKey) *model.Claim         { return l.machine.Claim(key) }
+func (l *sharedLog) Audit(from uint64, n int) []model.AuditRecord    { return l.machine.Audit(from, n) }
+func (l *sharedLog) Confirm(context.Context) (uint64, error)         { return l.machine.Applied(), nil }
+func (l *sharedLog) WaitApplied(ctx context.Context, i uint64) error { return l.machine.Wait(ctx, i) }
+func (l *sharedLog) Leader() (model.NodeID, uint64)                  { return "n1", 1 }
+
+// listBroker hands out slots of a list of instances in turn.
+type listBroker struct {
+	mu       sync.Mutex
+	list     []model.Upstream
+	next     int
+	outcomes []slots.Outcome
+	held     int
+}
+
+func (b *listBroker) Acquire(ctx context.Context, ask slots.Ask) (*slots.Grant, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range b.list {
+		u := b.list[b.next%len(b.list)]
+		b.next++
+		if u.Service == ask.Service && u.Instance != ask.Avoid {
+			b.held++
+			return slots.NewGrant(u, b.release), nil
+		}
+	}
+	return nil, &slots.Rejection{Reason: "no instance", RetryAfter: time.Second}
+}
+
+func (b *listBroker) release(o slots.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held--
+	b.outcomes = append(b.outcomes, o)
+}
+
+// site is a small site: one service whose GET /plans is marked.
+func testSite() *model.Site {
+	return &model.Site{
+		Name:     "test",
+		Revision: 1,
+		Pools:    []model.Pool{{ID: "drafting", MinVMs: 1, MaxVMs: 9}},
+		Teams:    []model.Team{{ID: "planners"}},
+		Services: []model.Service{{
+			ID: "drafts", Pool: "drafting", Instances: 2, Slots: 8, Connections: 64,
+			MinAvailable: 1, Timeout: 10 * time.Second, QueueLimit: 100,
+			Routes: []model.Route{
+				{Method: "GET", Prefix: "/plans", Idempotent: false},
+				{Method: "POST", Prefix: "/search", Idempotent: true},
+			},
+		}},
+	}
+}
+
+// world is a site of stand-ins and entry VMs on loopback.
+type world struct {
+	t         *testing.T
+	log       *sharedLog
+	broker    *listBroker
+	instances []*standin.Upstream
+	entries   []*entry
+}
+
+// entry is one entry VM.
+type entry struct {
+	server  *Server
+	url     string
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+func newWorld(t testing.TB, instances, entries int, l Limits) *world {
+	w := &world{log: &sharedLog{machine: state.NewMachine(state.Options{})}, broker: &listBroker{}}
+	digest := sha256.Sum256([]byte("t"))
+	result, err := w.log.Propose(context.Background(), state.Command{
+		ID: "manifest", ApplyManifest: &state.ApplyManifest{Revision: 1, Digest: hex.EncodeToString(digest[:]), Text: []byte("t"), Site: testSite()},
+	})
+	must(t, err)
+	if result.Refused != "" {
+		t.Fatal(result.Refused)
+	}
+	for i := range instances {
+		w.addInstance(t, standin.Options{Instance: string(rune('a' + i)), Slots: 1000})
+	}
+	for range entries {
+		w.addEntry(t, Config{Limits: l})
+	}
+	return w
+}
+
+func (w *world) addInstance(t testing.TB, o standin.Options) *standin.Upstream {
+	u, err := standin.Start(o)
+	must(t, err)
+	t.Cleanup(u.Close)
+	w.instances = append(w.instances, u)
+	w.broker.list = append(w.broker.list, model.Upstream{
+		Service: "drafts", Instance: model.InstanceID(o.Instance), Address: u.Address(), Slots: o.Slots, Connections: 1000,
+	})
+	return u
+}
+
+func (w *world) addEntry(t testing.TB, c Config) *entry {
+	c.Self = model.NodeID("n" + string(rune('1'+len(w.entries))))
+	c.Log, c.Metrics = w.log, metrics.NewRegistry()
+	if c.Broker == nil {
+		c.Broker = w.broker
+	}
+	if c.Sender == nil {
+		transport := upstream.NewTransport(upstream.Options{Metrics: c.Metrics})
+		t.Cleanup(transport.Close)
+		c.Sender = transport
+	}
+	e := &entry{server: New(c), stopped: make(chan struct{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	e.url = "http://" + l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go func() {
+		defer close(e.stopped)
+		e.server.Run(ctx)
+	}()
+	go func() { _ = e.server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = e.server.Close()
+		cancel()
+		<-e.stopped
+	})
+	w.entries = append(w.entries, e)
+	return e
+}
+
+// reply is a whole answer as a caller sees it.
+type reply struct {
+	status  int
+	verdict string
+	header  http.Header
+	body    string
+}
+
+// call sends one request; headers are "Name: value".
+func (e *entry) call(method, path, body string, headers ...string) (reply, error) {
+	r, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Add(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header.Get(model.VerdictHeader), resp.Header, string(text)}, err
+}
+
+func must(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// eventually waits for what happens in the background.
+func eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("not in time: %s", what)
+}
--- /dev/null
+++ b/internal/caller/limits.go
@@ -0,0 +1,88 @@
+package caller
+
+import "time"
+
+// Limits bound what callers can make an entry VM hold; zeros take defaults.
+type Limits struct {
+	// DefaultTimeout is for requests to a service that names none.
+	DefaultTimeout time.Duration
+	// MinTimeout and MaxTimeout bound the header Comfreyloom-Timeout.
+	MinTimeout time.Duration
+	MaxTimeout time.Duration
+	// MaxHeaderBytes bounds a request's header.
+	MaxHeaderBytes int
+	// HeaderTimeout bounds the arrival of a request's header, IdleTimeout
+	// the time between two requests on a connection.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// BodyTimeout bounds the arrival of a body that is kept for resending,
+	// WriteTimeout the time in which a caller must take a part of an answer.
+	BodyTimeout  time.Duration
+	WriteTimeout time.Duration
+	// ResendBytes bounds the body that is kept for a resend; a longer one is
+	// streamed and sent once.
+	ResendBytes int64
+	// KeyedBytes bounds the body of a non-idempotent request with a key,
+	// which must be read whole before the key is claimed.
+	KeyedBytes int64
+	// BodyBytes bounds any body.
+	BodyBytes int64
+	// AnswerBytes bounds the answer that is read whole before it is passed
+	// on; a longer one is streamed.
+	AnswerBytes int64
+	// KeptBytes bounds the answer that is kept under a key.
+	KeptBytes int64
+	// BufferedBytes bounds all bodies and answers held at one time.
+	BufferedBytes int64
+	// JobBytes bounds the body of POST /jobs.
+	JobBytes int64
+	// Requests bounds the requests in progress, Connections the open
+	// connections, ConnectionsPerIP those of one remote IP.
+	Requests         int64
+	Connections      int64
+	ConnectionsPerIP int64
+	// Attempts bounds how often one request is tried.
+	Attempts int
+	// ClaimTimeout bounds the wait for a claim.
+	ClaimTimeout time.Duration
+	// OwnerGrace is how long after its deadline a claim is left to its
+	// owner before another entry VM ends it as unknown.
+	OwnerGrace time.Duration
+}
+
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+)
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.DefaultTimeout, 30*time.Second)
+	setDefault(&l.MinTimeout, time.Millisecond)
+	setDefault(&l.MaxTimeout, 10*time.Minute)
+	setDefault(&l.MaxHeaderBytes, 16*kilobyte)
+	setDefault(&l.HeaderTimeout, 5*time.Second)
+	setDefault(&l.IdleTimeout, time.Minute)
+	setDefault(&l.BodyTimeout, 10*time.Second)
+	setDefault(&l.WriteTimeout, 10*time.Second)
+	setDefault(&l.ResendBytes, 64*kilobyte)
+	setDefault(&l.KeyedBytes, megabyte)
+	setDefault(&l.BodyBytes, 64*megabyte)
+	setDefault(&l.AnswerBytes, 64*kilobyte)
+	setDefault(&l.KeptBytes, 64*kilobyte)
+	setDefault(&l.BufferedBytes, 32*megabyte)
+	setDefault(&l.JobBytes, 64*kilobyte)
+	setDefault(&l.Requests, 4096)
+	setDefault(&l.Connections, 4096)
+	setDefault(&l.ConnectionsPerIP, 4096)
+	setDefault(&l.Attempts, 3)
+	setDefault(&l.ClaimTimeout, 2*time.Second)
+	setDefault(&l.OwnerGrace, 2*time.Second)
+	return l
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/caller/ready.go
@@ -0,0 +1,62 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// Condition is something that must hold before the balancer sends callers here.
+type Condition struct {
+	// Name is for the answer of /readyz.
+	Name string
+	// Check returns nil when the condition holds. It must not block.
+	Check func() error
+}
+
+// AddCondition adds a condition of readiness.
+func (s *Server) AddCondition(c Condition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conditions = append(s.conditions, c)
+}
+
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready bool `json:"ready"`
+	// Failing has the reason of each condition that does not hold.
+	Failing map[string]string `json:"failing,omitempty"`
+}
+
+func (s *Server) readiness() readiness {
+	s.mu.Lock()
+	conditions := s.conditions
+	s.mu.Unlock()
+	failing := make(map[string]string)
+	if s.draining.Load() {
+		failing["draining"] = "the process is stopping"
+	}
+	for _, c := range conditions {
+		if err := c.Check(); err != nil {
+			failing[c.Name] = err.Error()
+		}
+	}
+	return readiness{Ready: len(failing) == 0, Failing: failing}
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request, _ httprouter.Params, id string) {
+	state := s.readiness()
+	if !state.Ready {
+		s.writeJSON(w, id, http.StatusServiceUnavailable, model.NotRun, state)
+		return
+	}
+	s.writeJSON(w, id, http.StatusOK, model.Ran, state)
+}
+
+func (s *Server) healthz(w http.ResponseWriter, _ *http.Request, _ httprouter.Params, id string) {
+	s.writeJSON(w, id, http.StatusOK, model.Ran, struct {
+		Healthy bool `json:"healthy"`
+	}{true})
+}
--- /dev/null
+++ b/internal/caller/settle.go
@@ -0,0 +1,228 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+const (
+	// settleRing bounds the outcomes that wait to be recorded.
+	settleRing = 1024
+	// settleWorkers is how many outcomes are recorded at one time; the
+	// control log joins them into one write.
+	settleWorkers = 32
+	// settleTimeout bounds one try to record an outcome.
+	settleTimeout = 5 * time.Second
+	// settlePause is the wait between two tries.
+	settlePause = 100 * time.Millisecond
+)
+
+// claiming is a request on its way through its claim.
+type claiming struct {
+	server  *Server
+	request *request
+	digest  []byte
+	// incarnation is of this claim alone. Were it that of the process, a late
+	// copy of an earlier settlement of the same key could end a later claim
+	// as not run while its request is on its way.
+	incarnation uint64
+	// granted says that this process, and no other, may send the request.
+	granted atomic.Bool
+	// existing is the earlier claim that was found instead.
+	existing *model.Claim
+}
+
+// settlement is an outcome to be recorded.
+type settlement struct {
+	key         model.RequestKey
+	incarnation uint64
+	// claim is set when the outcome of the claim itself is unknown: it must
+	// be learned first, or a claim that lands later would stay open.
+	claim   *state.Command
+	state   model.ClaimState
+	verdict model.Verdict
+	answer  *model.KeptAnswer
+}
+
+// settlement is the outcome of a claimed request.
+func (c *claiming) settlement(a *answer, f *failure) settlement {
+	out := settlement{key: c.request.key, incarnation: c.incarnation, state: model.ClaimSettled, verdict: model.Ran}
+	switch {
+	case f != nil && f.verdict == model.NotRun:
+		out.verdict = model.NotRun
+	case f != nil:
+		out.state, out.verdict = model.ClaimUnknown, model.MayHaveRun
+	default:
+		out.answer = keep(a, c.server.limits.KeptBytes)
+	}
+	return out
+}
+
+// keep is the answer as it is kept. One that is too long, or whose end has not
+// come yet, is recorded without its body.
+func keep(a *answer, limit int64) *model.KeptAnswer {
+	kept := &model.KeptAnswer{Status: a.status, ContentType: a.header.Get("Content-Type")}
+	if a.stream != nil || int64(len(a.body)) > limit {
+		kept.Dropped = true
+		return kept
+	}
+	kept.Body = a.body
+	return kept
+}
+
+// settle hands an outcome to the duty that records it. When the ring is full
+// the request waits, which slows down the claims that fill it.
+func (s *Server) settle(out settlement) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if out.state == 0 {
+		out.state = model.ClaimSettled
+	}
+	if err := s.settles.Put(ctx, out); err != nil {
+		// The claim stays open and ends as unknown after its deadline.
+		s.counters.settleErrors.Inc(1)
+		s.unsettled.Done()
+	}
+}
+
+// runSettle records outcomes until ctx ends.
+func (s *Server) runSettle(ctx context.Context) {
+	for {
+		out, err := s.settles.Get(ctx)
+		if err != nil {
+			return
+		}
+		s.record(ctx, out)
+		s.unsettled.Done()
+	}
+}
+
+// record repeats the command under one ID until its outcome is known.
+func (s *Server) record(ctx context.Context, out settlement) {
+	if out.claim != nil && !s.learnClaim(ctx, *out.claim) {
+		return
+	}
+	_, err := s.insist(ctx, s.settleCommand(out, false))
+	if err != nil {
+		s.counters.settleErrors.Inc(1)
+	}
+}
+
+// learnClaim reports whether the claim was granted to this process.
+func (s *Server) learnClaim(ctx context.Context, command state.Command) bool {
+	result, err := s.insist(ctx, command)
+	return err == nil && result.Claim != nil && result.Claim.Granted
+}
+
+func (s *Server) settleCommand(out settlement, takeover bool) state.Command {
+	return state.Command{
+		ID:    model.CommandID("settle/" + uuid.NewString()),
+		At:    model.InstantOf(s.Now()),
+		Actor: "caller",
+		SettleRequest: &state.SettleRequest{
+			Key:         out.key,
+			Owner:       s.Self,
+			Incarnation: out.incarnation,
+			State:       out.state,
+			Verdict:     out.verdict,
+			Answer:      out.answer,
+			Takeover:    takeover,
+		},
+	}
+}
+
+// insist proposes a command until it is applied or ctx ends.
+func (s *Server) insist(ctx context.Context, command state.Command) (state.Result, error) {
+	for {
+		try, cancel := context.WithTimeout(ctx, settleTimeout)
+		result, err := s.Log.Propose(try, command)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return result, err
+		}
+		s.counters.settleErrors.Inc(1)
+		pause(ctx, settlePause)
+	}
+}
+
+// answerFromClaim answers a resend, and GET /requests/:key, from the claim.
+// digest is nil when the asker sent no request to compare.
+func (s *Server) answerFromClaim(w http.ResponseWriter, r *http.Request, id string, c *model.Claim, digest []byte) {
+	s.counters.replayed.Inc(1)
+	if digest != nil && string(digest) != string(c.Digest) {
+		s.writeFailure(w, id, refuseKey(http.StatusUnprocessableEntity, "the key was used for another request"))
+		return
+	}
+	if c.State == model.ClaimRunning && s.ownerLost(c) {
+		c = s.takeOver(r.Context(), c)
+	}
+	switch {
+	case c.State == model.ClaimRunning:
+		s.writeFailure(w, id, stillRunning(digest != nil))
+	case reclaimable(c):
+		s.writeFailure(w, id, overloaded("the request was not run; it may be sent again under this key", time.Second))
+	case c.State == model.ClaimUnknown || c.Answer == nil:
+		s.writeFailure(w, id, &failure{status: http.StatusConflict, verdict: model.MayHaveRun,
+			message: "the outcome of the request is unknown, and it will not be run again"})
+	case c.Answer.Dropped:
+		s.writeFailure(w, id, &failure{status: http.StatusGone, verdict: model.Ran,
+			message: "the request ran with status " + http.StatusText(c.Answer.Status) + "; its answer was too long to be kept"})
+	default:
+		s.writeKept(w, r, id, c.Answer)
+	}
+}
+
+func refuseKey(status int, message string) *failure {
+	f := refuseHeader(headerKey, message)
+	f.status = status
+	return f
+}
+
+func stillRunning(resend bool) *failure {
+	f := &failure{status: http.StatusAccepted, verdict: model.MayHaveRun, message: "the request is still running", retryAfter: time.Second}
+	if resend {
+		f.status = http.StatusConflict
+	}
+	return f
+}
+
+func (s *Server) writeKept(w http.ResponseWriter, r *http.Request, id string, k *model.KeptAnswer) {
+	header := http.Header{}
+	if k.ContentType != "" {
+		header.Set("Content-Type", k.ContentType)
+	}
+	w.Header().Set(headerKept, "true")
+	s.writeAnswer(w, r, id, &answer{status: k.Status, header: header, body: k.Body, length: int64(len(k.Body)), done: func(bool) {}})
+}
+
+// ownerLost reports a claim whose owner should have settled it by now.
+func (s *Server) ownerLost(c *model.Claim) bool {
+	return s.Now().After(c.Deadline.Time().Add(s.limits.OwnerGrace))
+}
+
+// takeOver ends a claim whose owner was lost as unknown and returns the claim
+// as it is then. On an error the claim is still taken to run.
+func (s *Server) takeOver(ctx context.Context, c *model.Claim) *model.Claim {
+	ctx, cancel := context.WithTimeout(ctx, s.limits.ClaimTimeout)
+	defer cancel()
+	out := settlement{key: c.Key, incarnation: c.Incarnation, state: model.ClaimUnknown, verdict: model.MayHaveRun}
+	command := s.settleCommand(out, true)
+	command.SettleRequest.Owner = c.Owner
+	command.Cause = "the owner did not record an outcome before the deadline"
+	if _, err := s.Log.Propose(ctx, command); err != nil && !errors.Is(err, state.ErrOutcomeUnknown) {
+		return c
+	}
+	s.counters.takeovers.Inc(1)
+	if now := s.Log.Claim(c.Key); now != nil {
+		return now
+	}
+	return c
+}
--- /dev/null
+++ b/internal/upstream/standin/upstream.go
@@ -0,0 +1,174 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Options describe one stand-in.
+type Options struct {
+	Service          string
+	Instance         string
+	VM               string
+	AvailabilityZone string
+	// Incarnation is 1 when 0.
+	Incarnation uint64
+	// Slots bounds the requests in progress; more are refused as busy.
+	Slots int
+	// Connections is announced and not enforced.
+	Connections int
+	// Latency is how long each request runs.
+	Latency time.Duration
+	// Announce lists the base URLs at which Run announces, in turn; empty
+	// leaves it to the test to enter the instance.
+	Announce []string
+	// Token is the bearer token of announcements; empty for none.
+	Token string
+	// Renew is the interval of announcements until an answer names one.
+	Renew time.Duration
+	// Listen is the address to listen on; 127.0.0.1:0 when empty.
+	Listen string
+}
+
+// Upstream is a running stand-in.
+type Upstream struct {
+	options  Options
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+	serving  conc.WaitGroup
+
+	mu       sync.Mutex
+	sequence uint64
+	leaving  bool
+	latency  time.Duration
+	slots    int
+	running  int
+	peak     int
+	runs     map[string]int
+	total    int
+	fault    Fault
+	// faulty is how many more requests meet the fault; -1 for all.
+	faulty int
+	// hung holds the requests of FaultHang until Close.
+	hung chan struct{}
+}
+
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+	defaultRenew       = 3 * time.Second
+	announceTimeout    = 2 * time.Second
+)
+
+// Start listens and serves.
+func Start(o Options) (*Upstream, error) {
+	o = withDefaults(o)
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	u := &Upstream{
+		options:  o,
+		listener: l,
+		client:   &http.Client{Timeout: announceTimeout},
+		latency:  o.Latency,
+		slots:    o.Slots,
+		runs:     make(map[string]int),
+		hung:     make(chan struct{}),
+	}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Minute}
+	u.serving.Go(func() { _ = u.server.Serve(l) })
+	return u, nil
+}
+
+func withDefaults(o Options) Options {
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
+	}
+	if o.Incarnation == 0 {
+		o.Incarnation = 1
+	}
+	if o.Slots == 0 {
+		o.Slots = defaultSlots
+	}
+	if o.Connections == 0 {
+		o.Connections = defaultConnections
+	}
+	if o.Renew == 0 {
+		o.Renew = defaultRenew
+	}
+	return o
+}
+
+// Address is the IP:port that the stand-in serves on.
+func (u *Upstream) Address() string { return u.listener.Addr().String() }
+
+// Close ends every connection at once, like a VM that fails.
+func (u *Upstream) Close() {
+	u.mu.Lock()
+	select {
+	case <-u.hung:
+	default:
+		close(u.hung)
+	}
+	u.mu.Unlock()
+	_ = u.server.Close()
+	u.serving.Wait()
+	u.client.CloseIdleConnections()
+}
+
+// Shutdown announces that it leaves, waits for the requests in progress, and ends.
+func (u *Upstream) Shutdown(ctx context.Context) error {
+	err := u.Leave(ctx)
+	if stop := u.server.Shutdown(ctx); err == nil {
+		err = stop
+	}
+	u.Close()
+	return err
+}
+
+// SetLatency changes how long requests run.
+func (u *Upstream) SetLatency(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.latency = d
+}
+
+// Runs is how often the request with this key ran. The key is the request's
+// Idempotency-Key or, without one, its body.
+func (u *Upstream) Runs(key string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[key]
+}
+
+// AllRuns returns a copy of the count of every key.
+func (u *Upstream) AllRuns() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := make(map[string]int, len(u.runs))
+	for key, n := range u.runs {
+		runs[key] = n
+	}
+	return runs
+}
+
+// Total is how many requests ran.
+func (u *Upstream) Total() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.total
+}
+
+// Peak is the largest number of requests that ran at one time.
+func (u *Upstream) Peak() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.peak
+}
