audit: durable, bounded files with a chain that is checked

Cause: operators ask who changed what; a VM that restarts must still know, and an edit or a gap must show.

Texts of the state's audit records are made valid UTF-8, because JSON would change others and the chain would seem broken.

The case of a removed first record failed first (no break was reported) until the name of the file said which record it must start with.

Conclusion: edits of the newest records alone, with digests made anew, show only once further records follow from the state.

--- /dev/null
+++ b/internal/audit/trail.go
@@ -0,0 +1,210 @@
+package audit
+
+import (
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+const (
+	// DefaultFileBytes is the size at which a file is closed, in bytes.
+	DefaultFileBytes = 4 << 20
+	// DefaultFiles is how many files are kept; the oldest is dropped.
+	DefaultFiles = 16
+	// MaxRead bounds the records of one Page.
+	MaxRead = 1_000
+	// maxBreaks bounds the breaks of one answer.
+	maxBreaks = 64
+)
+
+// Options sets up a Trail. Zero values stand for the defaults.
+type Options struct {
+	FileBytes int64
+	Files     int
+	// Registry gets the counters "audit.records" and "audit.breaks".
+	Registry metrics.Registry
+}
+
+// Trail is the audit trail in the files of one folder. It is safe for
+// concurrent use.
+type Trail struct {
+	dir     string
+	options Options
+	records metrics.Counter
+	broken  metrics.Counter
+
+	mu    sync.Mutex
+	files []file
+	// out is the newest file, open for appending; nil before the first record.
+	out  *os.File
+	size int64
+	end  link
+}
+
+// Open opens the trail in the folder dir, which it creates when missing, and
+// cuts a torn last line. Call Verify to check the chain of all files.
+func Open(dir string, o Options) (*Trail, error) {
+	if o.FileBytes <= 0 {
+		o.FileBytes = DefaultFileBytes
+	}
+	if o.Files <= 0 {
+		o.Files = DefaultFiles
+	}
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, oops.In("audit").With("folder", dir).Wrapf(err, "create")
+	}
+	// A new folder is durable only once the one above it is synced.
+	if err := syncFolder(filepath.Dir(dir)); err != nil {
+		return nil, err
+	}
+	t := &Trail{
+		dir:     dir,
+		options: o,
+		records: metrics.GetOrRegisterCounter("audit.records", o.Registry),
+		broken:  metrics.GetOrRegisterCounter("audit.breaks", o.Registry),
+	}
+	files, err := list(dir)
+	if err != nil || len(files) == 0 {
+		return t, err
+	}
+	t.files = files
+	return t, t.resume()
+}
+
+// resume opens the newest file and finds the end of the chain.
+func (t *Trail) resume() error {
+	newest := t.files[len(t.files)-1]
+	if err := cutTorn(newest.path); err != nil {
+		return err
+	}
+	// An empty newest file has lost its records to a crash before the sync;
+	// the end of the chain is then in the file before it.
+	for i := len(t.files) - 1; i >= 0 && !t.end.started; i-- {
+		err := t.files[i].visit(func(r model.AuditRecord, _ int) bool {
+			t.end = link{sequence: r.Sequence, digest: r.Digest, started: true}
+			return true
+		}, func(Break) {})
+		if err != nil {
+			return err
+		}
+	}
+	return t.openForAppend(newest)
+}
+
+func (t *Trail) openForAppend(f file) error {
+	out, err := os.OpenFile(f.path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return oops.In("audit").With("file", f.path).Wrapf(err, "open")
+	}
+	info, err := out.Stat()
+	if err != nil {
+		return oops.In("audit").With("file", f.path).Wrapf(err, "stat")
+	}
+	t.out = out
+	t.size = info.Size()
+	return nil
+}
+
+// Last returns the sequence of the newest record, 0 when there is none.
+func (t *Trail) Last() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.end.sequence
+}
+
+// Append adds records and returns once they are durable. Records that the
+// trail has already are left out. A record that does not fit the chain is
+// kept all the same and returned as a Break: the state, not the file, is
+// right about what happened.
+func (t *Trail) Append(records []model.AuditRecord) ([]Break, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var breaks []Break
+	var lines []byte
+	var first uint64
+	for _, r := range records {
+		if r.Sequence <= t.end.sequence {
+			continue
+		}
+		if b := t.end.follow(r, "", 0); b != nil {
+			breaks = append(breaks, *b)
+		}
+		line, err := encodeLine(r)
+		if err != nil {
+			return breaks, oops.In("audit").Wrapf(err, "encode")
+		}
+		if first == 0 {
+			first = r.Sequence
+		}
+		lines = append(lines, line...)
+		t.records.Inc(1)
+	}
+	t.broken.Inc(int64(len(breaks)))
+	if len(lines) == 0 {
+		return breaks, nil
+	}
+	return breaks, t.write(first, lines)
+}
+
+// write appends lines to the newest file, or to a new one when it is full.
+func (t *Trail) write(first uint64, lines []byte) error {
+	if t.out == nil || t.size >= t.options.FileBytes {
+		if err := t.rotate(first); err != nil {
+			return err
+		}
+	}
+	written, err := t.out.Write(lines)
+	t.size += int64(written)
+	if err != nil {
+		return oops.In("audit").With("folder", t.dir).Wrapf(err, "append")
+	}
+	return oops.In("audit").With("folder", t.dir).Wrapf(t.out.Sync(), "sync")
+}
+
+// rotate starts a new file and drops the oldest beyond the bound.
+func (t *Trail) rotate(first uint64) error {
+	if t.out != nil {
+		if err := t.out.Close(); err != nil {
+			return oops.In("audit").With("folder", t.dir).Wrapf(err, "close")
+		}
+	}
+	next := fileFor(t.dir, first)
+	if err := t.openForAppend(next); err != nil {
+		return err
+	}
+	t.files = append(t.files, next)
+	for len(t.files) > t.options.Files {
+		if err := os.Remove(t.files[0].path); err != nil {
+			return oops.In("audit").With("file", t.files[0].path).Wrapf(err, "drop")
+		}
+		t.files = t.files[1:]
+	}
+	return syncFolder(t.dir)
+}
+
+// Close closes the newest file.
+func (t *Trail) Close() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.out == nil {
+		return nil
+	}
+	err := t.out.Close()
+	t.out = nil
+	return oops.In("audit").With("folder", t.dir).Wrapf(err, "close")
+}
+
+// snapshotFiles returns the files as they are now.
+func (t *Trail) snapshotFiles() []file {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]file(nil), t.files...)
+}
--- /dev/null
+++ b/internal/audit/trail_test.go
@@ -0,0 +1,136 @@
+package audit
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// chain makes n records as the state does.
+func chain(n int) []model.AuditRecord {
+	records := make([]model.AuditRecord, n)
+	before := ""
+	for i := range records {
+		r := model.AuditRecord{Sequence: uint64(i + 1), Actor: "pipeline <a>", Action: "apply-manifest", After: fmt.Sprint("revision ", i)}
+		r.Digest = state.ChainDigest(before, r)
+		before = r.Digest
+		records[i] = r
+	}
+	return records
+}
+
+func open(t *testing.T, dir string, o Options) *Trail {
+	t.Helper()
+	trail, err := Open(dir, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = trail.Close() })
+	return trail
+}
+
+func TestTrailRotatesAndResumes(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	records := chain(60)
+	trail := open(t, dir, Options{FileBytes: 1000, Files: 4})
+	for _, r := range records[:40] {
+		breaks, err := trail.Append([]model.AuditRecord{r})
+		is.NoErr(err)
+		is.Equal(breaks, nil)
+	}
+	is.NoErr(trail.Close())
+
+	trail = open(t, dir, Options{FileBytes: 1000, Files: 4})
+	is.Equal(trail.Last(), uint64(40))
+	breaks, err := trail.Append(records[30:]) // 31 to 40 come a second time
+	is.NoErr(err)
+	is.Equal(breaks, nil)
+	breaks, err = trail.Verify()
+	is.NoErr(err)
+	is.Equal(breaks, nil)
+	files, err := list(dir)
+	is.NoErr(err)
+	is.Equal(len(files), 4) // the oldest were dropped
+
+	page, err := trail.Read(55, 3)
+	is.NoErr(err)
+	is.Equal(page.Records, records[54:57])
+	is.Equal(page.Next, uint64(58))
+}
+
+// Symptom: somebody changed, removed or damaged a line and nobody notices.
+// Sequence: write, tamper with the file, start again. Cause: records that are
+// not bound to one another.
+func TestTamperingShows(t *testing.T) {
+	cases := []struct {
+		name   string
+		tamper func(lines []string) []string
+		kind   BreakKind
+		at     uint64
+	}{
+		{"edit", func(l []string) []string { l[4] = strings.Replace(l[4], "revision", "Revision", 1); return l }, Edit, 5},
+		{"gap", func(l []string) []string { return append(l[:4], l[5:]...) }, Gap, 6},
+		{"first", func(l []string) []string { return l[1:] }, Gap, 2},
+		{"swap", func(l []string) []string { l[4], l[5] = l[5], l[4]; return l }, Gap, 6},
+		{"noise", func(l []string) []string { l[4] = "{"; return l }, Unreadable, 0},
+		{"member", func(l []string) []string { l[4] = strings.Replace(l[4], "{", `{"note":1,`, 1); return l }, Unreadable, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			dir := t.TempDir()
+			trail := open(t, dir, Options{})
+			_, err := trail.Append(chain(10))
+			is.NoErr(err)
+			is.NoErr(trail.Close())
+			path := fileFor(dir, 1).path
+			text, err := os.ReadFile(path)
+			is.NoErr(err)
+			lines := c.tamper(strings.Split(strings.TrimSuffix(string(text), "\n"), "\n"))
+			is.NoErr(os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
+
+			trail = open(t, dir, Options{})
+			breaks, err := trail.Verify()
+			is.NoErr(err)
+			is.True(len(breaks) > 0)
+			is.Equal(breaks[0].Kind, c.kind)
+			is.Equal(breaks[0].Sequence, c.at)
+			page, err := trail.Read(1, 100)
+			is.NoErr(err)
+			is.Equal(page.Breaks, breaks) // a read reports them as well
+		})
+	}
+}
+
+// Symptom: after a crash the trail refuses its next record, or loses one.
+// Sequence: the process ends in mid-append. Cause: a torn last line.
+func TestTornLineIsCut(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	records := chain(3)
+	trail := open(t, dir, Options{})
+	_, err := trail.Append(records)
+	is.NoErr(err)
+	is.NoErr(trail.Close())
+	path := filepath.Join(dir, fileFor(dir, 1).name())
+	text, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(path, text[:len(text)-7], 0o600))
+
+	trail = open(t, dir, Options{})
+	is.Equal(trail.Last(), uint64(2))
+	breaks, err := trail.Append(records)
+	is.NoErr(err)
+	is.Equal(breaks, nil)
+	page, err := trail.Read(0, 10)
+	is.NoErr(err)
+	is.Equal(page.Records, records)
+}
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -184,12 +184,10 @@
 	}
 }
 
-// clip bounds a text that is kept.
+// clip bounds a text that is kept and makes it valid UTF-8: the audit files
+// hold it as JSON, which would otherwise change it and break the chain.
 func clip(s string) string {
-	if len(s) <= MaxText {
-		return s
-	}
-	return strings.ToValidUTF8(s[:MaxText], "")
+	return strings.ToValidUTF8(s[:min(len(s), MaxText)], "")
 }
 
 // badID says why an identifier can't be kept, empty when it can.
