--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -14,13 +14,11 @@
 )
 
 const (
-	// maxRequestBytes bounds the body of a call.
-	maxRequestBytes = 4 << 20
-	// maxServerConnections bounds the open connections of all peers: two
-	// links of each of 18 processes, twice over for those that reconnect.
+	// maxServerConnections bounds the open connections of all peers: three
+	// links of each of 18 processes, more than twice over for reconnects.
 	maxServerConnections = 128
 	// maxStreams bounds the calls in progress on one connection.
-	maxStreams = 64
+	maxStreams = 256
 	// maxHeaderBytes bounds the headers of a call.
 	maxHeaderBytes = 8 << 10
 	// callReadTimeout bounds how long a call's body may take to arrive.
@@ -56,7 +54,7 @@
 		_ = twirp.WriteError(w, err) // the peer is gone if this fails
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+	r.Body = http.MaxBytesReader(w, r.Body, maxCallBytes)
 	g.next.ServeHTTP(w, r)
 }
 
@@ -72,9 +70,9 @@
 		g.wrongSite.Inc(1)
 		return twirp.NewError(twirp.PermissionDenied, "this process belongs to another site")
 	}
-	if r.Header.Get("Content-Type") != "application/protobuf" || r.ContentLength > maxRequestBytes {
+	if r.Header.Get("Content-Type") != "application/protobuf" || r.ContentLength > maxCallBytes {
 		g.wrongForm.Inc(1)
-		return twirp.NewError(twirp.Malformed, "calls are protobuf of at most 4 MiB")
+		return twirp.NewError(twirp.Malformed, "calls are protobuf of at most 10 MiB")
 	}
 	return nil
 }
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -25,8 +25,9 @@
 	writeTimeout = 2 * time.Second
 	// idleTimeout closes a connection that carries no call.
 	idleTimeout = 2 * time.Minute
-	// maxReplyBytes bounds the body of a reply.
-	maxReplyBytes = 4 << 20
+	// maxCallBytes bounds the body of a call or reply: the largest command of
+	// the control log, 8 MiB, with room for what goes with it.
+	maxCallBytes = 10 << 20
 )
 
 // DialFunc opens a connection; tests and meters replace it.
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response.Body = limitedBody{Reader: io.LimitReader(response.Body, maxReplyBytes), Closer: response.Body}
+	response.Body = limitedBody{Reader: io.LimitReader(response.Body, maxCallBytes), Closer: response.Body}
 	return response, nil
 }
 
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -14,8 +14,10 @@
 const (
 	// sendQueue bounds the batches that wait for one peer.
 	sendQueue = 256
-	// maxExchangeBatches bounds the batches that one call joins.
-	maxExchangeBatches = 64
+	// maxJoinedBytes is the size from which a call takes no further batches.
+	maxJoinedBytes = 1 << 20
+	// messageOverhead estimates what a message or entry takes besides its data.
+	messageOverhead = 64
 	// bulkBytes is the size from which quorum messages use the bulk link.
 	bulkBytes = 64 << 10
 	// exchangeTimeout bounds one delivery of quorum messages.
@@ -79,16 +81,32 @@
 
 // join adds what else is queued, so that one call carries it all.
 func (p *peer) join(batch []quorum.Message) []quorum.Message {
-	for range maxExchangeBatches {
+	for size := sizeOf(batch); size < maxJoinedBytes; {
 		more, ok := p.outgoing.TryGet()
 		if !ok {
 			break
 		}
+		size += sizeOf(more)
 		batch = append(batch[:len(batch):len(batch)], more...)
 	}
 	return batch
 }
 
+// sizeOf estimates the encoded size of messages.
+func sizeOf(messages []quorum.Message) int {
+	size := 0
+	for i := range messages {
+		size += messageOverhead
+		for j := range messages[i].Entries {
+			size += messageOverhead + len(messages[i].Entries[j].Data)
+		}
+		if c := messages[i].Chunk; c != nil {
+			size += len(c.Data)
+		}
+	}
+	return size
+}
+
 func (p *peer) exchange(ctx context.Context, messages []quorum.Message) error {
 	data, err := encode(messages)
 	if err != nil {
--- /dev/null
+++ b/internal/node/site_test.go
@@ -0,0 +1,325 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+	"github.com/comfreyloom/comfreyloom/internal/security"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+)
+
+const testSite = "test-site"
+
+// sharedLog stands in for the replicated log: what the leader proposes is
+// committed at once.
+type sharedLog struct {
+	mu      sync.Mutex
+	entries []quorum.Entry
+	// first is the first index that is not compacted.
+	first    uint64
+	snapshot *quorum.Snapshot
+	leader   model.NodeID
+	term     uint64
+	changed  chan struct{}
+}
+
+func newSharedLog(leader model.NodeID) *sharedLog {
+	return &sharedLog{leader: leader, term: 1, first: 1, changed: make(chan struct{})}
+}
+
+func (l *sharedLog) lead(leader model.NodeID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leader, l.term = leader, l.term+1
+}
+
+func (l *sharedLog) append(data []byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	index := uint64(len(l.entries)) + 1
+	l.entries = append(l.entries, quorum.Entry{Index: index, Term: l.term, Kind: quorum.EntryCommand, Data: data})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return index
+}
+
+// fakeVoter is one voter's view of a sharedLog. hook, if set, replaces Propose.
+type fakeVoter struct {
+	name    model.NodeID
+	log     *sharedLog
+	machine *state.Machine
+	client  *Client
+	hook    func(ctx context.Context, data []byte, next func() (state.Result, error)) (state.Result, error)
+	cutOff  func() bool
+}
+
+func (v *fakeVoter) Step(messages []quorum.Message) {
+	for _, m := range messages {
+		if m.Kind == quorum.KindHeartbeat {
+			v.client.Send(model.NodeID(m.From), []quorum.Message{{Kind: quorum.KindHeartbeatReply, From: m.To, To: m.From, Term: m.Term}})
+		}
+	}
+}
+
+func (v *fakeVoter) Standing() Standing {
+	v.log.mu.Lock()
+	defer v.log.mu.Unlock()
+	leads := v.log.leader == v.name
+	return Standing{
+		Leader: v.log.leader, Term: v.log.term, Commit: uint64(len(v.log.entries)),
+		Leads: leads, Confirmed: leads && (v.cutOff == nil || !v.cutOff()),
+	}
+}
+
+func (v *fakeVoter) Propose(ctx context.Context, data []byte) (state.Result, error) {
+	next := func() (state.Result, error) {
+		if !v.Standing().Leads {
+			return state.Result{}, fmt.Errorf("not leader: %w", state.ErrNotProposed)
+		}
+		index := v.log.append(data)
+		v.catchUp()
+		return v.resultOf(data, index), nil
+	}
+	if v.hook != nil {
+		return v.hook(ctx, data, next)
+	}
+	return next()
+}
+
+// resultOf replays the log, which yields the result the first time and again.
+func (v *fakeVoter) resultOf(_ []byte, index uint64) state.Result {
+	v.log.mu.Lock()
+	defer v.log.mu.Unlock()
+	replay := state.NewMachine(state.Options{})
+	var result state.Result
+	for _, e := range v.log.entries[:index] {
+		result = replay.Apply(e.Index, e.Data)
+	}
+	return result
+}
+
+func (v *fakeVoter) catchUp() {
+	v.log.mu.Lock()
+	defer v.log.mu.Unlock()
+	for _, e := range v.log.entries[min(v.machine.Applied(), uint64(len(v.log.entries))):] {
+		v.machine.Apply(e.Index, e.Data)
+	}
+}
+
+func (v *fakeVoter) ReadIndex(context.Context) (uint64, error) {
+	s := v.Standing()
+	if !s.Confirmed {
+		return 0, errors.New("not confirmed")
+	}
+	return s.Commit, nil
+}
+
+func (v *fakeVoter) Committed(ctx context.Context, from uint64, maxBytes int) (Feed, error) {
+	for {
+		v.log.mu.Lock()
+		feed := Feed{Commit: uint64(len(v.log.entries))}
+		switch {
+		case from < v.log.first:
+			feed.Snapshot = v.log.snapshot
+		case from <= feed.Commit:
+			feed.Entries = v.log.entries[from-1 : min(feed.Commit, from+uint64(maxBytes/1024))]
+		}
+		changed := v.log.changed
+		v.log.mu.Unlock()
+		if feed.Snapshot != nil || len(feed.Entries) > 0 {
+			return feed, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return feed, ctx.Err()
+		}
+	}
+}
+
+// process is one process of a test site with all parts of this package.
+type process struct {
+	name       model.NodeID
+	machine    *state.Machine
+	voter      *fakeVoter
+	client     *Client
+	log        *Log
+	follower   *Follower
+	heartbeats *Heartbeats
+	registry   *registry.Registry
+	spreader   *Spreader
+	server     *Server
+	metrics    metrics.Registry
+	stop       func()
+}
+
+// site is a set of processes on loopback.
+type site struct {
+	t         *testing.T
+	network   *network
+	log       *sharedLog
+	names     []model.NodeID
+	voters    []model.NodeID
+	addresses map[model.NodeID]string
+	byAddress map[string]model.NodeID
+	token     string
+	interval  time.Duration
+	processes map[model.NodeID]*process
+}
+
+func newSite(tb testing.TB, voters, learners int, interval time.Duration) *site {
+	tb.Helper()
+	s := &site{
+		network: newNetwork(), addresses: map[model.NodeID]string{}, byAddress: map[string]model.NodeID{},
+		token: "node-token-of-the-test", interval: interval, processes: map[model.NodeID]*process{},
+	}
+	listeners := map[model.NodeID]net.Listener{}
+	for i := range voters + learners {
+		name := model.NodeID(fmt.Sprintf("n%d", i+1))
+		s.names = append(s.names, name)
+		if i < voters {
+			s.voters = append(s.voters, name)
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		listeners[name] = l
+		s.addresses[name], s.byAddress[l.Addr().String()] = l.Addr().String(), name
+	}
+	s.log = newSharedLog(s.names[0])
+	for _, name := range s.names {
+		s.start(tb, name, listeners[name])
+	}
+	tb.Cleanup(func() {
+		for _, p := range s.processes {
+			p.stop()
+		}
+	})
+	return s
+}
+
+// start runs a process; a nil listener opens its address again.
+func (s *site) start(tb testing.TB, name model.NodeID, l net.Listener) *process {
+	tb.Helper()
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", s.addresses[name]); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	counters := metrics.NewRegistry()
+	p := &process{name: name, machine: state.NewMachine(state.Options{}), metrics: counters}
+	leader := &LeaderHint{}
+	p.client = NewClient(ClientConfig{Self: name, Site: testSite, Token: func() string { return s.token },
+		Addresses: s.addresses, Metrics: counters, Dial: s.network.dial(name, s.byAddress)})
+	p.registry = registry.New(registry.Options{})
+	p.spreader = NewSpreader(SpreaderConfig{Self: name, Registry: p.registry, Client: p.client, Metrics: counters})
+	p.follower = NewFollower(FollowerConfig{Self: name, Machine: p.machine, Client: p.client, Voters: s.voters,
+		Leader: leader, Metrics: counters, Logger: quiet})
+	p.heartbeats = NewHeartbeats(HeartbeatsConfig{Self: name, Members: s.names, Voters: s.voters, Interval: s.interval,
+		Machine: p.machine, Client: p.client, Leader: leader, Spreader: p.spreader, Metrics: counters, Logger: quiet,
+		Unconfirmed: p.follower.Rotate})
+	p.server = NewServer(ServerConfig{Self: name, Site: testSite, Authorizer: testAuthorizer(tb, s.token, counters),
+		Identity: func() datafolder.Identity { return datafolder.Identity{Site: testSite, Node: name} },
+		Client:   p.client, Heartbeats: p.heartbeats, Spreader: p.spreader, Metrics: counters})
+	logConfig := LogConfig{Self: name, Machine: p.machine, Client: p.client, Voters: s.voters, Leader: leader, Metrics: counters}
+	if s.isVoter(name) {
+		p.voter = &fakeVoter{name: name, log: s.log, machine: p.machine, client: p.client}
+		p.server.SetVoter(p.voter)
+		p.heartbeats.SetVoter(p.voter)
+		logConfig.Voter = p.voter
+	}
+	p.log = NewLog(logConfig)
+	s.run(p, listener{l, s.network, name})
+	s.processes[name] = p
+	return p
+}
+
+func (s *site) run(p *process, l net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties conc.WaitGroup
+	server := NewHTTPServer(ctx, p.server.Handler())
+	duties.Go(func() { _ = server.Serve(l) })
+	duties.Go(func() { _ = p.client.Run(ctx) })
+	duties.Go(func() { _ = p.heartbeats.Run(ctx) })
+	duties.Go(func() { _ = p.spreader.Run(ctx) })
+	if p.voter == nil {
+		duties.Go(func() { _ = p.follower.Run(ctx) })
+	} else {
+		duties.Go(func() { p.voter.follow(ctx) })
+	}
+	var once sync.Once
+	p.stop = func() {
+		once.Do(func() {
+			cancel()
+			_ = server.Close()
+			duties.Wait()
+			p.client.Close()
+		})
+	}
+}
+
+// follow applies what other voters commit.
+func (v *fakeVoter) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		v.catchUp()
+		_, _ = v.Committed(ctx, v.machine.Applied()+1, 1<<20)
+	}
+}
+
+func (s *site) isVoter(name model.NodeID) bool {
+	for _, v := range s.voters {
+		if v == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *site) all(condition func(*process) bool) func() bool {
+	return func() bool {
+		for _, p := range s.processes {
+			if !condition(p) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// eventually waits for a condition; the limit is only a safety net.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func testAuthorizer(tb testing.TB, token string, registry metrics.Registry) *security.Authorizer {
+	tb.Helper()
+	path := tb.TempDir() + "/tokens"
+	writeFile(tb, path, "peer:"+token+"\n")
+	a, err := security.Open("nodes", path, registry)
+	is.New(tb).NoErr(err)
+	return a
+}
