operator: manifest, status, jobs, audit and counters over HTTP

Cause: operators drive a site by HTTP; races, resends and lost answers must end with a clear outcome.

Change: handlers over state.Log; accepted, already, conflict, stale, not-run and may-have-run told apart; ?wait until in force everywhere with the names of those behind; status with why each VM is here and each job waits, as JSON and as tables; long poll of the audit trail. model: String for VMHealth and MaintenancePhase.

Conclusion: eight operators with one revision have one winner, whom all learn.

--- a/internal/model/record.go
+++ b/internal/model/record.go
@@ -36,6 +36,16 @@
 	VMRebooting
 )
 
+var vmHealthNames = [...]string{"unknown", "up", "down", "rebooting"}
+
+// String returns the form used in answers.
+func (h VMHealth) String() string {
+	if int(h) >= len(vmHealthNames) {
+		return "invalid"
+	}
+	return vmHealthNames[h]
+}
+
 // Ownership is the one entry that says which pool a VM belongs to.
 type Ownership struct {
 	VM VMID `cbor:"1,keyasint"`
@@ -66,6 +76,16 @@
 	PhaseSoaking
 )
 
+var phaseNames = [...]string{"", "granted", "draining", "rebooting", "soaking"}
+
+// String returns the form used in answers.
+func (p MaintenancePhase) String() string {
+	if int(p) >= len(phaseNames) {
+		return "invalid"
+	}
+	return phaseNames[p]
+}
+
 // Permit allows one VM to be unavailable on purpose. It is committed before
 // any command and counts against every budget of the VM's pool.
 type Permit struct {
--- /dev/null
+++ b/internal/operator/answer.go
@@ -0,0 +1,58 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/comfreyloom/comfreyloom/internal/manifest"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// The headers of the answer to GET /manifest.
+const (
+	// RevisionHeader carries the revision in force.
+	RevisionHeader = "Comfreyloom-Revision"
+	// DigestHeader carries the hex SHA-256 of the manifest in force.
+	DigestHeader = "Comfreyloom-Digest"
+	// IndexHeader carries the index at which it was accepted.
+	IndexHeader = "Comfreyloom-Index"
+)
+
+// Failure is the answer to a request that was refused or whose outcome is
+// unknown.
+type Failure struct {
+	Message string `json:"message"`
+	// Problems lists everything that is wrong with a manifest.
+	Problems []manifest.Problem `json:"problems,omitempty"`
+	// Text is the problems in words, one a line.
+	Text string `json:"text,omitempty"`
+}
+
+// ManifestAnswer is the answer to a manifest that was decided on.
+type ManifestAnswer struct {
+	// Outcome is accepted, already, conflict or stale.
+	Outcome string `json:"outcome"`
+	Message string `json:"message"`
+	// Revision, Digest and Index are those of the manifest in force.
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest"`
+	Index    uint64 `json:"index"`
+	// InForce says, after ?wait, whether every VM has applied it; Behind
+	// names those that have not.
+	InForce *bool          `json:"in_force,omitempty"`
+	Behind  []model.NodeID `json:"behind,omitempty"`
+}
+
+func answer(w http.ResponseWriter, status int, verdict model.Verdict, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(model.VerdictHeader, verdict.String())
+	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(body) // the peer that went away has no other answer
+}
+
+// fail answers a request that changed nothing.
+func fail(w http.ResponseWriter, status int, message string) {
+	answer(w, status, model.NotRun, Failure{Message: message})
+}
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,238 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyloom/comfreyloom/internal/audit"
+	"github.com/comfreyloom/comfreyloom/internal/manifest"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+func verdict(w *httptest.ResponseRecorder) string { return w.Header().Get(model.VerdictHeader) }
+
+func decode[T any](t *testing.T, w *httptest.ResponseRecorder) T {
+	t.Helper()
+	var body T
+	if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+		t.Fatalf("%v: %s", err, w.Body)
+	}
+	return body
+}
+
+func TestManifestIsAcceptedAndShown(t *testing.T) {
+	is := is.New(t)
+	h := newHandler(newFakeLog(), "n7")
+	is.Equal(send(h, "GET", "/manifest", "").Code, http.StatusNotFound)
+
+	w := send(h, "PUT", "/manifest?wait=1ms", text(t, 1))
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(verdict(w), "ran")
+	body := decode[ManifestAnswer](t, w)
+	is.Equal(body.Outcome, "accepted")
+	is.Equal(*body.InForce, false)
+	is.Equal(body.Behind, []model.NodeID{"n7"}) // names those that are not in force
+
+	w = send(h, "GET", "/manifest", "")
+	is.Equal(w.Body.String(), text(t, 1))
+	is.Equal(w.Header().Get(DigestHeader), manifest.Digest([]byte(text(t, 1))))
+	page := decode[audit.Page](t, send(h, "GET", "/audit", ""))
+	is.Equal(len(page.Records), 1)
+	is.True(strings.HasPrefix(page.Records[0].Actor, "pipeline@"))
+	is.Equal(send(h, "GET", "/metrics", "").Code, http.StatusOK)
+}
+
+// Symptom: two operators each believe that their manifest is in force.
+// Sequence: both send revision 2 with different texts at the same time, and
+// each sends again. Cause: a revision that is not decided in the log.
+func TestOperatorsRaceWithOneRevision(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	h := newHandler(l)
+	const rivals = 8
+	answers := make([]*httptest.ResponseRecorder, rivals)
+	var wg conc.WaitGroup
+	for i := range rivals {
+		wg.Go(func() {
+			own := text(t, 2) + fmt.Sprintf("\n# by operator %d\n", i)
+			answers[i] = send(h, "PUT", "/manifest", own)
+			if answers[i].Code == http.StatusOK {
+				answers[i] = send(h, "PUT", "/manifest", own)
+			}
+		})
+	}
+	wg.Wait()
+	won := 0
+	for _, w := range answers {
+		body := decode[ManifestAnswer](t, w)
+		is.Equal(body.Digest, l.View().ManifestDigest) // everybody learns the winner
+		if w.Code == http.StatusOK {
+			won++
+			is.Equal(body.Outcome, "already")
+			continue
+		}
+		is.Equal(w.Code, http.StatusConflict)
+		is.Equal(body.Outcome, "conflict")
+		is.Equal(verdict(w), "not-run")
+	}
+	is.Equal(won, 1)
+	is.Equal(l.Broken(), nil)
+}
+
+// Symptom: an operator whose answer was lost is told that the manifest was
+// refused. Sequence: the answer is lost after the commit, a later revision is
+// accepted, the operator sends again. Cause: only the manifest in force known.
+func TestResendAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	h := newHandler(l)
+	l.after = fmt.Errorf("connection reset: %w", state.ErrOutcomeUnknown)
+	w := send(h, "PUT", "/manifest", text(t, 1))
+	is.Equal(w.Code, http.StatusGatewayTimeout)
+	is.Equal(verdict(w), "may-have-run")
+	is.True(strings.Contains(decode[Failure](t, w).Message, "again is safe"))
+
+	l.after = nil
+	is.Equal(decode[ManifestAnswer](t, send(h, "PUT", "/manifest", text(t, 1))).Outcome, "already")
+	is.Equal(send(h, "PUT", "/manifest", text(t, 3)).Code, http.StatusOK)
+	again := decode[ManifestAnswer](t, send(h, "PUT", "/manifest", text(t, 1)))
+	is.Equal(again.Outcome, "already")
+	is.Equal(again.Revision, uint64(3)) // and names what replaced it
+	w = send(h, "PUT", "/manifest", text(t, 2))
+	is.Equal(w.Code, http.StatusConflict)
+	is.Equal(decode[ManifestAnswer](t, w).Outcome, "stale")
+}
+
+func TestRefusalsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	h := newHandler(l)
+	is.Equal(send(h, "PUT", "/manifest", text(t, 1)).Code, http.StatusOK)
+	before := l.View().Digest
+
+	l.before = state.ErrNotProposed
+	w := send(h, "PUT", "/manifest", text(t, 2))
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get("Retry-After"), "2")
+	is.Equal(verdict(w), "not-run")
+	l.before = nil
+
+	cases := []struct {
+		method, target, body string
+		status               int
+	}{
+		{"PUT", "/manifest", "revision = 2", 400},
+		{"PUT", "/manifest", strings.Replace(text(t, 2), "port-klang", "kapljica", 1), 400},
+		{"PUT", "/manifest", strings.Repeat("#", 2<<20), 413},
+		{"PUT", "/manifest?wait=10", text(t, 2), 400},
+		{"PUT", "/manifest?wait=1h", text(t, 2), 400},
+		{"POST", "/manifest", "", 405},
+		{"GET", "/audit?from=-1", "", 400},
+		{"GET", "/audit?limit=0", "", 400},
+		{"GET", "/jobs?limit=x", "", 400},
+		{"GET", "/nothing", "", 404},
+	}
+	for _, c := range cases {
+		w := send(h, c.method, c.target, c.body)
+		is.Equal(w.Code, c.status)
+		is.Equal(verdict(w), "not-run")
+		is.True(decode[Failure](t, w).Message != "")
+	}
+	w = httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("PUT", "/manifest", strings.NewReader(text(t, 2))))
+	is.Equal(w.Code, http.StatusUnauthorized)
+	is.Equal(l.View().Digest, before)
+}
+
+func TestAuditFollowWaitsForTheNextRecord(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	h := newHandler(l)
+	var wg conc.WaitGroup
+	var page audit.Page
+	wg.Go(func() { page = decode[audit.Page](t, send(h, "GET", "/audit?from=1&follow=60s", "")) })
+	is.Equal(send(h, "PUT", "/manifest", text(t, 1)).Code, http.StatusOK)
+	wg.Wait()
+	is.Equal(len(page.Records), 1)
+	is.Equal(page.Next, uint64(2))
+	// A caller that goes away ends the wait.
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := httptest.NewRequest("GET", "/audit?from=2&follow=60s", nil).WithContext(ctx)
+	r.Header.Set("Authorization", "Bearer good")
+	h.ServeHTTP(httptest.NewRecorder(), r)
+}
+
+func TestStatusTellsWhy(t *testing.T) {
+	is := is.New(t)
+	l := newFakeLog()
+	h := newHandler(l)
+	is.Equal(send(h, "GET", "/status", "").Code, http.StatusOK) // before the first manifest
+	send(h, "PUT", "/manifest", text(t, 1))
+	_, err := l.Propose(t.Context(), state.Command{ID: "p", Term: 1, At: 5, Plan: &state.Plan{Actions: []state.Action{
+		{Reason: "pool berths is below min_vms", BeginMove: &state.BeginMove{VM: "v1", Target: "berths"}},
+		{BeginMove: &state.BeginMove{VM: "v2"}},
+	}}})
+	is.NoErr(err)
+	_, err = l.Propose(t.Context(), state.Command{ID: "j", At: 5, SubmitJob: &state.SubmitJob{
+		Spec: model.JobSpec{ID: "j1", Team: "offices", Pool: "overnight", Priority: model.Urgent},
+	}})
+	is.NoErr(err)
+
+	status := decode[Status](t, send(h, "GET", "/status", ""))
+	is.Equal(status.Leader, model.NodeID("n1"))
+	is.Equal(status.VMs[0].Why, "pool berths is below min_vms")
+	is.Equal(status.Pools[0].VMs, 1)
+	is.Equal(status.Pools[3].VMs, 1) // the spares come last
+	is.Equal(status.Jobs.Waiting[0].Why, "waits for its first placement")
+	is.Equal(len(status.Budgets), 5)
+	is.Equal(status.Waves[0].State, "scheduled")
+	is.Equal(status.Waves[0].Waiting, 1)
+	is.Equal(status.Checks, []state.Broken{})
+	table := send(h, "GET", "/status?format=text", "").Body.String()
+	is.True(strings.Contains(table, "pool berths is below min_vms"))
+	is.Equal(decode[JobList](t, send(h, "GET", "/jobs?team=offices", "")).Total, 1)
+	is.Equal(decode[JobList](t, send(h, "GET", "/jobs?team=planners", "")).Total, 0)
+}
+
+// Any body is answered with a verdict, and changes something only when the
+// answer says so.
+func FuzzPutManifest(f *testing.F) {
+	f.Add([]byte("[site]\nname = port-klang\nrevision = 1\n"))
+	f.Add([]byte(text(f, 1)))
+	l := newFakeLog()
+	h := newHandler(l)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		before := l.View().ManifestDigest
+		w := send(h, "PUT", "/manifest", string(body))
+		if w.Code != http.StatusOK && (verdict(w) != "not-run" || l.View().ManifestDigest != before) {
+			t.Fatalf("status %d, verdict %s", w.Code, verdict(w))
+		}
+		if w.Code >= 500 {
+			t.Fatalf("status %d: %s", w.Code, w.Body)
+		}
+	})
+}
+
+// The queries of GET /audit are numbers and durations within their bounds.
+func FuzzAuditQuery(f *testing.F) {
+	f.Add("from=1&limit=2&follow=1s")
+	f.Fuzz(func(t *testing.T, query string) {
+		r := httptest.NewRequest("GET", "/audit", nil)
+		r.URL.RawQuery = query
+		q, err := parseAuditQuery(r)
+		if err == nil && (q.limit < 1 || q.limit > audit.MaxRead || q.follow < 0 || q.follow > time.Hour) {
+			t.Fatalf("%+v", q)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operator/text.go
@@ -0,0 +1,100 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// table writes rows with aligned columns and keeps the first error.
+type table struct{ out *tabwriter.Writer }
+
+func (t table) row(cells ...any) {
+	for _, cell := range cells {
+		_, _ = fmt.Fprintf(t.out, "%v\t", cell) // Flush returns the error
+	}
+	_, _ = fmt.Fprintln(t.out)
+}
+
+// WriteText writes a status as tables for people.
+func WriteText(w io.Writer, s Status) error {
+	t := table{tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+	t.row("site", s.Site, "revision", s.Revision, "index", s.Index, "leader", s.Leader, "term", s.Term)
+	t.checks(s)
+	t.nodes(s)
+	t.pools(s)
+	t.budgets(s)
+	t.waves(s)
+	t.jobs(s)
+	t.vms(s)
+	return t.out.Flush()
+}
+
+func (t table) checks(s Status) {
+	t.row()
+	if len(s.Checks) == 0 {
+		t.row("checks", "all hold")
+	}
+	for _, b := range s.Checks {
+		t.row("BROKEN", b.Invariant, b.Detail)
+	}
+}
+
+func (t table) nodes(s Status) {
+	if len(s.Nodes) == 0 {
+		return
+	}
+	t.row()
+	t.row("NODE", "ROLE", "ZONE", "ALIVE", "READY", "INDEX", "REASON")
+	for _, n := range s.Nodes {
+		t.row(n.Node, n.Role, n.Zone, n.Alive, n.Ready, n.Index, n.Reason)
+	}
+}
+
+func (t table) pools(s Status) {
+	t.row()
+	t.row("POOL", "MIN", "MAX", "VMS", "LEAVING", "ARRIVING", "MAINTENANCE", "QUARANTINE", "TASKS")
+	for _, p := range s.Pools {
+		t.row(where(p.Pool), p.Min, p.Max, p.VMs, p.Leaving, p.Arriving, p.Maintenance, p.Quarantined, p.Tasks)
+	}
+}
+
+func (t table) budgets(s Status) {
+	t.row()
+	t.row("BUDGET", "POOL", "INSTANCES", "AVAILABLE", "LEAST", "RESERVE", "LEFT", "WHY")
+	for _, b := range s.Budgets {
+		t.row(b.Service, b.Pool, b.Instances, b.Available, b.Least, b.Reserve, b.Left, b.Why)
+	}
+}
+
+func (t table) waves(s Status) {
+	if len(s.Waves) == 0 {
+		return
+	}
+	t.row()
+	t.row("WAVE", "STATE", "START", "VMS", "DONE", "UNDER WAY", "WAITING", "ESTIMATED END", "WHY")
+	for _, w := range s.Waves {
+		end := ""
+		if w.End != nil {
+			end = w.End.Format(time.RFC3339)
+		}
+		t.row(w.Wave, w.State, w.Start.Format(time.RFC3339), w.VMs, w.Done, w.Underway, w.Waiting, end, w.Why)
+	}
+}
+
+func (t table) jobs(s Status) {
+	t.row()
+	t.row("WAITING JOB", "TEAM", "PRIORITY", "STATE", "SINCE", "WHY")
+	for _, j := range s.Jobs.Waiting {
+		t.row(j.Job, j.Team, j.Priority, j.State, j.Changed.Format(time.RFC3339), j.Why)
+	}
+}
+
+func (t table) vms(s Status) {
+	t.row()
+	t.row("VM", "POOL", "HEALTH", "MAINTENANCE", "TASKS", "WHY HERE")
+	for _, v := range s.VMs {
+		t.row(v.VM, moveWords(v), v.Health, v.Phase, v.Tasks, v.Why)
+	}
+}
--- a/internal/state/apply_permit.go
+++ b/internal/state/apply_permit.go
@@ -87,7 +87,7 @@
 		return ""
 	}
 	if s.Phase < permit.Phase || s.Phase > model.PhaseSoaking {
-		return refusef("VM %s is %s; it can't go to %s", s.VM, phaseName(permit.Phase), phaseName(s.Phase))
+		return refusef("VM %s is %s; it can't go to %s", s.VM, permit.Phase, s.Phase)
 	}
 	changed := *permit
 	changed.Phase = s.Phase
@@ -120,7 +120,7 @@
 		return ""
 	}
 	if p.Phase != model.PhaseSoaking {
-		return refusef("VM %s is %s, not soaking", p.VM, phaseName(p.Phase))
+		return refusef("VM %s is %s, not soaking", p.VM, p.Phase)
 	}
 	wave := c.site.waves[p.Wave]
 	if wave != nil && command.At < p.Since.Add(wave.Soak) {
@@ -147,16 +147,7 @@
 	if p == nil {
 		return "none"
 	}
-	return fmt.Sprintf("wave %s, %s, generation %d", p.Wave, phaseName(p.Phase), p.Generation)
-}
-
-var phaseNames = [...]string{"", "granted", "draining", "rebooting", "soaking"}
-
-func phaseName(p model.MaintenancePhase) string {
-	if int(p) >= len(phaseNames) {
-		return "invalid"
-	}
-	return phaseNames[p]
+	return fmt.Sprintf("wave %s, %s, generation %d", p.Wave, p.Phase, p.Generation)
 }
 
 func (c *core) setQuarantine(command *Command, a *Action, s *SetQuarantine) Refusal {
--- a/internal/state/apply_task.go
+++ b/internal/state/apply_task.go
@@ -136,8 +136,8 @@
 	if service.Pool != pool {
 		return refusef("service %s runs in pool %s", service.ID, service.Pool)
 	}
-	if task.Ordinal < 0 || task.Ordinal >= service.Instances {
-		return refusef("service %s has instances 0 to %d", service.ID, service.Instances-1)
+	if most := service.Instances + service.MaxSurge(); task.Ordinal < 0 || task.Ordinal >= most {
+		return refusef("service %s has instances 0 to %d", service.ID, most-1)
 	}
 	other := c.derived.ordinals[ordinalKey{task.Service, task.Ordinal}]
 	if other != "" && !c.rules.SkipOneTask {
