controller: the whole path from manifest to maintenance wave

Cause: the decisions of fleet, placement and health have to reach the platform, durably first. Change: controller reconciles level-triggered rounds (observe, decide, commit one plan, command what the committed state says); budget keeps the availability accounts; wave grants permits and carries them through; platform takes lists by cursor and fenced commands, see docs/interface/platform.md. state allows instances beyond a service's number (model.Service.MaxSurge), which waves use to replace an instance before its VM is drained.

--- /dev/null
+++ b/internal/controller/command.go
@@ -0,0 +1,203 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/platform"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/wave"
+)
+
+// commander derives the commands that bring the platform to what the
+// committed state says. It only reads state and world: what an earlier leader
+// sent does not matter.
+type commander struct {
+	c    *Controller
+	view *state.View
+	w    *world
+	now  model.Instant
+	ix   *fleet.Index
+	out  []platform.Command
+	asks []model.TaskID
+}
+
+// command sends what follows from the committed state.
+func (c *Controller) command(ctx context.Context) {
+	snap := c.snapshot()
+	m := &commander{c: c, view: snap.View, w: c.soft.world, now: snap.Now, ix: fleet.NewIndex(snap)}
+	for _, v := range m.ix.VMs {
+		if v.Permit != nil && v.Listed != nil {
+			m.forPermit(v)
+		}
+	}
+	m.ungranted()
+	for _, t := range sortedTasks(m.view) {
+		m.forTask(t)
+	}
+	m.renew()
+	c.ask(ctx, m.asks)
+	c.send(ctx, m)
+}
+
+func (m *commander) forPermit(v *fleet.VM) {
+	p := v.Permit
+	switch p.Phase {
+	case model.PhaseDraining:
+		m.drain(v)
+	case model.PhaseRebooting:
+		m.reboot(v)
+	case model.PhaseSoaking:
+		if v.Listed.Drained && wave.Soaked(m.ix, v, m.c.config.Wave) {
+			m.vm(platform.Return, v, "")
+		}
+	}
+}
+
+func (m *commander) drain(v *fleet.VM) {
+	switch {
+	case m.c.soft.undrain[v.ID]:
+		if f := m.w.vms[v.ID].Fence; f.Generation == v.Permit.Generation && f.Step < platform.Undrain.Step() || v.Listed.Drained {
+			m.vm(platform.Undrain, v, "")
+		}
+	case !v.Listed.Drained:
+		m.vm(platform.Drain, v, "")
+	}
+}
+
+// reboot commands a reboot while the VM still shows the boot that the permit
+// names. A VM that shows another boot was rebooted, by whoever.
+func (m *commander) reboot(v *fleet.VM) {
+	if !v.Healthy() {
+		return
+	}
+	if v.Listed.BootID != v.Permit.BootID && !m.c.config.Rules.Wave.IgnoreBoot {
+		return
+	}
+	m.vm(platform.Reboot, v, v.Listed.BootID)
+}
+
+// vm adds a command for a VM. Its ID names the observation that it answers
+// to, so that a resend has the same ID until the platform shows a change.
+func (m *commander) vm(kind platform.Kind, v *fleet.VM, bootID string) {
+	generation := v.Permit.Generation
+	id := fmt.Sprintf("%s/%s/%d/%d", kind, v.ID, generation, m.w.vms[v.ID].Revision)
+	if kind == platform.Reboot {
+		id = fmt.Sprintf("%s/%s/%d/%s/%d", kind, v.ID, generation, bootID, m.c.soft.attempts[v.ID])
+	}
+	m.add(platform.Command{
+		ID: model.CommandID(id), Kind: kind, VM: v.ID, BootID: bootID,
+		Fence: platform.Fence{Term: m.c.term, Generation: generation, Step: kind.Step()},
+	})
+}
+
+// ungranted drains VMs whose permit may not be committed; only a test
+// switches this on.
+func (m *commander) ungranted() {
+	for _, id := range m.c.soft.ungranted {
+		v := m.ix.VM(id)
+		if v == nil || v.Permit != nil {
+			continue
+		}
+		fence := m.w.vms[id].Fence
+		fence.Generation++
+		fence.Step = platform.Drain.Step()
+		fence.Term = m.c.term
+		m.add(platform.Command{ID: model.CommandID(fmt.Sprintf("drain/%s/ungranted/%d", id, m.now)), Kind: platform.Drain, VM: id, Fence: fence})
+	}
+	m.c.soft.ungranted = nil
+}
+
+func (m *commander) forTask(t *model.Task) {
+	report, known := m.w.tasks[t.ID]
+	if known && report.Ended != "" {
+		return
+	}
+	if m.w.missing[t.ID] {
+		m.asks = append(m.asks, t.ID)
+	}
+	switch t.State {
+	case model.TaskStarting:
+		if !known {
+			m.start(t)
+		}
+	case model.TaskStopping:
+		m.stop(t)
+		return
+	}
+	if known && report.Throttled != t.Throttled {
+		id := fmt.Sprintf("throttle/%s/%t/%d", t.ID, t.Throttled, report.Revision)
+		m.task(platform.Throttle, t, id).Throttled = t.Throttled
+	}
+}
+
+func (m *commander) start(t *model.Task) {
+	if t.LeaseUntil <= m.now {
+		m.asks = append(m.asks, t.ID)
+		return
+	}
+	spec := platform.TaskSpec{Worker: t.Worker, Service: t.Service, Ordinal: t.Ordinal, Job: t.Job, Size: t.Size, Priority: t.Priority.String()}
+	if job := m.view.Jobs[t.Job]; job != nil {
+		spec.Pool, spec.Kind, spec.Payload = job.Spec.Pool, job.Spec.Kind, job.Spec.Payload
+	} else if s := m.ix.Service(t.Service); s != nil {
+		spec.Pool = s.Spec.Pool
+	}
+	c := m.task(platform.Start, t, "start/"+string(t.ID))
+	c.Spec = &spec
+	c.LeaseUntil = t.LeaseUntil
+}
+
+// stop ends a task. A job that can be checkpointed goes on elsewhere from
+// there, unless it was cancelled.
+func (m *commander) stop(t *model.Task) {
+	kind := platform.Stop
+	if job := m.view.Jobs[t.Job]; job != nil && job.Spec.Checkpoints && !job.Cancelled {
+		kind = platform.Checkpoint
+	}
+	m.task(kind, t, fmt.Sprintf("%s/%s/%d", kind, t.ID, m.w.tasks[t.ID].Revision))
+}
+
+func (m *commander) task(kind platform.Kind, t *model.Task, id string) *platform.Command {
+	generation := t.Generation
+	if owner := m.view.Owners[t.VM]; owner != nil && kind == platform.Start {
+		generation = owner.Generation
+	}
+	return m.add(platform.Command{
+		ID: model.CommandID(id), Kind: kind, VM: t.VM, Task: t.ID,
+		Fence: platform.Fence{Term: m.c.term, Generation: generation},
+	})
+}
+
+func (m *commander) add(c platform.Command) *platform.Command {
+	m.out = append(m.out, c)
+	return &m.out[len(m.out)-1]
+}
+
+// renew tells the platform the committed leases that it has not confirmed.
+func (m *commander) renew() {
+	byLease := map[model.Instant][]model.TaskID{}
+	var leases []model.Instant
+	for _, t := range sortedTasks(m.view) {
+		report, known := m.w.tasks[t.ID]
+		if !known || report.Ended != "" || t.State == model.TaskStopping || m.w.missing[t.ID] {
+			continue
+		}
+		if t.LeaseUntil <= m.now || m.w.renewed[t.ID] >= t.LeaseUntil {
+			continue
+		}
+		if byLease[t.LeaseUntil] == nil {
+			leases = append(leases, t.LeaseUntil)
+		}
+		byLease[t.LeaseUntil] = append(byLease[t.LeaseUntil], t.ID)
+	}
+	for _, until := range leases {
+		m.c.soft.renews++
+		m.add(platform.Command{
+			ID:   model.CommandID(fmt.Sprintf("renew/%s/%d/%d", m.c.config.Self, m.c.term, m.c.soft.renews)),
+			Kind: platform.Renew, Tasks: byLease[until], LeaseUntil: until,
+			Fence: platform.Fence{Term: m.c.term},
+		})
+	}
+}
--- /dev/null
+++ b/internal/controller/counts.go
@@ -0,0 +1,39 @@
+package controller
+
+import "github.com/rcrowley/go-metrics"
+
+// counts are the controller's counters.
+type counts struct {
+	registry metrics.Registry
+	failedRounds, actions, refused, heldMoves,
+	commands, refusedCommands, notRun, unknown, unobserved metrics.Counter
+}
+
+func newCounts(r metrics.Registry) counts {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("controller."+name, r) }
+	return counts{
+		registry:        r,
+		failedRounds:    counter("rounds.failed"),
+		actions:         counter("actions"),
+		refused:         counter("actions.refused"),
+		heldMoves:       counter("moves.held"),
+		commands:        counter("commands"),
+		refusedCommands: counter("commands.refused"),
+		notRun:          counter("commands.not_run"),
+		unknown:         counter("commands.unknown"),
+		unobserved:      counter("platform.unobserved"),
+	}
+}
+
+// observed counts a failed observation and reports whether there is one.
+func (c *counts) observed(err error) bool {
+	if err != nil {
+		c.unobserved.Inc(1)
+	}
+	return err == nil
+}
+
+// broken counts a broken invariant under its name.
+func (c *counts) broken(invariant string) {
+	metrics.GetOrRegisterCounter("invariant.broken."+invariant, c.registry).Inc(1)
+}
--- /dev/null
+++ b/internal/controller/decide.go
@@ -0,0 +1,259 @@
+package controller
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/budget"
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/health"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/placement"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/wave"
+)
+
+// decided is the outcome of one round of decisions.
+type decided struct {
+	at      model.Instant
+	ix      *fleet.Index
+	ledger  *budget.Ledger
+	wave    wave.Decision
+	spared  []health.Spared
+	actions []state.Action
+	stopped map[model.TaskID]bool
+}
+
+func (d *decided) add(actions ...state.Action) { d.actions = append(d.actions, actions...) }
+
+// granted lists the VMs for which the round grants a permit.
+func (d *decided) granted() []model.VMID {
+	var vms []model.VMID
+	for i := range d.actions {
+		if g := d.actions[i].Grant; g != nil {
+			vms = append(vms, g.VM)
+		}
+	}
+	return vms
+}
+
+func (c *Controller) snapshot() *fleet.Snapshot {
+	w := c.soft.world
+	return &fleet.Snapshot{
+		Now:     c.config.Clock(),
+		View:    c.config.Log.View(),
+		VMs:     w.listed,
+		Serving: c.config.Serving(),
+		Region:  c.config.Region,
+		Lease:   c.config.Lease,
+		Usage:   w.usage,
+		Absent:  w.absent,
+	}
+}
+
+func (c *Controller) budgetOptions(now model.Instant) budget.Options {
+	return budget.Options{Soak: c.config.RepairSoak, Stale: c.stale(now), Rules: c.config.Rules.Budget}
+}
+
+// decide takes all decisions of a round in their order; each sees what the
+// ones before it decided.
+func (c *Controller) decide() *decided {
+	snap := c.snapshot()
+	d := &decided{at: snap.Now, ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}}
+	d.add(c.settle(d.ix)...)
+	d.ledger = budget.NewLedger(d.ix, c.budgetOptions(snap.Now))
+	if c.stale(snap.Now) {
+		// Nothing is known for sure: only leases that lapsed are ended.
+		d.add(c.leases(d.ix)...)
+		return d
+	}
+	c.decideHealth(d)
+	c.decideFleet(d)
+	c.decideWave(d)
+	c.decidePlacement(d)
+	c.checkDecided(d)
+	return d
+}
+
+func (c *Controller) decideHealth(d *decided) {
+	actions, spared := health.Decide(d.ix, c.soft.history, c.config.Health)
+	d.spared = spared
+	d.add(actions...)
+}
+
+// decideFleet takes the moves between pools that the budgets allow: a VM that
+// leaves its pool takes its instances with it, like one under maintenance.
+func (c *Controller) decideFleet(d *decided) {
+	options := c.config.Fleet
+	options.Sizes = c.soft.sizes
+	held := map[model.VMID]bool{}
+	for _, a := range fleet.Decide(d.ix, options) {
+		if m := a.BeginMove; m != nil {
+			v := d.ix.VM(m.VM)
+			held[m.VM] = !mayMove(d, v)
+			if !held[m.VM] {
+				d.ledger.Take(v)
+			}
+		}
+		if a.BeginMove != nil && held[a.BeginMove.VM] || a.FinishMove != nil && held[a.FinishMove.VM] {
+			c.counts.heldMoves.Inc(1)
+			continue
+		}
+		d.add(a)
+	}
+}
+
+func mayMove(d *decided, v *fleet.VM) bool {
+	if v == nil || v.Idle() {
+		return true
+	}
+	ok, _ := d.ledger.MayTake(v)
+	return ok
+}
+
+func (c *Controller) decideWave(d *decided) {
+	facts := wave.Facts{
+		Returned: c.soft.world.returned(d.ix.Snap.View),
+		Remaining: func(j *model.Job, t *model.Task) time.Duration {
+			return c.soft.runtimes.remaining(&j.Spec, d.at.Sub(t.Started))
+		},
+	}
+	d.wave = wave.Decide(d.ix, d.ledger, facts, c.config.Wave)
+	d.add(d.wave.Actions...)
+	c.soft.undrain = map[model.VMID]bool{}
+	for _, id := range d.wave.Undrain {
+		c.soft.undrain[id] = true
+	}
+	for _, s := range d.wave.Stops {
+		d.stop(s.Task, s.Reason)
+	}
+	c.decideSurge(d)
+}
+
+func (d *decided) stop(t *model.Task, reason string) {
+	if d.stopped[t.ID] || t.State == model.TaskStopping {
+		return
+	}
+	d.stopped[t.ID] = true
+	d.add(state.Action{Reason: reason, UpdateTask: &state.UpdateTask{Task: t.ID, State: model.TaskStopping, Throttled: t.Throttled}})
+}
+
+func (c *Controller) decidePlacement(d *decided) {
+	options := c.config.Placement
+	options.Sizes = c.soft.sizes
+	options.SoonDrained = d.wave.SoonDrained
+	result := placement.Decide(d.ix, options)
+	for _, a := range result.Actions {
+		c.takePlacement(d, a)
+	}
+	for _, w := range result.Wishes {
+		c.takeWish(d, w)
+	}
+}
+
+func (c *Controller) takePlacement(d *decided, a state.Action) {
+	switch {
+	case a.RenewTasks != nil:
+		c.dropMissing(a.RenewTasks, d.ix.Snap.View)
+	case a.StartTask != nil:
+		if !c.mayStart(d, &a.StartTask.Task) {
+			return
+		}
+		nameAttempt(a.StartTask, d.ix.Snap.View.Index)
+	}
+	d.add(a)
+}
+
+// nameAttempt makes the task's ID one that no earlier attempt had: a platform
+// that refused a start never runs a task of that ID.
+func nameAttempt(s *state.StartTask, index uint64) {
+	if s.Task.Job != "" {
+		s.Task.ID = model.TaskID(fmt.Sprintf("%s.%d", s.Task.ID, index))
+	}
+}
+
+// mayStart keeps displaced jobs off VMs that the wave has still to drain: they
+// would move a second time.
+func (c *Controller) mayStart(d *decided, t *model.Task) bool {
+	job := d.ix.Job(t.Job)
+	if job == nil || job.Moves == 0 || !c.config.Wave.Ideas.DisplaceToDone {
+		return true
+	}
+	v := d.ix.VM(t.VM)
+	p := d.ix.Pool(v.Pool())
+	if p == nil || p.Wave == nil || v.Maintained || t.Priority == model.Urgent {
+		return true
+	}
+	return d.at.Sub(job.Changed) > displacedWait || !waveGoesOn(d.ix, p)
+}
+
+// displacedWait bounds how long a displaced job waits for a VM that is done.
+const displacedWait = 10 * time.Minute
+
+// waveGoesOn reports whether VMs of the pool are under maintenance now, so
+// that some will soon be done.
+func waveGoesOn(ix *fleet.Index, p *fleet.Pool) bool {
+	return slices.ContainsFunc(p.VMs, func(v *fleet.VM) bool { return v.Permit != nil || v.Maintained })
+}
+
+// leases ends and renews leases and does nothing else.
+func (c *Controller) leases(ix *fleet.Index) []state.Action {
+	actions := placement.Leases(ix, c.config.Placement)
+	for i := range actions {
+		if actions[i].RenewTasks != nil {
+			c.dropMissing(actions[i].RenewTasks, ix.Snap.View)
+		}
+	}
+	return actions
+}
+
+// dropMissing takes tasks out of a renewal that the platform does not run, or
+// whose end was commanded: their leases lapse.
+func (c *Controller) dropMissing(r *state.RenewTasks, view *state.View) {
+	missing := c.soft.world.missing
+	if len(missing) == 0 {
+		return
+	}
+	if !r.AllBut {
+		r.Tasks = slices.DeleteFunc(r.Tasks, func(id model.TaskID) bool { return missing[id] })
+		return
+	}
+	for id := range missing {
+		if view.Tasks[id] != nil && !slices.Contains(r.Tasks, id) {
+			r.Tasks = append(r.Tasks, id)
+		}
+	}
+	slices.Sort(r.Tasks)
+}
+
+// takeWish records what a task is to give up; the command follows from the
+// committed state.
+func (c *Controller) takeWish(d *decided, w placement.Wish) {
+	t := w.Task
+	switch w.Kind {
+	case placement.Throttle, placement.Unthrottle:
+		if !d.stopped[t.ID] {
+			throttled := w.Kind == placement.Throttle
+			d.add(state.Action{Reason: w.Reason, UpdateTask: &state.UpdateTask{Task: t.ID, State: t.State, Throttled: throttled}})
+		}
+	case placement.Checkpoint, placement.Stop:
+		if t.Service != "" && !c.mayStopInstance(d, t) {
+			return
+		}
+		d.stop(t, w.Reason)
+	}
+}
+
+// mayStopInstance asks the budgets, and keeps surge instances that a wave needs.
+func (c *Controller) mayStopInstance(d *decided, t *model.Task) bool {
+	s := d.ix.Service(t.Service)
+	if c.keepSurge(d, s, t) {
+		return false
+	}
+	if ok, _ := d.ledger.MayStop(t); !ok {
+		return false
+	}
+	d.ledger.Stop(t)
+	return true
+}
--- /dev/null
+++ b/internal/controller/step.go
@@ -0,0 +1,98 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/samber/oops"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// Step takes one round if this node is the leader, and does nothing otherwise.
+func (c *Controller) Step(ctx context.Context) error {
+	leader, term := c.config.Log.Leader()
+	if leader != c.config.Self || term == 0 {
+		c.stepDown()
+		return nil
+	}
+	if err := c.beginTerm(ctx, term); err != nil {
+		return err
+	}
+	c.observe(ctx)
+	decided := c.decide()
+	if c.config.Rules.SkipCommit {
+		c.soft.ungranted = decided.granted()
+	}
+	err := c.commit(ctx, decided)
+	c.command(ctx)
+	c.publish(decided)
+	return err
+}
+
+// stepDown forgets what was learned as leader: when this node leads again the
+// world has moved on.
+func (c *Controller) stepDown() {
+	if c.term == 0 {
+		return
+	}
+	c.config.Logger.WithField("term", c.term).Info("controller: not the leader any more")
+	c.term = 0
+	c.soft = newSoft()
+}
+
+// beginTerm commits the start of the term before anything else: it fences the
+// plans of earlier leaders, and once it is applied here this node has applied
+// every plan that they committed.
+func (c *Controller) beginTerm(ctx context.Context, term uint64) error {
+	if c.term == term {
+		return nil
+	}
+	c.stepDown()
+	result, err := c.config.Log.Propose(ctx, state.Command{
+		ID:        model.CommandID(fmt.Sprintf("start-term/%d/%s", term, c.config.Self)),
+		At:        c.config.Clock(),
+		Actor:     "controller",
+		Term:      term,
+		StartTerm: &state.StartTerm{Leader: c.config.Self},
+	})
+	if err != nil {
+		return oops.Wrapf(err, "controller: begin term %d", term)
+	}
+	if result.Refused != "" {
+		return oops.Errorf("controller: begin term %d: %s", term, result.Refused)
+	}
+	c.term = term
+	c.config.Logger.WithField("term", term).Info("controller: term begins")
+	return nil
+}
+
+// commit proposes what the round decided as one plan.
+func (c *Controller) commit(ctx context.Context, d *decided) error {
+	if len(d.actions) == 0 {
+		return nil
+	}
+	c.plans++
+	result, err := c.config.Log.Propose(ctx, state.Command{
+		ID:    model.CommandID(fmt.Sprintf("plan/%s/%d/%d", c.config.Self, c.term, c.plans)),
+		At:    d.at,
+		Actor: "controller",
+		Term:  c.term,
+		Plan:  &state.Plan{Actions: d.actions},
+	})
+	if err != nil {
+		return oops.Wrapf(err, "controller: commit plan")
+	}
+	if result.Refused != "" {
+		return oops.Errorf("controller: plan refused: %s", result.Refused)
+	}
+	c.counts.actions.Inc(int64(len(d.actions)))
+	for i, refusal := range result.Actions {
+		if refusal != "" {
+			c.counts.refused.Inc(1)
+			c.config.Logger.WithField("reason", d.actions[i].Reason).Debugf("controller: action refused: %s", refusal)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/surge.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// decideSurge starts the instances beyond a service's number that a wave
+// asked for. They run at ordinals from the number up, and stop once no VM of
+// the pool is left to be drained.
+func (c *Controller) decideSurge(d *decided) {
+	for _, need := range d.wave.Surge {
+		s, target := d.ix.Service(need.Service), d.ix.VM(need.Target)
+		if s == nil || target == nil {
+			continue
+		}
+		missing := need.Count - starting(d.ix, s)
+		for i := 0; i < s.Spec.MaxSurge() && missing > 0; i++ {
+			ordinal := s.Spec.Instances + i
+			if !hasOrdinal(s, ordinal) && c.startSurge(d, s, ordinal, target) {
+				missing--
+			}
+		}
+		if missing > 0 && len(s.Extra) >= s.Spec.MaxSurge() {
+			c.dropUseless(d, s, target)
+		}
+	}
+}
+
+// starting counts the instances beyond the number that do not serve yet.
+func starting(ix *fleet.Index, s *fleet.Service) int {
+	n := 0
+	for _, t := range s.Extra {
+		if t.State != model.TaskStopping && !ix.Snap.Serving[t.ID] {
+			n++
+		}
+	}
+	return n
+}
+
+// dropUseless stops an instance beyond the number that does not help the
+// target, to free its ordinal.
+func (c *Controller) dropUseless(d *decided, s *fleet.Service, target *fleet.VM) {
+	for _, t := range s.Extra {
+		if d.ledger.Useless(t, target) {
+			d.ledger.Stop(t)
+			d.stop(t, "the instance does not help to drain VM "+string(target.ID))
+			return
+		}
+	}
+}
+
+// keepSurge reports whether an instance beyond its service's number is to
+// stay: VMs of its pool are yet to be drained, and it will be needed again.
+func (c *Controller) keepSurge(d *decided, s *fleet.Service, t *model.Task) bool {
+	if s == nil || t.Ordinal < s.Spec.Instances || t.Ordinal >= s.Spec.Instances+s.Spec.MaxSurge() {
+		return false
+	}
+	return d.wave.KeepSurge[s.Spec.Pool]
+}
+
+func hasOrdinal(s *fleet.Service, ordinal int) bool {
+	for _, t := range s.Extra {
+		if t.Ordinal == ordinal {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) startSurge(d *decided, s *fleet.Service, ordinal int, target *fleet.VM) bool {
+	p := d.ix.Pool(s.Spec.Pool)
+	v := surgePlace(d, p, s, target)
+	if v == nil {
+		return false
+	}
+	name := fmt.Sprintf("%s.%d.%d", s.Spec.ID, ordinal, d.ix.Snap.View.Index)
+	if d.ix.Snap.Region != "" {
+		name = model.Qualify(d.ix.Snap.Region, name)
+	}
+	a := state.Action{
+		Reason: fmt.Sprintf("service %s needs one more instance before VM %s is drained", s.Spec.ID, target.ID),
+		StartTask: &state.StartTask{Pool: p.Spec.ID, Task: model.Task{
+			ID: model.TaskID(name), Service: s.Spec.ID, Ordinal: ordinal, VM: v.ID, Worker: v.Listed.Worker,
+			Size: s.Spec.Size, Priority: model.Urgent, State: model.TaskStarting, Generation: v.Generation(),
+			Started: d.at, LeaseUntil: d.ix.LeaseUntil(),
+		}},
+	}
+	d.ix.Plan(a)
+	d.add(a)
+	return true
+}
+
+// surgePlace is the open VM with room where an instance helps to drain the
+// target, that shares the fewest failure domains with the service's instances;
+// one that is done with the wave before others.
+func surgePlace(d *decided, p *fleet.Pool, s *fleet.Service, target *fleet.VM) *fleet.VM {
+	if p == nil {
+		return nil
+	}
+	near := nearness(d.ix, s)
+	var best *fleet.VM
+	var bestScore int
+	for _, v := range p.VMs {
+		if v.Block != fleet.Open || !s.Spec.Size.Fits(v.Free()) || !d.ledger.Helps(s.Spec.ID, target, v) {
+			continue
+		}
+		score := near(v)
+		if !v.Maintained {
+			score++
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+// nearness weighs how close a VM is to the service's instances: on the same
+// VM, rack or availability zone.
+func nearness(ix *fleet.Index, s *fleet.Service) func(*fleet.VM) int {
+	const onVM, inRack, inZone = 1000, 100, 10
+	vms, racks, zones := map[model.VMID]int{}, map[int]int{}, map[int]int{}
+	for _, t := range append(append([]*model.Task(nil), s.Tasks...), s.Extra...) {
+		if t == nil {
+			continue
+		}
+		if v := ix.VM(t.VM); v != nil {
+			vms[v.ID]++
+			racks[v.Rack]++
+			zones[v.Zone]++
+		}
+	}
+	return func(v *fleet.VM) int { return onVM*vms[v.ID] + inRack*racks[v.Rack] + inZone*zones[v.Zone] }
+}
--- /dev/null
+++ b/internal/controller/world.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/platform"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// world is what the platform said last.
+type world struct {
+	vms       map[model.VMID]platform.VMReport
+	vmsAt     model.Instant
+	vmsCursor platform.Cursor
+	vmsFullAt model.Instant
+	// listed is the form of vms that decisions read.
+	listed map[model.VMID]*model.VM
+
+	tasks       map[model.TaskID]platform.TaskReport
+	tasksAt     model.Instant
+	tasksCursor platform.Cursor
+	// missing are tasks that the platform does not run, by a renewal's answer.
+	missing map[model.TaskID]bool
+	// renewed is the lease that the platform confirmed for each task.
+	renewed map[model.TaskID]model.Instant
+
+	usage       map[model.TaskID]fleet.Usage
+	usageCursor platform.Cursor
+
+	absence fleet.Absence
+	absent  map[model.VMID]model.Instant
+}
+
+func newWorld() *world {
+	return &world{
+		vms:     map[model.VMID]platform.VMReport{},
+		listed:  map[model.VMID]*model.VM{},
+		tasks:   map[model.TaskID]platform.TaskReport{},
+		missing: map[model.TaskID]bool{},
+		renewed: map[model.TaskID]model.Instant{},
+		usage:   map[model.TaskID]fleet.Usage{},
+	}
+}
+
+// fullEvery is how often, in milliseconds, the whole list of VMs is asked for
+// though only changes are needed, so that no lost change lasts.
+const fullEvery = 10 * 60 * 1000
+
+// observe asks the platform what changed. What can't be had stays as it was.
+func (c *Controller) observe(ctx context.Context) {
+	w := c.soft.world
+	now := c.config.Clock()
+	since := w.vmsCursor
+	if now-w.vmsFullAt > fullEvery {
+		since = ""
+	}
+	if list, err := c.config.Platform.VMs(ctx, since); c.counts.observed(err) {
+		w.takeVMs(list)
+	}
+	if list, err := c.config.Platform.Tasks(ctx, w.tasksCursor); c.counts.observed(err) {
+		w.takeTasks(list)
+	}
+	if list, err := c.config.Platform.Usage(ctx, w.usageCursor); c.counts.observed(err) {
+		c.takeUsage(list)
+	}
+	view := c.config.Log.View()
+	w.forget(view)
+	w.measure(view)
+	if w.vmsFullAt > 0 {
+		w.absent = w.absence.Observe(now, w.listed, view.Owners)
+	}
+}
+
+// stale reports whether the list of VMs is too old to take anything out on
+// purpose: VMs may have failed that it still shows as up.
+func (c *Controller) stale(now model.Instant) bool {
+	return now.Sub(c.soft.world.vmsAt) > c.config.StaleAfter
+}
+
+// takeVMs enters a list. A list made before the one in hand is an answer that
+// came late; it would show VMs as up that failed since.
+func (w *world) takeVMs(list platform.VMList) {
+	if list.At < w.vmsAt || list.Next == "" {
+		return
+	}
+	if list.Full {
+		clear(w.vms)
+		w.vmsFullAt = list.At
+	}
+	for _, id := range list.Removed {
+		delete(w.vms, id)
+	}
+	for _, report := range list.VMs {
+		if known, ok := w.vms[report.VM]; !ok || report.Revision >= known.Revision {
+			w.vms[report.VM] = report
+		}
+	}
+	w.vmsAt = list.At
+	w.vmsCursor = list.Next
+}
+
+func (w *world) takeTasks(list platform.TaskList) {
+	if list.At < w.tasksAt || list.Next == "" {
+		return
+	}
+	for _, report := range list.Tasks {
+		w.takeTask(report)
+	}
+	w.tasksAt = list.At
+	w.tasksCursor = list.Next
+}
+
+// takeTask enters a report unless a later one is known. What ended stays
+// ended, whatever comes late.
+func (w *world) takeTask(report platform.TaskReport) {
+	known, ok := w.tasks[report.Task]
+	if ok && (known.Ended != "" || report.Revision < known.Revision) {
+		return
+	}
+	w.tasks[report.Task] = report
+	if report.Ended == "" {
+		delete(w.missing, report.Task)
+	}
+}
+
+// forget drops what is known of tasks that the state no longer has.
+func (w *world) forget(view *state.View) {
+	dropGone(w.tasks, view)
+	dropGone(w.missing, view)
+	dropGone(w.renewed, view)
+	dropGone(w.usage, view)
+}
+
+func dropGone[T any](known map[model.TaskID]T, view *state.View) {
+	for id := range known {
+		if view.Tasks[id] == nil {
+			delete(known, id)
+		}
+	}
+}
+
+// measure builds the VMs as decisions read them, with their measured use.
+func (w *world) measure(view *state.View) {
+	w.listed = make(map[model.VMID]*model.VM, len(w.vms))
+	for id, r := range w.vms {
+		w.listed[id] = &model.VM{
+			ID: id, Worker: r.Worker, Zone: r.Zone, Rack: r.Rack, Capacity: r.Capacity,
+			Health: platform.ParseHealth(r.Health), HealthSince: r.HealthSince,
+			BootID: r.BootID, Drained: r.Drained,
+		}
+	}
+	for id, u := range w.usage {
+		if vm := w.listed[view.Tasks[id].VM]; vm != nil {
+			vm.Busy = vm.Busy.Plus(u.Used)
+			vm.UsageAt = max(vm.UsageAt, u.At)
+		}
+	}
+}
+
+// takeUsage enters measurements and learns from them.
+func (c *Controller) takeUsage(list platform.UsageList) {
+	w := c.soft.world
+	view := c.config.Log.View()
+	for _, u := range list.Usage {
+		t := view.Tasks[u.Task]
+		if t == nil || u.At < w.usage[u.Task].At {
+			continue
+		}
+		w.usage[u.Task] = fleet.Usage{Used: u.Used, At: u.At}
+		if job := view.Jobs[t.Job]; job != nil {
+			c.soft.sizes.Observe(&job.Spec, t, seen(u))
+		}
+	}
+	if list.Next != "" {
+		w.usageCursor = list.Next
+	}
+}
+
+// returned holds the VMs under permit for which the platform accepted the
+// last step, an undrain or return, of this very permit.
+func (w *world) returned(view *state.View) map[model.VMID]bool {
+	returned := map[model.VMID]bool{}
+	for id, p := range view.Permits {
+		f := w.vms[id].Fence
+		if f.Generation == p.Generation && f.Step == platform.Undrain.Step() {
+			returned[id] = true
+		}
+	}
+	return returned
+}
--- a/internal/model/site.go
+++ b/internal/model/site.go
@@ -70,6 +70,10 @@
 	Routes []Route `cbor:"11,keyasint,omitempty"`
 }
 
+// MaxSurge bounds the instances that may run beyond Instances for a while,
+// so that others can be taken down without missing the availability budget.
+func (s *Service) MaxSurge() int { return s.Instances }
+
 // Route marks the requests under a path as idempotent or not.
 type Route struct {
 	// Method is an HTTP method or "*".
--- a/internal/platform/report.go
+++ b/internal/platform/report.go
@@ -1,8 +1,6 @@
 package platform
 
 import (
-	"time"
-
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -32,10 +30,12 @@
 // VMList is a list of VMs that changed since a cursor.
 type VMList struct {
 	// Full says that VMs is the complete list; a VM not in it is gone.
-	Full    bool         `json:"full"`
-	Next    Cursor       `json:"next"`
-	VMs     []VMReport   `json:"vms"`
-	Removed []model.VMID `json:"removed,omitempty"`
+	Full bool   `json:"full"`
+	Next Cursor `json:"next"`
+	// At is when the list was made; a list made before another is older.
+	At      model.Instant `json:"at_ms"`
+	VMs     []VMReport    `json:"vms"`
+	Removed []model.VMID  `json:"removed,omitempty"`
 }
 
 // Ended says how a task ended; empty while it has not.
@@ -61,22 +61,20 @@
 	Task   model.TaskID   `json:"task"`
 	Worker model.WorkerID `json:"worker"`
 	// Ended is empty while the task runs.
-	Ended      Ended         `json:"ended,omitempty"`
-	LeaseUntil model.Instant `json:"lease_until_ms"`
-	Throttled  bool          `json:"throttled,omitempty"`
-	// Remaining is the worker's own estimate of the run time left; 0 when it
-	// has none.
-	Remaining time.Duration `json:"remaining_ns,omitempty"`
-	// Revision grows with every change of the task.
+	Ended     Ended `json:"ended,omitempty"`
+	Throttled bool  `json:"throttled,omitempty"`
+	// Revision grows with every change of the task but renewals.
 	Revision uint64 `json:"revision"`
 }
 
 // TaskList is a list of tasks that changed since a cursor.
 type TaskList struct {
 	// Full says that Tasks holds all tasks that the platform runs or remembers.
-	Full  bool         `json:"full"`
-	Next  Cursor       `json:"next"`
-	Tasks []TaskReport `json:"tasks"`
+	Full bool   `json:"full"`
+	Next Cursor `json:"next"`
+	// At is when the list was made.
+	At    model.Instant `json:"at_ms"`
+	Tasks []TaskReport  `json:"tasks"`
 }
 
 // Usage is the measured use of one task; it lags.
--- a/internal/platform/standin/command.go
+++ b/internal/platform/standin/command.go
@@ -163,7 +163,6 @@
 		}
 		t.lease = c.LeaseUntil
 		p.scheduleLapse(t)
-		p.touch(t)
 	}
 	return answer
 }
--- /dev/null
+++ b/internal/wave/grant.go
@@ -0,0 +1,241 @@
+package wave
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// run is the account of one wave in one round.
+type run struct {
+	wave *model.Wave
+	// next are the VMs that are yet to be drained, in the order of grants.
+	next []*fleet.VM
+	// active are the VMs under a permit of the wave.
+	active []*fleet.VM
+	// zone is the availability zone that the wave works in; -1 for none.
+	zone  int
+	total int
+	done  int
+}
+
+// grantAll commits permits for the VMs that the budgets let go now.
+func (d *decider) grantAll() {
+	site := d.ix.Snap.View.Site
+	if site == nil {
+		return
+	}
+	held := d.correlated()
+	rooms := d.newRooms()
+	for i := range site.Waves {
+		w := &site.Waves[i]
+		if w.Start > d.ix.Now() {
+			continue
+		}
+		r := d.survey(w)
+		if len(r.next) == 0 {
+			continue
+		}
+		for _, v := range r.next {
+			d.keepSurge[v.Pool()] = true
+		}
+		if held != "" {
+			d.waiting[w.ID] = held
+			continue
+		}
+		d.order(r)
+		d.grantRun(r, rooms)
+		d.expect(r)
+	}
+}
+
+// survey finds which VMs of a wave are done, under way and yet to come.
+func (d *decider) survey(w *model.Wave) *run {
+	r := &run{wave: w, zone: -1}
+	for _, id := range w.Pools {
+		p := d.ix.Pool(id)
+		if p == nil {
+			continue
+		}
+		for _, v := range p.VMs {
+			d.surveyVM(r, v)
+		}
+	}
+	return r
+}
+
+func (d *decider) surveyVM(r *run, v *fleet.VM) {
+	r.total++
+	switch {
+	case state.WaveDone(r.wave, d.ix.Snap.View.Maintained[v.ID]):
+		r.done++
+	case v.Permit != nil:
+		if v.Permit.Wave == r.wave.ID {
+			r.active = append(r.active, v)
+			r.zone = v.Zone
+		}
+	case v.Healthy() && !v.Moving():
+		r.next = append(r.next, v)
+	}
+}
+
+func (d *decider) grantRun(r *run, rooms *rooms) {
+	why := ""
+	for i, v := range r.next {
+		if reason := d.mayGrant(r, v, rooms); reason != "" {
+			if why == "" {
+				why = reason
+				d.wantSurge(r.next[i:], rooms)
+			}
+			continue
+		}
+		d.grant(r, v, rooms)
+	}
+	if len(r.active) == 0 || why != "" {
+		d.waiting[r.wave.ID] = why
+	}
+}
+
+// mayGrant says why a VM may not be granted now; empty when it may.
+func (d *decider) mayGrant(r *run, v *fleet.VM, rooms *rooms) string {
+	if !d.o.Ideas.LargestSet && len(r.active) > 0 {
+		return "one VM at a time"
+	}
+	if r.wave.MaxParallel > 0 && len(r.active) >= r.wave.MaxParallel {
+		return fmt.Sprintf("%d VMs are under maintenance, which is the wave's most", len(r.active))
+	}
+	p := d.ix.Pool(v.Pool())
+	if d.o.Ideas.RespectBusy && d.busy(p) {
+		return fmt.Sprintf("pool %s is in its busy window", p.Spec.ID)
+	}
+	if d.o.Rules.IgnoreBudget {
+		return ""
+	}
+	if ok, why := d.ledger.MayTake(v); !ok {
+		return why
+	}
+	return rooms.mayTake(v)
+}
+
+func (d *decider) grant(r *run, v *fleet.VM, rooms *rooms) {
+	reason := fmt.Sprintf("wave %s: no budget forbids it; %d of %d done, %d under way", r.wave.ID, r.done, r.total, len(r.active))
+	d.add(state.Action{Reason: reason, Grant: &state.Grant{VM: v.ID, Wave: r.wave.ID, BootID: v.Listed.BootID}})
+	d.ledger.Take(v)
+	rooms.take(v)
+	r.active = append(r.active, v)
+	r.zone = v.Zone
+}
+
+// order sorts the VMs that are yet to be drained.
+func (d *decider) order(r *run) {
+	cost := d.costs(r.next)
+	zones := d.zoneRanks(r)
+	slices.SortStableFunc(r.next, func(a, b *fleet.VM) int {
+		return cmp.Or(
+			cmp.Compare(d.urgentRank(a), d.urgentRank(b)),
+			cmp.Compare(zones[a.Zone], zones[b.Zone]),
+			cmp.Compare(cost.rack(a), cost.rack(b)),
+			cmp.Compare(a.Zone, b.Zone),
+			cmp.Compare(a.Rack, b.Rack),
+			cmp.Compare(cost.vm(a), cost.vm(b)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+}
+
+// zoneRanks puts the availability zone that the wave works in first, then the
+// one with the most VMs to come. With all drained VMs in one zone, the loss of
+// that zone takes nothing more, and the loss of another finds all others whole.
+func (d *decider) zoneRanks(r *run) map[int]int {
+	if !d.o.Ideas.LargestSet {
+		return nil
+	}
+	ranks := map[int]int{}
+	for _, v := range r.next {
+		ranks[v.Zone]--
+	}
+	if _, some := ranks[r.zone]; some {
+		ranks[r.zone] -= len(r.next) + 1
+	}
+	return ranks
+}
+
+func (d *decider) urgentRank(v *fleet.VM) int {
+	p := d.ix.Pool(v.Pool())
+	if !d.o.Ideas.RespectBusy || p == nil {
+		return 0
+	}
+	for _, s := range p.Services {
+		if s.Spec.Priority == model.Urgent {
+			return 1
+		}
+	}
+	return 0
+}
+
+// costs weighs the work that draining VMs would displace.
+type costs struct {
+	vms   map[*fleet.VM]float64
+	racks map[int]float64
+}
+
+func (c costs) vm(v *fleet.VM) float64   { return c.vms[v] }
+func (c costs) rack(v *fleet.VM) float64 { return c.racks[v.Rack] }
+
+// costs are all 0 without the idea, which leaves the fixed order. The cost of
+// a rack is the mean of its VMs, so that whole racks go first.
+func (d *decider) costs(vms []*fleet.VM) costs {
+	c := costs{vms: map[*fleet.VM]float64{}, racks: map[int]float64{}}
+	if !d.o.Ideas.OrderByCost {
+		return c
+	}
+	count := map[int]float64{}
+	for _, v := range vms {
+		c.vms[v] = d.cost(v)
+		c.racks[v.Rack] += c.vms[v]
+		count[v.Rack]++
+	}
+	for rack := range c.racks {
+		c.racks[rack] /= count[rack]
+	}
+	return c
+}
+
+// cost is the work left on a VM in seconds, weighed by how much it matters
+// that it moves.
+func (d *decider) cost(v *fleet.VM) float64 {
+	total := 0.0
+	for _, t := range v.Tasks {
+		total += d.taskCost(t)
+	}
+	return total
+}
+
+const (
+	// instanceCost stands for the restart of an instance.
+	instanceCost = 30
+	urgentCost   = 4
+	normalCost   = 2
+	// maxCountedSeconds bounds the work left of one task: estimates are far off.
+	maxCountedSeconds = 3600
+)
+
+func (d *decider) taskCost(t *model.Task) float64 {
+	job := d.ix.Job(t.Job)
+	if job == nil {
+		return instanceCost
+	}
+	left := min(d.remaining(job, t).Seconds(), maxCountedSeconds)
+	switch {
+	case t.Priority == model.Urgent || !job.Spec.Idempotent:
+		return left * urgentCost
+	case job.Spec.Checkpoints:
+		return min(left, instanceCost)
+	default:
+		return left * normalCost
+	}
+}
--- /dev/null
+++ b/internal/wave/phase.go
@@ -0,0 +1,204 @@
+package wave
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// advance moves every permit to the next phase whose condition holds.
+func (d *decider) advance() {
+	for _, v := range d.ix.VMs {
+		if v.Permit != nil && !d.givenBack[v.ID] {
+			d.advanceVM(v)
+		}
+	}
+}
+
+func (d *decider) advanceVM(v *fleet.VM) {
+	p := v.Permit
+	switch {
+	case v.Listed == nil:
+		d.release(v, false, "the platform does not list the VM any more")
+	case p.Phase == model.PhaseGranted:
+		d.advanceGranted(v)
+	case p.Phase == model.PhaseDraining:
+		d.advanceDraining(v)
+	case p.Phase == model.PhaseRebooting:
+		d.advanceRebooting(v)
+	case p.Phase == model.PhaseSoaking:
+		d.advanceSoaking(v)
+	}
+}
+
+func (d *decider) advanceGranted(v *fleet.VM) {
+	if d.wave(v) == nil {
+		d.release(v, false, "the manifest has no such wave any more")
+		return
+	}
+	d.phase(v, model.PhaseDraining, "the permit is committed; the drain begins")
+}
+
+// advanceDraining waits until the platform drained the VM and nothing runs on
+// it. A VM that rebooted by itself meanwhile needs no second reboot.
+func (d *decider) advanceDraining(v *fleet.VM) {
+	switch {
+	case d.facts.Returned[v.ID] && !v.Listed.Drained:
+		d.release(v, false, "the VM was given back before its reboot")
+	case d.rebooted(v):
+		d.phase(v, model.PhaseSoaking, "the VM rebooted while it was drained")
+	case v.Listed.Drained && v.Idle() && v.Healthy() && !d.poolShort(v):
+		d.phase(v, model.PhaseRebooting, "nothing is left on the VM")
+	default:
+		d.drainWork(v)
+	}
+}
+
+func (d *decider) advanceRebooting(v *fleet.VM) {
+	switch {
+	case d.rebooted(v):
+		d.phase(v, model.PhaseSoaking, "the VM is back under another boot ID")
+	case d.facts.Returned[v.ID] && !v.Listed.Drained:
+		d.release(v, false, "the VM was given back before its reboot")
+	}
+}
+
+// advanceSoaking ends the permit once the VM was up for the whole soak time
+// without a break and the platform starts tasks on it again.
+func (d *decider) advanceSoaking(v *fleet.VM) {
+	if !d.Soaked(v) || v.Listed.Drained {
+		return
+	}
+	d.release(v, true, "the VM soaked and takes work again")
+}
+
+// rebooted reports whether the VM is up under another boot ID than the permit
+// names. Comparing boots rather than remembering commands keeps a new leader,
+// or one that lost an answer, from rebooting the VM a second time.
+func (d *decider) rebooted(v *fleet.VM) bool {
+	return v.Healthy() && v.Listed.BootID != v.Permit.BootID
+}
+
+// Soaked reports whether a VM under permit was up for the soak time.
+func (d *decider) Soaked(v *fleet.VM) bool {
+	return Soaked(d.ix, v, d.o)
+}
+
+// Soaked reports whether a soaking VM was up, and under its permit's phase,
+// for the soak time of its wave.
+func Soaked(ix *fleet.Index, v *fleet.VM, o Options) bool {
+	if !v.Healthy() || v.Permit == nil {
+		return false
+	}
+	if o.Rules.IgnoreSoak {
+		return true
+	}
+	soak := o.withDefaults().Soak
+	if w := waveOf(ix, v.Permit.Wave); w != nil && w.Soak > 0 {
+		soak = w.Soak
+	}
+	up := ix.Now().Sub(v.Listed.HealthSince)
+	return min(up, ix.Now().Sub(v.Permit.Since)) >= soak
+}
+
+func (d *decider) phase(v *fleet.VM, to model.MaintenancePhase, reason string) {
+	d.add(state.Action{Reason: reason, SetPhase: &state.SetPhase{VM: v.ID, Generation: v.Permit.Generation, Phase: to}})
+}
+
+func (d *decider) release(v *fleet.VM, done bool, reason string) {
+	d.add(state.Action{Reason: reason, Release: &state.Release{VM: v.ID, Generation: v.Permit.Generation, Done: done}})
+}
+
+func (d *decider) wave(v *fleet.VM) *model.Wave { return waveOf(d.ix, v.Permit.Wave) }
+
+func waveOf(ix *fleet.Index, id model.WaveID) *model.Wave {
+	site := ix.Snap.View.Site
+	if site == nil {
+		return nil
+	}
+	for i := range site.Waves {
+		if site.Waves[i].ID == id {
+			return &site.Waves[i]
+		}
+	}
+	return nil
+}
+
+// drainWork decides what becomes of the tasks on a VM that is drained.
+// Instances go first: another one starts elsewhere at once, and the budget
+// has room again long before the VM is back.
+func (d *decider) drainWork(v *fleet.VM) {
+	if d.poolShort(v) {
+		return
+	}
+	for _, t := range v.SortedTasks() {
+		if t.State == model.TaskStopping || d.ix.Ending(t.ID) {
+			continue
+		}
+		if stop, why := d.mayStop(v, t); stop {
+			d.stops = append(d.stops, Stop{Task: t, Reason: fmt.Sprintf("wave %s drains VM %s: %s", v.Permit.Wave, v.ID, why)})
+		}
+	}
+}
+
+func (d *decider) mayStop(v *fleet.VM, t *model.Task) (bool, string) {
+	if t.Job == "" {
+		return true, "its instance starts elsewhere"
+	}
+	job := d.ix.Job(t.Job)
+	switch {
+	case job == nil:
+		return false, ""
+	case !job.Spec.Idempotent:
+		// A job that is not idempotent could never be started again.
+		return false, ""
+	case !d.o.Ideas.OrderByCost:
+		return true, "its job is queued again"
+	case t.Priority == model.Urgent:
+		return false, ""
+	}
+	return d.worthStopping(v, t, job)
+}
+
+// worthStopping weighs what stopping loses against what waiting costs.
+func (d *decider) worthStopping(v *fleet.VM, t *model.Task, job *model.Job) (bool, string) {
+	left := d.remaining(job, t)
+	waited := d.ix.Now().Sub(v.Permit.Since)
+	switch {
+	case left <= d.o.NearEnd && waited < d.o.MaxWait:
+		return false, ""
+	case job.Spec.Checkpoints:
+		return true, "its job goes on from a checkpoint"
+	case waited >= d.o.MaxWait:
+		return true, "the drain waited long enough"
+	}
+	// Without a checkpoint the work so far is lost.
+	lost := d.ix.Now().Sub(t.Started)
+	weight := d.moveWeight()
+	if float64(left)*(1-weight) > float64(lost+d.o.NearEnd)*weight {
+		return true, "more is left to run than is lost"
+	}
+	return false, ""
+}
+
+func (d *decider) remaining(job *model.Job, t *model.Task) time.Duration {
+	if d.facts.Remaining == nil {
+		return max(job.Spec.Runtime-d.ix.Now().Sub(t.Started), 0)
+	}
+	return d.facts.Remaining(job, t)
+}
+
+// moveWeight is the share of moves in the policy, from 0 to 1.
+func (d *decider) moveWeight() float64 {
+	p := d.ix.Policy()
+	total := p.MoveWeight + p.BufferWeight
+	if total <= 0 {
+		return evenWeight
+	}
+	return p.MoveWeight / total
+}
+
+const evenWeight = 0.5
