--- a/internal/membership/confirm.go
+++ b/internal/membership/confirm.go
@@ -15,8 +15,6 @@
 	at    model.Instant
 	// pending are later ones, not caught up with yet, oldest first.
 	pending []mark
-	// everReady says that this process was ready once.
-	everReady bool
 }
 
 // mark says that a quorum confirmed an index at an instant.
@@ -52,11 +50,7 @@
 
 // ready reports whether this process may take requests.
 func (c *Core) ready(now model.Instant) bool {
-	fresh := c.ever && now.Sub(c.at) <= ConfirmLimit
-	if fresh {
-		c.everReady = true
-	}
-	return fresh && !c.local.Leaving
+	return c.ever && now.Sub(c.at) <= ConfirmLimit && !c.local.Leaving
 }
 
 // Standing says how this process stands, for the balancer and for operators.
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -17,6 +17,7 @@
 	peers    map[model.NodeID]*peer
 
 	incarnation uint64
+	raises      int
 	sequence    uint64
 	local       Local
 	// leader is who leads by the largest term heard.
@@ -81,8 +82,8 @@
 // Interval is the time between two regular beats.
 func (c *Core) Interval() time.Duration { return c.interval }
 
-// Incarnation is that of this process. It may still grow until the process is
-// first ready.
+// Incarnation is that of this process. It grows when others know a larger one
+// of the same name, so it is to be read anew for each use.
 func (c *Core) Incarnation() uint64 { return c.incarnation }
 
 // Urgent reports whether a round should be run without waiting: the view
@@ -202,14 +203,14 @@
 
 // raise moves this process past an incarnation that others know of its name.
 // Its clock may have gone back since the last start; without this it would be
-// taken for its own predecessor and never become a member.
+// taken for its own predecessor and never become a member. Two processes of
+// one name, a mistake in the settings, would raise each other without end.
 func (c *Core) raise(known uint64) {
 	if known <= c.incarnation {
 		return
 	}
-	if c.everReady {
-		c.breaks("another process uses the name %s", c.config.Self)
-	}
+	c.raises++
+	c.guard(c.raises == maxRaises, "another process seems to use the name %s", c.config.Self)
 	c.incarnation = known + 1
 	c.sequence = 0
 }
--- a/internal/membership/review.go
+++ b/internal/membership/review.go
@@ -81,6 +81,7 @@
 	if next.Term <= c.view.Term {
 		next.Term, next.Version = c.view.Term, c.view.Version+1
 	}
+	c.guard(c.local.Term < c.view.Term, "leader of term %d changed a view of term %d", c.local.Term, c.view.Term)
 	c.guard(!c.local.Confirmed, "view %d.%d was made by a leader that is not confirmed", next.Term, next.Version)
 	c.view = next
 	c.spread, c.urgent = true, true
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -29,6 +29,8 @@
 	maxPending = 4
 	// maxMembers bounds the members of a view that is adopted.
 	maxMembers = 64
+	// maxRaises is how often others may know a larger incarnation of this name.
+	maxRaises = 16
 	// maxBroken bounds the broken invariants that are remembered.
 	maxBroken = 32
 )
--- a/internal/node/standing.go
+++ b/internal/node/standing.go
@@ -32,7 +32,7 @@
 	return h.core.View()
 }
 
-// Incarnation is that of this process; it is final once the process was ready.
+// Incarnation is that of this process. It can grow, so read it for each use.
 func (h *Heartbeats) Incarnation() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
