--- /dev/null
+++ b/internal/quorum/follower.go
@@ -0,0 +1,96 @@
+package quorum
+
+import "fmt"
+
+func (r *Raft) handleAppend(m Message) error {
+	if err := r.skipCommitted(&m); err != nil {
+		return err
+	}
+	if !r.log.matches(m.Index, m.LogTerm) && !r.followsBlindly(m) {
+		r.reject(m)
+		return nil
+	}
+	if err := r.storeEntries(m); err != nil {
+		return err
+	}
+	last := m.Index + uint64(len(m.Entries))
+	if commit := min(m.Commit, last); commit > r.log.commit {
+		r.commitTo(commit)
+	}
+	r.acknowledge(m, last)
+	return nil
+}
+
+// skipCommitted cuts off entries that are committed here, as they agree with
+// every leader's log and may be compacted.
+func (r *Raft) skipCommitted(m *Message) error {
+	if m.Index >= r.log.commit {
+		return nil
+	}
+	skip := min(r.log.commit-m.Index, uint64(len(m.Entries)))
+	for _, e := range m.Entries[:skip] {
+		if e.Index > r.log.baseIndex && !r.log.matches(e.Index, e.Term) {
+			return r.diverged(m.From, e.Index)
+		}
+	}
+	m.Entries = m.Entries[skip:]
+	m.Index = r.log.commit
+	m.LogTerm, _ = r.log.term(r.log.commit)
+	return nil
+}
+
+func (r *Raft) diverged(from ID, index uint64) error {
+	r.violation("committed never lost: %q overwrites committed entry %d", from, index)
+	return fmt.Errorf("%w: entry %d from %q", ErrDiverged, index, from)
+}
+
+// followsBlindly is true only under the faulty rule SkipPreviousCheck.
+func (r *Raft) followsBlindly(m Message) bool {
+	return r.cfg.Rules.SkipPreviousCheck && m.Index <= r.log.last()
+}
+
+// storeEntries appends what is missing and overwrites what differs. Entries
+// that agree are left alone even when the log goes on behind them: the
+// message may be late, and what follows may be acknowledged already.
+func (r *Raft) storeEntries(m Message) error {
+	conflict := r.log.conflict(m.Entries)
+	if conflict == 0 {
+		return nil
+	}
+	if conflict <= r.log.commit {
+		return r.diverged(m.From, conflict)
+	}
+	if conflict <= r.log.last() {
+		r.log.truncate(conflict)
+	}
+	missing := m.Entries[conflict-m.Index-1:]
+	if err := r.log.append(missing); err != nil {
+		return err
+	}
+	r.votersChanged()
+	return nil
+}
+
+func (r *Raft) acknowledge(m Message, index uint64) {
+	r.send(Message{Kind: KindAppendReply, To: m.From, Index: index, Tick: m.Tick})
+}
+
+func (r *Raft) reject(m Message) {
+	hint, term := r.log.lastAtMost(m.Index, m.LogTerm)
+	r.send(Message{
+		Kind: KindAppendReply, To: m.From, Index: m.Index, Reject: true,
+		Hint: hint, HintTerm: term, Tick: m.Tick,
+	})
+}
+
+func (r *Raft) handleHeartbeat(m Message) error {
+	if m.Commit > r.log.last() {
+		r.violation("committed never lost: %q says that %d is stored here, the last is %d", m.From, m.Commit, r.log.last())
+		return fmt.Errorf("%w: commit %d from %q", ErrDiverged, m.Commit, m.From)
+	}
+	if m.Commit > r.log.commit {
+		r.commitTo(m.Commit)
+	}
+	r.send(Message{Kind: KindHeartbeatReply, To: m.From, Tick: m.Tick, Round: m.Round})
+	return nil
+}
