agent, cmd: the whole path in separate processes

Cause: the parts were built side by side and nothing ran end to end yet. Announcements take instance names with a slash: the route of one path segment answered 404 to every region-qualified name, so that no instance ever served (the scenario failed at its first request).

--- /dev/null
+++ b/cmd/comfreyloom/serve.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/comfreyloom/comfreyloom/internal/agent"
+	"github.com/comfreyloom/comfreyloom/internal/settings"
+	"github.com/comfreyloom/comfreyloom/internal/telemetry"
+)
+
+type serveCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM"`
+}
+
+// run serves until SIGTERM or SIGINT, then stops gracefully. A second signal
+// ends the process at once.
+func (k *serveCommand) run(c console) exitCode {
+	s, problems, err := settings.Load(k.Settings)
+	if err != nil {
+		fmt.Fprintln(c.err, "comfreyloom serve:", err)
+		return exitUsage
+	}
+	if len(problems) > 0 {
+		printProblems(c, problems)
+		return exitUsage
+	}
+	logger, err := telemetry.NewLogger(c.err, s.Log.Level, s.Log.Format)
+	if err != nil {
+		fmt.Fprintln(c.err, "comfreyloom serve:", err)
+		return exitUsage
+	}
+	a, err := agent.New(s, agent.Options{Logger: logger})
+	if err != nil {
+		fmt.Fprintln(c.err, "comfreyloom serve:", err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	if err := a.Run(ctx); err != nil {
+		logger.WithError(err).Error("ended")
+		return exitFailed
+	}
+	return exitDone
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,259 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/samber/oops"
+
+	"github.com/comfreyloom/comfreyloom/internal/audit"
+	"github.com/comfreyloom/comfreyloom/internal/caller"
+	"github.com/comfreyloom/comfreyloom/internal/controller"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/node"
+	"github.com/comfreyloom/comfreyloom/internal/platform"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+	"github.com/comfreyloom/comfreyloom/internal/replica"
+	"github.com/comfreyloom/comfreyloom/internal/security"
+	"github.com/comfreyloom/comfreyloom/internal/settings"
+	"github.com/comfreyloom/comfreyloom/internal/slots"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/upstream"
+)
+
+// Options are what a test or the demo may change; all may be zero.
+type Options struct {
+	// Listeners are sockets opened beforehand; nil opens those of the settings.
+	Listeners *Listeners
+	// Logger takes log lines; the default logger when nil.
+	Logger log.Interface
+	// Metrics takes the counters; a new registry when nil.
+	Metrics metrics.Registry
+	// Tune may shorten the controller's intervals.
+	Tune func(*controller.Config)
+}
+
+// Agent is one process of comfreyloom.
+type Agent struct {
+	settings  *settings.Settings
+	logger    log.Interface
+	metrics   metrics.Registry
+	listeners *Listeners
+
+	machine    *state.Machine
+	leader     *node.LeaderHint
+	client     *node.Client
+	nodeServer *node.Server
+	heartbeats *node.Heartbeats
+	spreader   *node.Spreader
+	log        *node.Log
+	follower   *node.Follower
+	replica    *replica.Replica
+	trail      *audit.Trail
+
+	registry   *registry.Registry
+	dispatcher *slots.Dispatcher
+	transport  *upstream.Transport
+	callers    *caller.Server
+	controller *controller.Controller
+	platform   *platform.HTTPClient
+
+	tokens tokens
+}
+
+// tokens are the token files, one for each kind of peer.
+type tokens struct {
+	operators, nodes, upstreams, platform *security.Authorizer
+}
+
+// New opens what one process needs: token files, sockets and data folder.
+// Nothing runs before Run.
+func New(s *settings.Settings, o Options) (*Agent, error) {
+	a := &Agent{settings: s, logger: o.Logger, metrics: o.Metrics, listeners: o.Listeners}
+	if a.logger == nil {
+		a.logger = log.Log
+	}
+	if a.metrics == nil {
+		a.metrics = metrics.NewRegistry()
+	}
+	steps := []func() error{a.openTokens, a.openSockets, a.openStorage, func() error { return a.wire(o) }}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			a.close()
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+func (a *Agent) openTokens() error {
+	files := []struct {
+		to   **security.Authorizer
+		kind string
+		path string
+	}{
+		{&a.tokens.operators, "operators", a.settings.Security.Operators},
+		{&a.tokens.nodes, "nodes", a.settings.Security.Nodes},
+		{&a.tokens.upstreams, "upstreams", a.settings.Security.Upstreams},
+		{&a.tokens.platform, "platform", a.settings.Platform.TokenFile},
+	}
+	for _, f := range files {
+		authorizer, err := security.Open(f.kind, f.path, a.metrics)
+		if err != nil {
+			return oops.In("agent").With("file", f.path).Wrapf(err, "tokens of %s", f.kind)
+		}
+		*f.to = authorizer
+	}
+	return nil
+}
+
+func (a *Agent) openSockets() error {
+	if a.listeners != nil {
+		return nil
+	}
+	opened, err := openListeners(a.settings.Listen)
+	a.listeners = opened
+	return err
+}
+
+// openStorage opens the data folder of a voter, and the audit trail of every
+// VM that has a folder.
+func (a *Agent) openStorage() error {
+	a.machine = state.NewMachine(state.Options{})
+	a.leader = &node.LeaderHint{}
+	a.client = node.NewClient(node.ClientConfig{
+		Self:      a.settings.Node.Name,
+		Site:      a.settings.Node.Site,
+		Token:     a.tokens.nodes.Token,
+		Addresses: a.addresses(),
+		Metrics:   a.metrics,
+	})
+	if a.settings.IsVoter() {
+		opened, err := replica.Open(a.replicaConfig())
+		if err != nil {
+			return err
+		}
+		a.replica = opened
+		a.client.SetReceiver(opened.Step)
+	}
+	return a.openTrail()
+}
+
+func (a *Agent) openTrail() error {
+	if a.settings.Node.DataFolder == "" {
+		return nil
+	}
+	trail, err := audit.Open(a.auditFolder(), audit.Options{Registry: a.metrics})
+	a.trail = trail
+	return err
+}
+
+func (a *Agent) replicaConfig() replica.Config {
+	return replica.Config{
+		Folder:          a.settings.Node.DataFolder,
+		Site:            a.settings.Node.Site,
+		Self:            a.settings.Node.Name,
+		Members:         a.settings.Voters,
+		Machine:         a.machine,
+		Transport:       a.client,
+		Bootstrapper:    a.client,
+		TickEvery:       a.settings.Limits.Tick,
+		SnapshotEntries: a.settings.Limits.SnapshotEvery,
+		Log:             a.logger,
+		Metrics:         a.metrics,
+	}
+}
+
+func (a *Agent) addresses() map[model.NodeID]string {
+	addresses := map[model.NodeID]string{}
+	for _, p := range a.settings.Nodes {
+		addresses[p.Name] = p.Address
+	}
+	return addresses
+}
+
+func (a *Agent) members() []model.NodeID {
+	var names []model.NodeID
+	for _, p := range a.settings.Nodes {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// close gives back what New opened; for a New that failed halfway.
+func (a *Agent) close() {
+	if a.replica != nil {
+		a.replica.Close()
+	}
+	if a.listeners != nil {
+		a.listeners.close()
+	}
+	if a.trail != nil {
+		_ = a.trail.Close()
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns nil after a
+// graceful stop, and an error when a duty failed or the stop took too long.
+func (a *Agent) Run(ctx context.Context) error {
+	duties, end := context.WithCancel(context.Background())
+	defer end()
+	failed := a.start(duties)
+	a.logger.WithField("node", a.settings.Node.Name).Info("started")
+	select {
+	case err := <-failed:
+		end()
+		a.callers.Close()
+		a.listeners.close()
+		return oops.In("agent").Wrapf(err, "a duty ended")
+	case <-ctx.Done():
+	}
+	stopErr := a.stop(end)
+	err := <-failed
+	a.logger.WithField("node", a.settings.Node.Name).Info("stopped")
+	return errors.Join(stopErr, err, closeAll(a.trail))
+}
+
+// stop drains in the order that cuts off no request: first the balancer is
+// told, then running requests end, then leadership is handed over, and last
+// the duties which those requests needed.
+func (a *Agent) stop(end context.CancelFunc) error {
+	defer end()
+	ctx, cancel := context.WithTimeout(context.Background(), a.settings.Limits.StopTimeout)
+	defer cancel()
+	a.heartbeats.Leave()
+	err := a.callers.Drain(ctx)
+	if err != nil {
+		a.callers.Close()
+	}
+	a.handOver(ctx)
+	return err
+}
+
+// handOverTimeout bounds the transfer of leadership; without it the others
+// elect a new leader after an election timeout.
+const handOverTimeout = 3 * time.Second
+
+func (a *Agent) handOver(ctx context.Context) {
+	if a.replica == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := a.replica.TransferLeadership(ctx); err != nil {
+		a.logger.WithError(err).Warn("leadership was not handed over; the others elect")
+	}
+}
+
+func closeAll(trail *audit.Trail) error {
+	if trail == nil {
+		return nil
+	}
+	return trail.Close()
+}
+
+var _ io.Closer = (*audit.Trail)(nil)
--- /dev/null
+++ b/internal/agent/operators.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/audit"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/operator"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+func (a *Agent) operatorHandler() http.Handler {
+	return operator.New(operator.Config{
+		Site: a.settings.Node.Site, Log: a.log, Authorizer: a.tokens.operators,
+		InForce: a.heartbeats, Audit: a.auditReader(), Sources: a.sources(),
+		Registry: a.metrics, Logger: a.logger, Clock: time.Now,
+	})
+}
+
+// auditReader reads the files of this VM, or the state's tail without a folder.
+func (a *Agent) auditReader() operator.AuditReader {
+	if a.trail == nil {
+		return audit.Tail{Source: a.log}
+	}
+	return a.trail
+}
+
+func (a *Agent) sources() operator.Sources {
+	sources := operator.Sources{Nodes: a.nodeStatuses, Checks: a.checks}
+	if a.controller == nil {
+		return sources
+	}
+	sources.Waves = a.waveReasons
+	sources.Budgets = a.budgets
+	return sources
+}
+
+// waveReasons says why a wave waits, as the controller found in its last round;
+// empty at a voter that does not lead.
+func (a *Agent) waveReasons() map[model.WaveID]string {
+	reasons := map[model.WaveID]string{}
+	for _, w := range a.controller.Status().Waves {
+		reasons[w.Wave] = w.Waiting
+	}
+	return reasons
+}
+
+// budgets returns the account of the budgets as the leader keeps it, nil at
+// other voters.
+func (a *Agent) budgets() []operator.BudgetStatus {
+	leader, term := a.log.Leader()
+	status := a.controller.Status()
+	if leader != a.settings.Node.Name || status.Term != term {
+		return nil
+	}
+	var statuses []operator.BudgetStatus
+	for _, s := range status.Budgets.Services {
+		statuses = append(statuses, operator.BudgetStatus{
+			Service: s.Service, Pool: s.Pool, Instances: s.Wanted, Least: s.Least,
+			Available: s.Available, Reserve: s.Reserve, Left: s.Left, Why: s.Words,
+		})
+	}
+	return statuses
+}
+
+func (a *Agent) nodeStatuses() []operator.NodeStatus {
+	live := map[model.NodeID]bool{}
+	for _, name := range a.live() {
+		live[name] = true
+	}
+	voters := map[model.NodeID]bool{}
+	for _, name := range a.settings.Voters {
+		voters[name] = true
+	}
+	var nodes []operator.NodeStatus
+	for _, p := range a.settings.Nodes {
+		status := operator.NodeStatus{Node: p.Name, Role: role(voters[p.Name]), Alive: live[p.Name], Ready: live[p.Name]}
+		if p.Name == a.settings.Node.Name {
+			standing := a.heartbeats.Standing()
+			status.Zone, status.Alive, status.Ready = a.settings.Node.Zone, true, standing.Ready
+			status.Index, status.Reason = a.machine.Applied(), standing.Reason
+		}
+		nodes = append(nodes, status)
+	}
+	return nodes
+}
+
+func role(voter bool) string {
+	if voter {
+		return "voter"
+	}
+	return "learner"
+}
+
+// checks collects the invariants that do not hold in this process.
+func (a *Agent) checks() []state.Broken {
+	var all []state.Broken
+	for _, detail := range a.heartbeats.Check() {
+		all = append(all, state.Broken{Invariant: "membership", Detail: detail})
+	}
+	for _, detail := range a.registry.Check() {
+		all = append(all, state.Broken{Invariant: "registry", Detail: detail})
+	}
+	if a.controller != nil {
+		for _, b := range a.controller.Broken() {
+			all = append(all, state.Broken{Invariant: b.Invariant, Detail: b.Detail})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/agent/wire.go
@@ -0,0 +1,150 @@
+package agent
+
+import (
+	"errors"
+	"net/http"
+	"path/filepath"
+
+	"github.com/comfreyloom/comfreyloom/internal/caller"
+	"github.com/comfreyloom/comfreyloom/internal/controller"
+	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/node"
+	"github.com/comfreyloom/comfreyloom/internal/platform"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+	"github.com/comfreyloom/comfreyloom/internal/slots"
+	"github.com/comfreyloom/comfreyloom/internal/upstream"
+	"github.com/comfreyloom/comfreyloom/internal/wave"
+)
+
+// auditFolderName is the folder of the audit trail within the data folder.
+const auditFolderName = "audit"
+
+func (a *Agent) auditFolder() string {
+	return filepath.Join(a.settings.Node.DataFolder, auditFolderName)
+}
+
+// wire joins the parts, lowest first.
+func (a *Agent) wire(o Options) error {
+	a.wireNodes()
+	a.wireRequests()
+	return a.wireController(o)
+}
+
+func (a *Agent) wireNodes() {
+	a.registry = registry.New(a.registryOptions())
+	a.spreader = node.NewSpreader(node.SpreaderConfig{
+		Self: a.settings.Node.Name, Registry: a.registry, Client: a.client, Metrics: a.metrics,
+	})
+	a.follower = node.NewFollower(node.FollowerConfig{
+		Self: a.settings.Node.Name, Machine: a.machine, Client: a.client, Voters: a.settings.Voters,
+		Leader: a.leader, Metrics: a.metrics, Logger: a.logger,
+	})
+	a.heartbeats = node.NewHeartbeats(node.HeartbeatsConfig{
+		Self: a.settings.Node.Name, Members: a.members(), Voters: a.settings.Voters,
+		Machine: a.machine, Client: a.client, Leader: a.leader, Spreader: a.spreader,
+		Unconfirmed: a.follower.Rotate, Metrics: a.metrics, Logger: a.logger,
+	})
+	a.nodeServer = node.NewServer(node.ServerConfig{
+		Self: a.settings.Node.Name, Site: a.settings.Node.Site, Authorizer: a.tokens.nodes,
+		Identity: a.identity, Client: a.client, Heartbeats: a.heartbeats, Spreader: a.spreader,
+		Metrics: a.metrics,
+	})
+	voter := a.voter()
+	if voter != nil {
+		a.nodeServer.SetVoter(voter)
+		a.heartbeats.SetVoter(voter)
+	}
+	a.log = node.NewLog(node.LogConfig{
+		Self: a.settings.Node.Name, Machine: a.machine, Voter: voter, Client: a.client,
+		Voters: a.settings.Voters, Leader: a.leader, Metrics: a.metrics,
+	})
+}
+
+// voter returns this process's part in the quorum, nil on a learner.
+func (a *Agent) voter() node.Voter {
+	if a.replica == nil {
+		return nil
+	}
+	return node.FromReplica(a.replica)
+}
+
+func (a *Agent) identity() datafolder.Identity {
+	if a.replica == nil {
+		return datafolder.Identity{Site: a.settings.Node.Site, Node: a.settings.Node.Name}
+	}
+	return a.replica.Identity()
+}
+
+func (a *Agent) registryOptions() registry.Options {
+	renew := a.settings.Limits.UpstreamLease / registry.LeaseRenewals
+	return registry.Options{RenewMin: renew}
+}
+
+func (a *Agent) wireRequests() {
+	a.dispatcher = slots.New(slots.Config{
+		Self: a.settings.Node.Name, Zone: a.settings.Node.Zone, Nodes: a.members(), Members: a.live,
+		Registry: a.registry, Services: catalog{a.log}, Metrics: a.metrics, Log: a.logger,
+	})
+	a.transport = upstream.NewTransport(upstream.Options{EntryVMs: len(a.settings.Nodes), Metrics: a.metrics})
+	a.callers = caller.New(caller.Config{
+		Self: a.settings.Node.Name,
+		Log: a.log, Broker: a.dispatcher, Sender: a.transport,
+		Limits: caller.Limits{
+			BodyBytes:   a.settings.Limits.RequestBody,
+			Connections: int64(a.settings.Limits.CallerConnections),
+		},
+		BalancerDelay: a.settings.Limits.BalancerDelay,
+		Metrics:       a.metrics, Logger: a.logger,
+	})
+	a.callers.AddCondition(caller.Condition{Name: "quorum", Check: a.confirmed})
+}
+
+// confirmed is the condition of readiness that this VM's view of the control
+// log is recent; what reaches it nevertheless is served on the last state.
+func (a *Agent) confirmed() error {
+	standing := a.heartbeats.Standing()
+	if standing.Ready {
+		return nil
+	}
+	return errors.New(standing.Reason)
+}
+
+// live returns the entry VMs that are live by the view in force here.
+func (a *Agent) live() []model.NodeID {
+	var names []model.NodeID
+	for _, m := range a.heartbeats.View().Live {
+		names = append(names, m.Node)
+	}
+	return names
+}
+
+func (a *Agent) wireController(o Options) error {
+	if a.replica == nil {
+		return nil
+	}
+	client, err := platform.NewHTTP(platform.HTTPOptions{
+		Address: a.settings.Platform.Address, Token: a.tokens.platform.Token(),
+	})
+	if err != nil {
+		return err
+	}
+	a.platform = client
+	config := controller.Config{
+		Self: a.settings.Node.Name, Region: a.settings.Node.Region, Log: a.log, Platform: client,
+		Serving: func() map[model.TaskID]bool { return serving(a.registry) },
+		Wave:    wave.Options{Ideas: wave.Chosen()},
+		Metrics: a.metrics, Logger: a.logger,
+	}
+	if o.Tune != nil {
+		o.Tune(&config)
+	}
+	a.controller = controller.New(config)
+	return nil
+}
+
+func (a *Agent) upstreamHandler() http.Handler {
+	return upstream.NewHandler(upstream.HandlerConfig{
+		Announcer: a.registry, Authorizer: a.tokens.upstreams, Metrics: a.metrics,
+	})
+}
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -76,8 +77,8 @@
 	router.RedirectTrailingSlash = false
 	router.RedirectFixedPath = false
 	router.HandleOPTIONS = false
-	router.PUT("/upstreams/:service/:instance", h.guarded(h.announce))
-	router.DELETE("/upstreams/:service/:instance", h.guarded(h.withdraw))
+	router.PUT("/upstreams/:service/*instance", h.guarded(h.announce))
+	router.DELETE("/upstreams/:service/*instance", h.guarded(h.withdraw))
 	return router
 }
 
@@ -99,6 +100,13 @@
 	}
 }
 
+// instanceOf returns the rest of the path as the instance's name. It may hold
+// a slash, since identifiers are region-qualified; a parameter of one path
+// segment would not match then, whether the slash is escaped or not.
+func instanceOf(p httprouter.Params) string {
+	return strings.TrimPrefix(p.ByName("instance"), "/")
+}
+
 func (h *handler) announce(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	a, err := DecodeAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 	if err != nil {
@@ -106,7 +114,7 @@
 		return
 	}
 	now := model.InstantOf(h.Now())
-	u, err := a.Upstream(p.ByName("service"), p.ByName("instance"))
+	u, err := a.Upstream(p.ByName("service"), instanceOf(p))
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, err)
 		return
@@ -130,12 +138,13 @@
 		h.refuse(w, http.StatusBadRequest, &InputError{Key: "incarnation", Message: "the query must name the incarnation to withdraw, an integer of at least 1"})
 		return
 	}
-	service, instance, err := parseNames(p.ByName("service"), p.ByName("instance"))
+	service, instance, err := parseNames(p.ByName("service"), instanceOf(p))
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	if err := h.Announcer.Withdraw(service, instance, incarnation, model.InstantOf(h.Now())); err != nil {
+	err = h.Announcer.Withdraw(service, instance, incarnation, model.InstantOf(h.Now()))
+	if err != nil && !errors.Is(err, registry.ErrUnknown) {
 		h.refuseAnnouncement(w, err)
 		return
 	}
@@ -148,8 +157,6 @@
 	case errors.Is(err, registry.ErrFull):
 		w.Header().Set("Retry-After", strconv.Itoa(int(fullRetryAfter/time.Second)))
 		h.refuse(w, http.StatusServiceUnavailable, err)
-	case errors.Is(err, registry.ErrUnknown):
-		h.refuse(w, http.StatusNotFound, err)
 	case errors.As(err, &invalid):
 		h.refuse(w, http.StatusBadRequest, err)
 	default:
