--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -72,15 +72,19 @@
 	if first, known := c.commands.find(command.ID); known && !c.rules.SkipCommandMemory {
 		return c.again(command, first)
 	}
-	if c.fenced(command) {
-		return Result{Index: c.index, Refused: c.refusedTerm(command)}
-	}
-	result := c.applyCommand(command)
+	result := c.applyFenced(command)
 	result.Index = c.index
 	c.commands.remember(&c.hasher, command.ID, forMemory(result))
 	return result
 }
 
+func (c *core) applyFenced(command *Command) Result {
+	if c.fenced(command) {
+		return Result{Refused: c.refusedTerm(command)}
+	}
+	return c.applyCommand(command)
+}
+
 // fenced reports whether the command comes from a leader that was replaced.
 // Such a leader, back from a partition, would act on what it saw long ago.
 func (c *core) fenced(command *Command) bool {
--- /dev/null
+++ b/internal/state/state_bench_test.go
@@ -0,0 +1,253 @@
+package state
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// The benchmarks give the slopes of docs/CAPACITY.md: the cost of a change, of
+// a view after it and of a snapshot, at several sizes of a site.
+//
+//	go test -run '^$' -bench State -benchtime 200ms ./internal/state
+
+var benchSizes = []int{50, 200, 800, 1300}
+
+// jobsPerVM and instancesPerVM fill a site of any size alike.
+const (
+	jobsPerVM      = 8
+	instancesPerVM = 1
+)
+
+// filler proposes commands to a machine; every index is new.
+type filler struct {
+	machine *Machine
+	index   uint64
+}
+
+func (f *filler) apply(c Command) Result {
+	f.index++
+	c.ID = model.CommandID(fmt.Sprintf("command-%032d", f.index))
+	if c.At == 0 {
+		c.At = 1000
+	}
+	c.Term = 1
+	data, err := Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	return f.machine.Apply(f.index, data)
+}
+
+func (f *filler) plan(actions ...Action) {
+	r := f.apply(Command{Plan: &Plan{Actions: actions}})
+	for _, refused := range r.Actions {
+		if refused != "" {
+			panic(refused)
+		}
+	}
+}
+
+func benchSite(vms int) *ApplyManifest {
+	m := testManifest(1, "")
+	for i := range m.Site.Pools {
+		m.Site.Pools[i].MaxVMs = vms
+	}
+	m.Site.Services[0].Instances = vms * instancesPerVM
+	m.Site.Teams[0].MaxJobs = 0
+	return m
+}
+
+// filled returns a machine with VMs in two pools, one instance on each VM of
+// the first and jobsPerVM jobs a VM, half of them running.
+func filled(vms int) *filler {
+	f := &filler{machine: NewMachine(Options{})}
+	f.apply(Command{ApplyManifest: benchSite(vms)})
+	for i := range vms {
+		vm := model.VMID(fmt.Sprintf("region/vm-%05d", i))
+		pool := model.PoolID([]string{"a", "b"}[i%2])
+		worker := model.WorkerID(fmt.Sprintf("worker-%05d", i))
+		f.plan(Action{Reason: "pool is below min_vms", BeginMove: &BeginMove{VM: vm, Target: pool}})
+		if pool == "a" {
+			task := model.Task{ID: model.TaskID(fmt.Sprintf("plans-%05d-1", i)), Service: "plans", Ordinal: i,
+				VM: vm, Worker: worker, Size: model.Resources{MilliCPU: 4000, MemoryMB: 16000}, LeaseUntil: 61_000}
+			f.plan(Action{StartTask: &StartTask{Task: task, Pool: pool}})
+		}
+		for j := range jobsPerVM {
+			f.job(i*jobsPerVM+j, vm, worker, pool, j%2 == 0)
+		}
+	}
+	return f
+}
+
+func (f *filler) job(n int, vm model.VMID, worker model.WorkerID, pool model.PoolID, start bool) {
+	id := model.JobID(fmt.Sprintf("job-%032d", n))
+	f.apply(Command{SubmitJob: &SubmitJob{Spec: model.JobSpec{
+		ID: id, Team: "berths", Pool: pool, Kind: "reconcile", Payload: make([]byte, 64),
+		Declared: model.Resources{MilliCPU: 1000, MemoryMB: 4000},
+	}}})
+	if !start {
+		return
+	}
+	task := model.Task{ID: model.TaskID(id + "-1"), Job: id, VM: vm, Worker: worker,
+		Size: model.Resources{MilliCPU: 1000, MemoryMB: 4000}, LeaseUntil: 61_000}
+	f.plan(Action{Reason: "best fit", StartTask: &StartTask{Task: task, Pool: pool}})
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, f *filler, vms int)) {
+	for _, vms := range benchSizes {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			f := filled(vms)
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, f, vms)
+		})
+	}
+}
+
+// BenchmarkStateApply changes one job, without a view.
+func BenchmarkStateApply(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, vms int) {
+		for i := range b.N {
+			f.touchJob(i, vms)
+		}
+	})
+}
+
+// BenchmarkStateApplyAndView takes a view after each change of a job: the
+// worst case for the copy on write, since jobs are the largest table.
+func BenchmarkStateApplyAndView(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, vms int) {
+		for i := range b.N {
+			f.touchJob(i, vms)
+			f.machine.View()
+		}
+	})
+}
+
+// BenchmarkStateClaimAndView is the caller path: a claim, its outcome, and a
+// view, which finds no table of its own changed.
+func BenchmarkStateClaimAndView(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, _ int) {
+		for i := range b.N {
+			key := model.RequestKey(fmt.Sprintf("key-%d", i))
+			f.apply(Command{ClaimRequest: &ClaimRequest{Claim: model.Claim{Key: key, Owner: "n1", Deadline: 2000}}})
+			f.apply(Command{SettleRequest: &SettleRequest{Key: key, Owner: "n1", State: model.ClaimSettled, Verdict: model.Ran}})
+			f.machine.View()
+			if i%10_000 == 9_999 {
+				f.apply(Command{ForgetClaims: &ForgetClaims{Before: 3000}})
+			}
+		}
+	})
+}
+
+// touchJob gives one waiting job another reason.
+func (f *filler) touchJob(i, vms int) {
+	n := (i*jobsPerVM + 1) % (vms * jobsPerVM)
+	id := model.JobID(fmt.Sprintf("job-%032d", n))
+	f.plan(Action{SetJob: &SetJob{Job: id, State: model.JobQueued, Reason: fmt.Sprintf("round %d", i)}})
+}
+
+// BenchmarkStateRenew renews the leases of all tasks at once.
+func BenchmarkStateRenew(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, _ int) {
+		for i := range b.N {
+			f.plan(Action{RenewTasks: &RenewTasks{AllBut: true, LeaseUntil: model.Instant(62_000 + i)}})
+		}
+	})
+}
+
+// BenchmarkStateCancel cancels every waiting job in one command; the time is
+// given for each job.
+func BenchmarkStateCancel(b *testing.B) {
+	for _, vms := range benchSizes {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			jobs := 0
+			for range b.N {
+				b.StopTimer()
+				f := filled(vms)
+				var ids []model.JobID
+				for _, job := range f.machine.View().Jobs {
+					if job.State == model.JobQueued {
+						ids = append(ids, job.Spec.ID)
+					}
+				}
+				b.StartTimer()
+				f.apply(Command{CancelJobs: &CancelJobs{Jobs: ids}})
+				jobs += len(ids)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(jobs), "ns/job")
+		})
+	}
+}
+
+// BenchmarkStateSnapshot encodes the whole state; it reports bytes and bytes a VM.
+func BenchmarkStateSnapshot(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, vms int) {
+		size := 0
+		for range b.N {
+			data, err := f.machine.Snapshot()
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+		}
+		b.ReportMetric(float64(size), "bytes")
+		b.ReportMetric(float64(size)/float64(vms), "bytes/vm")
+	})
+}
+
+// BenchmarkStateRestore loads a snapshot, as a restart does.
+func BenchmarkStateRestore(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, _ int) {
+		data, err := f.machine.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		for range b.N {
+			if err := NewMachine(Options{}).Restore(data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkStateMemory reports the heap that a filled machine holds, after the
+// command memory and the audit tail are full of what filled it.
+func BenchmarkStateMemory(b *testing.B) {
+	for _, vms := range benchSizes {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			var f *filler
+			before := heap()
+			for range b.N {
+				f = filled(vms)
+			}
+			held := heap() - before
+			b.ReportMetric(float64(held), "heap-bytes")
+			b.ReportMetric(float64(held)/float64(vms), "heap-bytes/vm")
+			runtime.KeepAlive(f)
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkStateCheck checks every invariant of a view.
+func BenchmarkStateCheck(b *testing.B) {
+	forSizes(b, func(b *testing.B, f *filler, _ int) {
+		view := f.machine.View()
+		for range b.N {
+			if broken := Check(view); len(broken) > 0 {
+				b.Fatal(broken)
+			}
+		}
+	})
+}
