--- a/internal/estimate/charge.go
+++ b/internal/estimate/charge.go
@@ -57,9 +57,11 @@
 }
 
 // reclaim charges what was seen with a margin, at least reclaimFloor of the
-// placed size. Accelerators are whole devices and stay as placed.
+// placed size and, by the margin alone, never more than it. Accelerators are whole devices and stay as placed.
 func reclaim(size, used model.Resources) model.Resources {
 	charge := used.Scale(1 + seenMargin).Max(size.Scale(reclaimFloor))
+	most := size.Max(used)
+	charge.MilliCPU, charge.MemoryMB = min(charge.MilliCPU, most.MilliCPU), min(charge.MemoryMB, most.MemoryMB)
 	charge.Accelerators = size.Accelerators
 	return charge
 }
--- a/internal/estimate/estimator.go
+++ b/internal/estimate/estimator.go
@@ -31,6 +31,8 @@
 	doubtUp   = 0.5
 	// samplesKept bounds the tasks remembered for each class.
 	samplesKept = 48
+	// jobsKept bounds the jobs whose own use is remembered.
+	jobsKept = 4096
 	// classesKept bounds the classes; the one measured longest ago goes first.
 	classesKept = 4096
 )
@@ -48,6 +50,10 @@
 type Estimator struct {
 	classes map[class]*samples
 	now     model.Instant
+	// seen is what single jobs were seen to use beyond their declared size,
+	// so that their next attempt gets it; order bounds it.
+	seen  map[model.JobID]model.Resources
+	order []model.JobID
 }
 
 // Ratio is the learned ratio of used to declared size.
@@ -73,7 +79,7 @@
 
 // NewEstimator returns an estimator that has learned nothing.
 func NewEstimator() *Estimator {
-	return &Estimator{classes: make(map[class]*samples)}
+	return &Estimator{classes: make(map[class]*samples), seen: make(map[model.JobID]model.Resources)}
 }
 
 // Observe learns from one measurement of a job's task. During the warm-up
@@ -94,34 +100,60 @@
 		return
 	}
 	e.now = max(e.now, seen.At)
+	e.remember(spec, seen.Used)
 	e.learn(class{spec.Team, spec.Kind}, p)
 	if spec.Kind != "" {
 		e.learn(class{spec.Team, ""}, p)
 	}
 }
 
+// remember keeps what one job was seen to use beyond its declared size. A job
+// that lies worse than its kind would otherwise be started too small, stopped
+// when the VM nears its limit, and started too small again, without end.
+func (e *Estimator) remember(spec *model.JobSpec, used model.Resources) {
+	known, ok := e.seen[spec.ID]
+	if !ok && used.Fits(spec.Declared) {
+		return
+	}
+	if !ok {
+		e.order = append(e.order, spec.ID)
+	}
+	e.seen[spec.ID] = known.Max(used)
+	if len(e.order) > jobsKept {
+		delete(e.seen, e.order[0])
+		e.order = slices.Delete(e.order, 0, 1)
+	}
+}
+
 // Size returns what a job is taken to need: its declared size times the ratio
-// of its team and kind. Accelerators are whole devices and stay as declared.
+// of its team and kind, or what it was seen to use in an earlier attempt.
+// Accelerators are whole devices and stay as declared.
 func (e *Estimator) Size(spec *model.JobSpec) model.Resources {
 	r := e.Ratio(spec.Team, spec.Kind)
+	seen := e.seen[spec.ID]
 	return model.Resources{
-		MilliCPU:     spec.Declared.Scale(r.CPU).MilliCPU,
-		MemoryMB:     spec.Declared.Scale(r.Memory).MemoryMB,
+		MilliCPU:     max(spec.Declared.Scale(r.CPU).MilliCPU, seen.MilliCPU),
+		MemoryMB:     max(spec.Declared.Scale(r.Memory).MemoryMB, seen.MemoryMB),
 		Accelerators: spec.Declared.Accelerators,
 	}
 }
 
-// Ratio returns the ratio for a team and kind; that of the team while the
-// kind is unknown, and 1 while the team is.
+// Ratio returns the ratio for a team and kind. While the kind is unknown it
+// lies halfway between that of the team and 1: kinds of one team may differ.
 func (e *Estimator) Ratio(team model.TeamID, kind string) Ratio {
-	for _, c := range []class{{team, kind}, {team, ""}} {
-		if s := e.classes[c]; s != nil {
-			return s.current(e.now)
-		}
+	if s := e.classes[class{team, kind}]; s != nil {
+		return s.current(e.now)
+	}
+	if s := e.classes[class{team, ""}]; s != nil {
+		r := s.current(e.now)
+		return Ratio{CPU: stepUp((r.CPU + 1) / 2), Memory: stepUp((r.Memory + 1) / 2)}
 	}
 	return Ratio{CPU: 1, Memory: 1}
 }
 
+// stepUp rounds a ratio up to a step.
+func stepUp(r float64) float64 { return math.Ceil(r*ratioSteps) / ratioSteps }
+
 func (e *Estimator) learn(c class, p peak) {
 	s := e.classes[c]
 	if s == nil {
@@ -207,7 +239,7 @@
 		doubt = doubtUp
 	}
 	drawn := (q*total + doubt) / (total + doubt)
-	return math.Ceil(min(max(drawn, MinRatio), MaxRatio)*ratioSteps) / ratioSteps
+	return stepUp(min(max(drawn, MinRatio), MaxRatio))
 }
 
 // quantileOf returns the least ratio at which the weight of those up to it
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -60,7 +60,7 @@
 		if !v.Moving() {
 			continue
 		}
-		if !v.Idle() || v.Permit != nil {
+		if !d.free(v) {
 			d.busyMoves++
 			continue
 		}
@@ -69,6 +69,10 @@
 	}
 }
 
+func (d *decider) free(v *VM) bool {
+	return v.Permit == nil && (v.Idle() || d.o.Rules.SkipIdle)
+}
+
 // forgetVMs drops entries of VMs that the platform dropped.
 //
 // An empty or partial answer of the platform would otherwise make the fleet
@@ -77,10 +81,14 @@
 // only after a long absence.
 func (d *decider) forgetVMs() {
 	entries, absent := len(d.ix.Snap.View.Owners), len(d.ix.Snap.Absent)
-	if absent == 0 || float64(absent) > max(1, float64(entries)*d.o.AbsentLimit) {
+	partial := float64(absent) > max(1, float64(entries)*d.o.AbsentLimit)
+	allowed := max(1, int(float64(entries)*d.o.ForgetShare))
+	if d.o.Rules.SkipAbsence {
+		partial, allowed, d.o.ForgetAfter = false, entries, 0
+	}
+	if partial {
 		return
 	}
-	allowed := max(1, int(float64(entries)*d.o.ForgetShare))
 	for _, v := range d.ix.VMs {
 		if allowed == 0 {
 			return
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -146,15 +146,38 @@
 		if d == nil || ix.Started(j.Spec.ID) {
 			continue
 		}
+		size := d.Pool.asked(o.size(&j.Spec), d.Unit)
 		switch j.Spec.Priority {
 		case model.Urgent:
-			d.Urgent = d.Urgent.Plus(o.size(&j.Spec))
+			d.Urgent = d.Urgent.Plus(size)
 		case model.Normal:
-			d.Waiting = d.Waiting.Plus(o.size(&j.Spec))
+			d.Waiting = d.Waiting.Plus(size)
 		}
 	}
 }
 
+// asked is what a queued job asks of the pool: a whole VM when it is so large
+// that no instance fits beside it, and never more, however large it was
+// learned to be.
+func (p *Pool) asked(size, unit model.Resources) model.Resources {
+	size.MilliCPU, size.MemoryMB = min(size.MilliCPU, unit.MilliCPU), min(size.MemoryMB, unit.MemoryMB)
+	if p.NeedsClearVM(size, unit) {
+		return size.Max(share(unit, fillLimit))
+	}
+	return size
+}
+
+// NeedsClearVM reports whether a job is so large that it only fits a VM of
+// the capacity on which no instance runs.
+func (p *Pool) NeedsClearVM(size, capacity model.Resources) bool {
+	for _, s := range p.Services {
+		if size.Plus(s.Spec.Size).Fits(capacity) {
+			return false
+		}
+	}
+	return len(p.Services) > 0
+}
+
 func (d *Demand) addInstances() {
 	for _, s := range d.Pool.Services {
 		n := int64(s.Spec.Instances)
--- a/internal/fleet/fill.go
+++ b/internal/fleet/fill.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
 )
 
 // level is how badly a pool lacks VMs; a larger one goes first.
@@ -37,7 +38,7 @@
 
 // fillPools gives VMs to the pools that lack them, the worst lack first.
 func (d *decider) fillPools() {
-	s := newSources(d.ix)
+	s := newSources(d.ix, d.o.Rules)
 	stuck := make(map[*Demand]level)
 	for {
 		demand, lvl := d.neediest(stuck)
@@ -70,7 +71,10 @@
 // giveOne finds one VM for the pool. It reports whether there was one.
 func (d *decider) giveOne(demand *Demand, lvl level, s *sources) bool {
 	spec := demand.Pool.Spec
-	if demand.Pool.Size() >= spec.MaxVMs {
+	if lvl == levelHard && d.takeBack(demand) {
+		return true
+	}
+	if demand.Pool.Size() >= spec.MaxVMs && !d.o.Rules.SkipMax {
 		return d.makeRoom(demand, lvl)
 	}
 	if v := s.takeNew(demand.Pool); v != nil {
@@ -92,6 +96,25 @@
 	return d.takeFromDonor(demand)
 }
 
+// takeBack ends the move of a VM that was to leave the pool and has not left:
+// the pool lacks it more now.
+func (d *decider) takeBack(demand *Demand) bool {
+	if len(demand.Pool.Members())+len(demand.Pool.Incoming) >= demand.Pool.Spec.MaxVMs {
+		return false
+	}
+	for _, v := range demand.Pool.VMs {
+		if !v.Moving() || v.Permit != nil || !v.Healthy() || !usable(v) || !Eligible(demand.Pool.Spec, v.Listed) {
+			continue
+		}
+		spec := demand.Pool.Spec
+		reason := fmt.Sprintf("the move is called off: pool %s %s", spec.ID, demand.Words())
+		d.add(state.Action{Reason: reason, BeginMove: &state.BeginMove{VM: v.ID, Target: spec.ID, Generation: v.Generation()}})
+		demand.Ready++
+		return true
+	}
+	return false
+}
+
 // spareToSpare reports whether a spare beyond those needed for the next
 // failure is left for a pool that merely wants one.
 func (d *decider) spareToSpare(s *sources) bool {
--- /dev/null
+++ b/internal/fleet/guard.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"fmt"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// The guards look at each action as it is planned, at the tables alone and not
+// at how the decision came about. They change nothing: a broken invariant is a
+// fault of the program, to be counted and logged by whoever reads Broken.
+
+// Names of the invariants that the guards check.
+const (
+	// InvariantCapacity: placed work never exceeds a VM by our own estimate.
+	InvariantCapacity = "no-over-commit"
+	// InvariantOpenVM: new work goes only to VMs that take it.
+	InvariantOpenVM = "placed-on-open-vm"
+	// InvariantQuota: a team's running jobs keep its quota.
+	InvariantQuota = "quota-kept"
+	// InvariantOneTask: a job or an instance has one task at most.
+	InvariantOneTask = "one-task"
+	// InvariantPoolFit: a VM joins only pools that its shape and availability zone allow.
+	InvariantPoolFit = "pool-fits-vm"
+	// InvariantPoolMax: a pool never exceeds its largest size by a move.
+	InvariantPoolMax = "pool-max"
+	// InvariantMoveFree: no move begins under maintenance, none ends with tasks left.
+	InvariantMoveFree = "move-when-free"
+	// InvariantForget: entries are dropped only after a long absence, few at a time.
+	InvariantForget = "forget-bounded"
+)
+
+// maxBroken bounds the broken invariants kept for one round.
+const maxBroken = 64
+
+// Guard notes a broken invariant when holds is false.
+func (ix *Index) Guard(holds bool, invariant, format string, args ...any) {
+	if holds || len(ix.broken) >= maxBroken {
+		return
+	}
+	ix.broken = append(ix.broken, state.Broken{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
+}
+
+// Broken returns the invariants that the actions planned in this round would
+// break. It is empty unless the program has a fault.
+func (ix *Index) Broken() []state.Broken { return ix.broken }
+
+func (ix *Index) guardStart(t *model.Task, pool model.PoolID) {
+	v := ix.vms[t.VM]
+	if v == nil {
+		ix.Guard(false, InvariantOpenVM, "task %s is placed on VM %s, which is not known", t.ID, t.VM)
+		return
+	}
+	ix.Guard(v.Block == Open || ix.isProbe(v, t), InvariantOpenVM, "task %s is placed on VM %s: %s", t.ID, v.ID, v.Block)
+	ix.Guard(v.Pool() == pool, InvariantOpenVM, "task %s of pool %s is placed on VM %s of pool %s", t.ID, pool, v.ID, v.Pool())
+	ix.Guard(t.Size.Fits(v.Free()), InvariantCapacity, "task %s needs %v, VM %s has %v left", t.ID, t.Size, v.ID, v.Free())
+	if t.Job != "" {
+		ix.guardJob(t)
+		return
+	}
+	s := ix.services[t.Service]
+	free := s != nil && t.Ordinal >= 0 && t.Ordinal < len(s.Tasks) && s.Tasks[t.Ordinal] == nil
+	ix.Guard(free, InvariantOneTask, "instance %s/%d has a task already", t.Service, t.Ordinal)
+}
+
+func (ix *Index) guardJob(t *model.Task) {
+	job := ix.Snap.View.Jobs[t.Job]
+	if job == nil {
+		ix.Guard(false, InvariantOneTask, "task %s runs job %s, which is not known", t.ID, t.Job)
+		return
+	}
+	ix.Guard(job.State == model.JobQueued && !ix.planned.jobs[t.Job], InvariantOneTask,
+		"job %s is started while it is %s", t.Job, job.State)
+	if team := ix.teams[job.Spec.Team]; team != nil {
+		ix.Guard(team.Allows(t.Size), InvariantQuota,
+			"team %s uses %v and task %s needs %v of a quota of %v", team.Spec.ID, team.Used, t.ID, t.Size, team.Spec.Quota)
+	}
+}
+
+// isProbe reports whether a task may test a quarantined VM: the first there,
+// due, and of a batch job that can run again.
+func (ix *Index) isProbe(v *VM, t *model.Task) bool {
+	job := ix.Snap.View.Jobs[t.Job]
+	return v.Block == BlockQuarantine && v.Quarantine.ProbeAt <= ix.Snap.Now && v.Idle() &&
+		job != nil && job.Spec.Idempotent && job.Spec.Priority == model.Batch
+}
+
+func (ix *Index) guardMove(m *state.BeginMove) {
+	v := ix.vms[m.VM]
+	if v == nil {
+		ix.Guard(false, InvariantPoolFit, "VM %s is moved and is not known", m.VM)
+		return
+	}
+	ix.Guard(v.Permit == nil, InvariantMoveFree, "VM %s is moved under maintenance", v.ID)
+	if m.Target == "" || v.Owner != nil && m.Target == v.Owner.Pool {
+		return
+	}
+	p := ix.pools[m.Target]
+	if p == nil {
+		ix.Guard(false, InvariantPoolFit, "VM %s is moved to pool %s, which the manifest does not have", v.ID, m.Target)
+		return
+	}
+	ix.Guard(Eligible(p.Spec, v.Listed), InvariantPoolFit, "pool %s does not allow VM %s", m.Target, v.ID)
+	ix.Guard(p.Size() < p.Spec.MaxVMs, InvariantPoolMax, "pool %s has %d VMs and gets VM %s; its largest size is %d",
+		m.Target, p.Size(), v.ID, p.Spec.MaxVMs)
+}
+
+func (ix *Index) guardFinish(id model.VMID) {
+	v := ix.vms[id]
+	free := v != nil && v.Moving() && v.Idle() && v.Permit == nil
+	ix.Guard(free, InvariantMoveFree, "the move of VM %s ends while something holds on to it", id)
+}
+
+// guardForget allows one VM in a hundred a round, and only of those that the
+// platform has long not listed.
+func (ix *Index) guardForget(id model.VMID) {
+	v := ix.vms[id]
+	since, known := ix.Snap.Absent[id]
+	long := known && ix.Snap.Now.Sub(since) >= defaultForgetAfter/2
+	ix.Guard(v != nil && v.Listed == nil && v.Idle() && long, InvariantForget, "the entry of VM %s is dropped", id)
+	ix.planned.forgotten++
+	most := max(1, len(ix.Snap.View.Owners)/50)
+	ix.Guard(ix.planned.forgotten <= most, InvariantForget, "%d of %d entries are dropped in one round", ix.planned.forgotten, len(ix.Snap.View.Owners))
+}
--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -7,6 +7,7 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/estimate"
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
 )
 
 // Index joins the tables of one snapshot for cheap queries. It is built for
@@ -38,6 +39,7 @@
 	zones    map[model.ZoneID]int
 	racks    map[string]int
 	planned  planned
+	broken   []state.Broken
 }
 
 // Pool is a pool of the manifest with its VMs.
@@ -65,16 +67,12 @@
 	Available int
 }
 
-// Team is a team of the manifest with what its running jobs were placed with.
-type Team struct {
-	Spec *model.Team
-	Used model.Resources
-}
-
 // planned is what the decisions of this round entered by Plan.
 type planned struct {
 	jobs  map[model.JobID]bool
 	ended map[model.TaskID]bool
+	// forgotten counts the entries dropped.
+	forgotten int
 }
 
 // NewIndex builds the index of a snapshot. A snapshot without a manifest
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if team := ix.teams[job.Spec.Team]; team != nil {
-		team.Used = team.Used.Plus(t.Size)
+		team.Used = team.Used.Plus(team.Charge(t.Size))
 	}
 }
 
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -30,6 +30,21 @@
 	MaxMoving float64
 	// Sizes judges what a queued job needs; nil takes the declared size.
 	Sizes Sizer
+	Rules Rules
+}
+
+// Rules switches single safety rules off. The zero value has every rule on
+// and is the only one that the product uses; tests switch a rule off to see
+// that the guards notice.
+type Rules struct {
+	// SkipShape gives pools VMs that their shape or zones do not allow.
+	SkipShape bool
+	// SkipMax lets pools grow beyond their largest size.
+	SkipMax bool
+	// SkipAbsence drops entries at the first list that lacks the VM.
+	SkipAbsence bool
+	// SkipIdle finishes moves while tasks are left on the VM.
+	SkipIdle bool
 }
 
 // Sizer judges what a job that declares a size will need.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -19,14 +19,18 @@
 func (ix *Index) plan(a *state.Action) {
 	switch {
 	case a.BeginMove != nil:
+		ix.guardMove(a.BeginMove)
 		ix.planMove(a.BeginMove)
 	case a.FinishMove != nil:
+		ix.guardFinish(a.FinishMove.VM)
 		ix.planFinish(a.FinishMove.VM)
 	case a.ForgetVM != nil:
+		ix.guardForget(a.ForgetVM.VM)
 		ix.planForget(a.ForgetVM.VM)
 	case a.Grant != nil:
 		ix.planGrant(a.Grant)
 	case a.StartTask != nil:
+		ix.guardStart(&a.StartTask.Task, a.StartTask.Pool)
 		ix.planStart(&a.StartTask.Task)
 	case a.EndTask != nil:
 		ix.planned.ended[a.EndTask.Task] = true
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -32,6 +32,9 @@
 	// Absent says since when the platform's list lacks a VM that has an entry,
 	// as Absence.Observe keeps it. No entry is dropped while this is empty.
 	Absent map[model.VMID]model.Instant
+	// Gone are the recorded tasks that the platform says it does not run.
+	// Their leases are not renewed, so that they lapse and make room.
+	Gone map[model.TaskID]bool
 }
 
 // Usage is what a task was measured to use at an instant.
--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -7,6 +7,7 @@
 // at every VM.
 type sources struct {
 	ix     *Index
+	rules  Rules
 	fresh  []*group
 	spares []*group
 	// members counts the VMs by pool and rack, and by pool and zone.
@@ -32,8 +33,8 @@
 	capacity model.Resources
 }
 
-func newSources(ix *Index) *sources {
-	s := &sources{ix: ix, members: make(map[*Pool]*spreadCount), surplusSpares: -1}
+func newSources(ix *Index, rules Rules) *sources {
+	s := &sources{ix: ix, rules: rules, members: make(map[*Pool]*spreadCount), surplusSpares: -1}
 	s.fresh = grouped(ix.VMs, func(v *VM) bool { return v.Owner == nil && v.Healthy() && usable(v) })
 	s.spares = grouped(ix.Spares, SpareReady)
 	return s
@@ -75,7 +76,7 @@
 	var best *group
 	var bestScore [4]int64
 	for _, g := range groups {
-		if len(g.vms) == 0 || !Eligible(p.Spec, g.vms[0].Listed) {
+		if len(g.vms) == 0 || !s.rules.SkipShape && !Eligible(p.Spec, g.vms[0].Listed) {
 			continue
 		}
 		left := g.capacity.Minus(p.Spec.Shape)
--- a/internal/health/decide.go
+++ b/internal/health/decide.go
@@ -27,6 +27,12 @@
 	lastProbe  = 6 * time.Hour
 	// releaseProbes is how many probes must succeed before the release.
 	releaseProbes = 2
+	// leastFailures is the least number of distinct workers that convicts a
+	// job, in pools that have few.
+	leastFailures = 2
+	// maxAttempts is after how many attempts a job is held even if none of
+	// the workers on which it failed is known to be good.
+	maxAttempts = 8
 	// parole ends a quarantine in which nothing could be probed: a pool
 	// without batch jobs has no probes, and the worker may have been repaired.
 	parole = 24 * time.Hour
@@ -81,7 +87,7 @@
 	o.Distinct = cmp.Or(o.Distinct, defaultDistinct)
 	o.CapShare = cmp.Or(o.CapShare, defaultCapShare)
 	o.PoolCapShare = cmp.Or(o.PoolCapShare, defaultPoolCapShare)
-	d := &decider{ix: ix, h: h, o: o, m: newMargins(ix, h)}
+	d := &decider{ix: ix, h: h, o: o, m: newMargins(ix, h), released: make(map[model.WorkerID]bool)}
 	d.reviewQuarantines()
 	d.quarantine()
 	d.holdJobs()
@@ -95,6 +101,8 @@
 	m       *margins
 	actions []state.Action
 	spared  []Spared
+	// released are the workers that this round lets go.
+	released map[model.WorkerID]bool
 }
 
 func (d *decider) add(a state.Action) {
@@ -160,9 +168,7 @@
 
 func (d *decider) release(q *model.Quarantine, reason string) {
 	d.add(state.Action{Reason: reason, SetQuarantine: &state.SetQuarantine{Quarantine: *q, Release: true}})
-	// What convicted the worker is paid for: it must not convict it again.
-	delete(d.h.workers, q.Worker)
-	delete(d.m.workers, q.Worker)
+	d.released[q.Worker] = true
 }
 
 // quarantine puts suspects into quarantine, the worst first, within the caps.
@@ -170,12 +176,12 @@
 // Without the caps a fault that all workers share, or a wave of lies, would
 // take the fleet away from its pools faster than any failure.
 func (d *decider) quarantine() {
-	for _, w := range d.m.suspects(d.o) {
+	for _, w := range d.m.suspects(float64(d.o.Distinct)) {
 		v := d.ix.Worker(w.id)
-		if v == nil || v.Owner == nil || v.Quarantine != nil {
+		if v == nil || v.Owner == nil || v.Quarantine != nil || d.released[w.id] {
 			continue
 		}
-		reason := fmt.Sprintf("%d distinct jobs failed on the worker and succeeded elsewhere; %d succeeded on it", w.cleared, len(w.succeeded))
+		reason := fmt.Sprintf("%d distinct jobs failed on the worker that run well elsewhere (weight %.2f); %d succeeded on it", len(w.failed), w.evidence, len(w.succeeded))
 		if no := d.forbids(v); no != Quarantined {
 			d.spared = append(d.spared, Spared{w.id, v.ID, no, reason})
 			continue
@@ -229,21 +235,31 @@
 	return false
 }
 
-// holdJobs holds queued jobs that failed on enough distinct good workers.
+// holdJobs holds queued jobs that failed on enough distinct good workers, and
+// those that failed many times on whatever there is. Attempts that were moved
+// say nothing about the job.
 func (d *decider) holdJobs() {
 	for _, j := range d.ix.Queue {
-		if len(j.FailedOn) < 2 || d.ix.Started(j.Spec.ID) {
+		if len(j.FailedOn) == 0 || d.ix.Started(j.Spec.ID) {
 			continue
 		}
-		good := d.provenFailures(j)
-		if good < d.enough(j) {
-			continue
+		if reason := d.holdReason(j); reason != "" {
+			d.add(state.Action{Reason: reason, SetJob: &state.SetJob{Job: j.Spec.ID, State: model.JobHeld, Reason: reason}})
 		}
-		reason := fmt.Sprintf("failed on %d distinct workers on which other jobs succeed; an operator decides", good)
-		d.add(state.Action{Reason: reason, SetJob: &state.SetJob{Job: j.Spec.ID, State: model.JobHeld, Reason: reason}})
 	}
 }
 
+func (d *decider) holdReason(j *model.Job) string {
+	enough, good := d.enough(j), d.provenFailures(j)
+	switch {
+	case good >= enough:
+		return fmt.Sprintf("failed on %d distinct workers on which other work succeeds; an operator decides", good)
+	case j.Attempts-j.Moves >= maxAttempts:
+		return fmt.Sprintf("failed on %d distinct workers in %d attempts; an operator decides", len(j.FailedOn), j.Attempts-j.Moves)
+	}
+	return ""
+}
+
 func (d *decider) provenFailures(j *model.Job) int {
 	good := 0
 	for _, w := range j.FailedOn {
@@ -261,5 +277,5 @@
 	if p == nil {
 		return d.o.Distinct
 	}
-	return max(2, min(d.o.Distinct, len(p.VMs)))
+	return max(leastFailures, min(d.o.Distinct, len(p.VMs)))
 }
--- a/internal/health/history.go
+++ b/internal/health/history.go
@@ -37,10 +37,17 @@
 	return Subject("service " + t.Service)
 }
 
+// Class names the kind of what ran: jobs of one team and kind, or a service.
+type Class string
+
+// JobClass names the kind of a job.
+func JobClass(spec *model.JobSpec) Class { return Class(string(spec.Team) + "/" + spec.Kind) }
+
 // Outcome is how one task ended on a worker. Tasks that were stopped, lapsed
 // or never started say nothing and are not observed.
 type Outcome struct {
 	Subject Subject
+	Class   Class
 	Worker  model.WorkerID
 	Failed  bool
 	At      model.Instant
--- a/internal/placement/evacuate.go
+++ b/internal/placement/evacuate.go
@@ -11,7 +11,11 @@
 // VMs that move to another pool, instances which the manifest no longer asks
 // for, and instances that lie too close together. An instance is stopped only
 // while its service stays above its budget without it.
-func Evacuate(ix *fleet.Index) []Wish {
+func Evacuate(ix *fleet.Index, o Options) []Wish {
+	return evacuate(ix, newHolds(ix, o.withDefaults()))
+}
+
+func evacuate(ix *fleet.Index, held holds) []Wish {
 	var wishes []Wish
 	margins := stopMargins(ix)
 	for _, v := range ix.VMs {
@@ -27,7 +31,8 @@
 			}
 		}
 	}
-	return append(wishes, spreadOut(ix, margins)...)
+	wishes = append(wishes, held.makeClear(ix, margins)...)
+	return append(wishes, spreadOut(ix, margins, held)...)
 }
 
 // stopMargins is how many available instances each service can spare now.
@@ -98,7 +103,7 @@
 // spreadOut asks for the move of one instance of each service of which one
 // VM carries more instances than the service can spare, when another open VM
 // could carry one without the same fault.
-func spreadOut(ix *fleet.Index, margins map[model.ServiceID]int) []Wish {
+func spreadOut(ix *fleet.Index, margins map[model.ServiceID]int, held holds) []Wish {
 	var wishes []Wish
 	for _, s := range ix.Services {
 		spare := s.Spec.Instances - s.Spec.MinAvailable
@@ -111,7 +116,7 @@
 		if t == nil {
 			continue
 		}
-		if v, _ := count.pick(p, s.Spec.Size); v != nil && count.vm[v] < spare && spend(ix, t, margins) {
+		if v, _ := count.pick(p, s.Spec.Size, held.vm(p)); v != nil && v != held.vm(p) && count.vm[v] < spare && spend(ix, t, margins) {
 			why := fmt.Sprintf("VM %s carries %d of %d instances; service %s can spare %d", t.VM, count.vm[ix.VM(t.VM)], s.Spec.Instances, s.Spec.ID, spare)
 			wishes = append(wishes, Wish{Stop, ForSpread, t, why})
 		}
--- a/internal/placement/instances.go
+++ b/internal/placement/instances.go
@@ -19,11 +19,11 @@
 // Instances starts a task for each ordinal of each service that has none,
 // spread over availability zones, racks and VMs.
 func Instances(ix *fleet.Index) []state.Action {
-	actions, _ := placeInstances(ix)
+	actions, _ := placeInstances(ix, newHolds(ix, Options{}.withDefaults()))
 	return actions
 }
 
-func placeInstances(ix *fleet.Index) ([]state.Action, []Shortage) {
+func placeInstances(ix *fleet.Index, held holds) ([]state.Action, []Shortage) {
 	var actions []state.Action
 	var shortages []Shortage
 	for _, s := range ix.Services {
@@ -39,7 +39,7 @@
 			if count == nil {
 				count = newSpread(ix, s)
 			}
-			v, no := count.pick(p, s.Spec.Size)
+			v, no := count.pick(p, s.Spec.Size, held.vm(p))
 			if v == nil {
 				shortages = append(shortages, shortage(s, p, ordinal, no))
 				continue
@@ -100,10 +100,11 @@
 }
 
 // pick chooses the VM whose loss, alone or with its rack or availability
-// zone, would take the fewest instances of the service with it.
-func (c *spread) pick(p *fleet.Pool, size model.Resources) (*fleet.VM, No) {
+// zone, would take the fewest instances of the service with it. The VM that
+// is held for a job is taken only when there is no other.
+func (c *spread) pick(p *fleet.Pool, size model.Resources, held *fleet.VM) (*fleet.VM, No) {
 	var best *fleet.VM
-	var bestScore [5]int64
+	var bestScore [6]int64
 	no := NoOpenVM
 	for _, v := range p.VMs {
 		if v.Block != fleet.Open {
@@ -114,7 +115,7 @@
 		if !size.Fits(free) {
 			continue
 		}
-		score := c.score(p, v, free)
+		score := c.score(p, v, free, held)
 		if best == nil || lessScore(score, bestScore) {
 			best, bestScore = v, score
 		}
@@ -125,15 +126,18 @@
 	return best, Placed
 }
 
-func (c *spread) score(p *fleet.Pool, v *fleet.VM, free model.Resources) [5]int64 {
-	pending := int64(0)
+func (c *spread) score(p *fleet.Pool, v *fleet.VM, free model.Resources, held *fleet.VM) [6]int64 {
+	score := [6]int64{0, int64(c.vm[v]), int64(c.rack[v.Rack]), int64(c.zone[v.Zone]), 0, -free.MilliCPU}
+	if v == held {
+		score[0] = 1
+	}
 	if p.Wave != nil && !v.Maintained {
-		pending = 1
+		score[4] = 1
 	}
-	return [5]int64{int64(c.vm[v]), int64(c.rack[v.Rack]), int64(c.zone[v.Zone]), pending, -free.MilliCPU}
+	return score
 }
 
-func lessScore(a, b [5]int64) bool {
+func lessScore(a, b [6]int64) bool {
 	for i := range a {
 		if a[i] != b[i] {
 			return a[i] < b[i]
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -13,6 +13,7 @@
 	ix      *fleet.Index
 	o       Options
 	w       *weigher
+	held    holds
 	rooms   map[model.PoolID]*room
 	words   map[reasonKey]string
 	total   model.Resources
@@ -24,13 +25,13 @@
 	yielding map[model.TaskID]bool
 }
 
-func decideJobs(ix *fleet.Index, o Options, shortages []Shortage) ([]state.Action, []Wish) {
-	o = o.withDefaults()
+func decideJobs(ix *fleet.Index, o Options, held holds, shortages []Shortage) ([]state.Action, []Wish) {
 	p := &planner{
 		ix:       ix,
 		o:        o,
 		w:        &weigher{ix: ix, o: o},
 		total:    totalCapacity(ix),
+		held:     held,
 		rooms:    make(map[model.PoolID]*room),
 		words:    make(map[reasonKey]string),
 		yielding: make(map[model.TaskID]bool),
@@ -41,7 +42,7 @@
 	p.reserveInstances(shortages)
 	levels := byPriority(ix, o, p.total)
 	for level := range levels {
-		p.placeLevel(&levels[level], level == 0)
+		p.placeLevel(&levels[level], level == levelUrgent)
 	}
 	return p.actions, p.wishes
 }
@@ -82,13 +83,32 @@
 		p.start(j, s, size, "")
 		return true
 	}
-	if urgent && p.reserve(r, j, size) {
+	if p.holdRoom(r, j, size, urgent) {
 		no = Reserved
 	}
 	p.explain(j, size, no)
 	return false
 }
 
+// holdRoom keeps room for a job that found none: batch work yields to an
+// urgent one, a normal one gets what becomes free on the VM held for it.
+func (p *planner) holdRoom(r *room, j *model.Job, size model.Resources, urgent bool) bool {
+	if urgent && p.reserve(r, j, size) {
+		return true
+	}
+	h := p.held[r.pool]
+	if h == nil || h.job != j {
+		return false
+	}
+	for _, s := range r.slots {
+		if s.vm == h.vm {
+			s.held = s.held.Plus(size)
+			return true
+		}
+	}
+	return false
+}
+
 // admit checks what does not depend on a VM: pool, team, shape and quota. It
 // returns the size to place.
 func (p *planner) admit(j *model.Job) (*room, model.Resources, No) {
@@ -100,43 +120,22 @@
 	if team == nil {
 		return r, j.Spec.Declared, UnknownTeam
 	}
-	size, no := p.fitShape(r, j)
+	size, no := r.fitShape(&j.Spec, p.o.Sizes)
+	if no == TooLarge && p.spareFits(r, j.Spec.Declared) {
+		no = CapacityUnknown
+	}
 	if no != Placed {
 		return r, size, no
 	}
-	quota := team.Spec.Quota
 	switch {
-	case !withinQuota(j.Spec.Declared, quota) && !withinQuota(size, quota):
+	case !fleet.WithinQuota(j.Spec.Declared, team.Spec.Quota) && !fleet.WithinQuota(size, team.Spec.Quota):
 		return r, j.Spec.Declared, OverQuota
-	case !withinQuota(size, quota):
-		return r, size, QuotaByEstimate
-	case !withinQuota(team.Used.Plus(size), quota):
+	case !team.Allows(size) && !p.o.Rules.SkipQuota:
 		return r, size, QuotaInUse
 	}
 	return r, size, Placed
 }
 
-// fitShape judges what the job needs and whether any VM of the pool, empty,
-// could hold it. While the platform's list may be partial nothing is ruled
-// out: a job told that it can never run is not tried again.
-func (p *planner) fitShape(r *room, j *model.Job) (model.Resources, No) {
-	declared := j.Spec.Declared
-	size := declared
-	if p.o.Sizes != nil {
-		size = p.o.Sizes.Size(&j.Spec)
-	}
-	if r.fitsAnyVM(size) {
-		return size, Placed
-	}
-	if r.fitsAnyVM(declared) {
-		return r.clip(size, declared), Placed
-	}
-	if r.partial || p.spareFits(r, declared) {
-		return size, CapacityUnknown
-	}
-	return declared, TooLarge
-}
-
 // spareFits reports whether a shared spare that may join the pool is large enough.
 func (p *planner) spareFits(r *room, declared model.Resources) bool {
 	for _, v := range p.ix.Spares {
@@ -153,7 +152,7 @@
 	}
 	var r *room
 	if pool := p.ix.Pool(id); pool != nil {
-		r = newRoom(p.ix, pool)
+		r = newRoom(p.ix, pool, p.o.Rules)
 	}
 	p.rooms[id] = r
 	return r
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -64,10 +64,13 @@
 	}
 }
 
-// renewable reports whether a task is to go on: not one that was told to
-// stop, nor one on a VM that is gone. Their leases lapse.
+// renewable reports whether a task is to go on. The others lapse: what was
+// told to stop, what the platform does not run, what is on a VM that is gone.
+//
+// Nor is a lease renewed that ended already. Its worker stopped the task; a
+// renewal would keep the record alive for ever, and nothing would run.
 func renewable(ix *fleet.Index, t *model.Task) bool {
-	if t.State == model.TaskStopping || cancelled(ix, t) {
+	if ix.Now() >= t.LeaseUntil || t.State == model.TaskStopping || ix.Snap.Gone[t.ID] || cancelled(ix, t) {
 		return false
 	}
 	v := ix.VM(t.VM)
--- a/internal/placement/no.go
+++ b/internal/placement/no.go
@@ -25,9 +25,6 @@
 	Reserved
 	// QuotaInUse: the team's running jobs leave too little of its quota.
 	QuotaInUse
-	// QuotaByEstimate: the declared size fits the quota, what such jobs were
-	// measured to need does not.
-	QuotaByEstimate
 	// FailedHere: the job failed on every open VM that has room.
 	FailedHere
 	// CapacityUnknown: the platform lists none, or not all, of the pool's VMs.
@@ -43,7 +40,7 @@
 	noCount
 )
 
-var noNames = [noCount]string{"placed", "no-room", "no-open-vm", "reserved", "quota-in-use", "quota-by-estimate",
+var noNames = [noCount]string{"placed", "no-room", "no-open-vm", "reserved", "quota-in-use",
 	"failed-here", "capacity-unknown", "too-large", "over-quota", "unknown-pool", "unknown-team"}
 
 // String returns the short name used for counters.
@@ -80,10 +77,3 @@
 	}
 	return strings.Join(words, ", ")
 }
-
-// withinQuota reports whether an amount keeps a quota.
-func withinQuota(r, quota model.Resources) bool {
-	return within(r.MilliCPU, quota.MilliCPU) && within(r.MemoryMB, quota.MemoryMB) && within(r.Accelerators, quota.Accelerators)
-}
-
-func within(v, limit int64) bool { return limit == 0 || v <= limit }
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -31,6 +31,21 @@
 	// IgnoreWaves switches off that new work prefers VMs which already went
 	// through the wave.
 	IgnoreWaves bool
+	Rules       Rules
+}
+
+// Rules switches single safety rules off. The zero value has every rule on
+// and is the only one that the product uses; tests switch a rule off to see
+// that the guards notice.
+type Rules struct {
+	// SkipCapacity places without looking at what is left on the VM.
+	SkipCapacity bool
+	// SkipQuota starts jobs beyond their team's quota.
+	SkipQuota bool
+	// SkipBlock places on VMs that are unhealthy, moving or under a permit.
+	SkipBlock bool
+	// SkipIdempotent stops jobs that can't run again to make room.
+	SkipIdempotent bool
 }
 
 const (
@@ -59,20 +74,24 @@
 // Decide runs all decisions of this package in their order: leases that
 // lapsed, renewals, instances, jobs, and the work that must yield.
 func Decide(ix *fleet.Index, o Options) Result {
+	o = o.withDefaults()
 	actions := Leases(ix, o)
-	instances, shortages := placeInstances(ix)
+	held := newHolds(ix, o)
+	instances, shortages := placeInstances(ix, held)
 	actions = append(actions, instances...)
-	jobs, wishes := decideJobs(ix, o, shortages)
+	jobs, wishes := decideJobs(ix, o, held, shortages)
 	actions = append(actions, jobs...)
-	wishes = append(wishes, Evacuate(ix)...)
-	wishes = append(wishes, Relieve(ix)...)
-	return Result{Actions: actions, Wishes: dedup(wishes), Shortages: shortages}
+	wishes = append(wishes, evacuate(ix, held)...)
+	wishes = dedup(append(wishes, Relieve(ix)...))
+	guardWishes(ix, wishes)
+	return Result{Actions: actions, Wishes: wishes, Shortages: shortages}
 }
 
 // Jobs starts queued jobs and says why the others wait. The wishes make room
 // for urgent jobs.
 func Jobs(ix *fleet.Index, o Options) ([]state.Action, []Wish) {
-	return decideJobs(ix, o, nil)
+	o = o.withDefaults()
+	return decideJobs(ix, o, newHolds(ix, o), nil)
 }
 
 // dedup keeps the first wish for each task: the earlier decisions weigh more.
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -8,6 +8,14 @@
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
+// The levels of the queue, in the order in which they are placed.
+const (
+	levelUrgent = iota
+	levelNormal
+	levelBatch
+	levelCount
+)
+
 // lane is the queue of one team at one priority.
 type lane struct {
 	id   model.TeamID
@@ -43,9 +51,9 @@
 
 // byPriority splits the queue into the lanes of each level: urgent, normal
 // with the batch jobs that waited for long, and batch.
-func byPriority(ix *fleet.Index, o Options, total model.Resources) [3]lanes {
-	var levels [3]lanes
-	var byTeam [3]map[model.TeamID]*lane
+func byPriority(ix *fleet.Index, o Options, total model.Resources) [levelCount]lanes {
+	var levels [levelCount]lanes
+	var byTeam [levelCount]map[model.TeamID]*lane
 	for i := range byTeam {
 		byTeam[i] = make(map[model.TeamID]*lane)
 	}
@@ -69,11 +77,11 @@
 func levelOf(ix *fleet.Index, o Options, j *model.Job) int {
 	switch {
 	case j.Spec.Priority >= model.Urgent:
-		return 0
+		return levelUrgent
 	case j.Spec.Priority == model.Normal, ix.Now().Sub(j.Submitted) >= o.BatchAge:
-		return 1
+		return levelNormal
 	}
-	return 2
+	return levelBatch
 }
 
 // next takes the next job of the level; nil when there is none.
--- a/internal/placement/reason.go
+++ b/internal/placement/reason.go
@@ -39,9 +39,6 @@
 		return fmt.Sprintf("next in pool %s: room for %s is held until other work yields or ends", pool, p.needWords(j, size))
 	case QuotaInUse:
 		return fmt.Sprintf("waits for quota: running jobs of team %s leave less than %s of %s", team, p.needWords(j, size), p.quota(team))
-	case QuotaByEstimate:
-		return fmt.Sprintf("waits for quota: team %s has %s; declared %s, but such jobs were measured to need %s",
-			team, p.quota(team), sizeWords(j.Spec.Declared), sizeWords(size))
 	case FailedHere:
 		return fmt.Sprintf("waits for another VM: it failed on each VM of pool %s that has room", pool)
 	case CapacityUnknown:
--- a/internal/placement/relieve.go
+++ b/internal/placement/relieve.go
@@ -26,9 +26,13 @@
 )
 
 // Relieve looks at measured use. On a VM near its limit batch work is
-// throttled, then checkpointed, then stopped; normal work that can be undone
-// follows, urgent work and instances never. Where there is room again,
-// throttled work gets its share back, one task a round.
+// throttled, then checkpointed, then stopped. Short of memory, normal work
+// that can be undone follows; short of processors it only runs slower. Urgent
+// work and instances never yield. Where there is room again, throttled work
+// gets its share back, one task a round.
+//
+// A task that is alone on its VM is left: stopping it helps nobody, and it
+// would be stopped again wherever it starts next.
 func Relieve(ix *fleet.Index) []Wish {
 	var wishes []Wish
 	for _, v := range ix.VMs {
@@ -36,11 +40,13 @@
 			continue
 		}
 		busy := projected(ix, v)
-		capacity := v.Capacity()
+		capacity, planned := v.Capacity(), plannedSize(v)
 		switch {
-		case over(busy.MemoryMB, capacity.MemoryMB, memoryLimit):
+		case len(v.Tasks) == 1:
+			wishes = append(wishes, unthrottle(v, busy)...)
+		case pressed(busy.MemoryMB, planned.MemoryMB, capacity.MemoryMB, memoryLimit):
 			wishes = append(wishes, relieveMemory(ix, v, busy)...)
-		case over(busy.MilliCPU, capacity.MilliCPU, cpuLimit):
+		case pressed(busy.MilliCPU, planned.MilliCPU, capacity.MilliCPU, cpuLimit):
 			wishes = append(wishes, relieveCPU(ix, v, busy)...)
 		case !over(busy.MilliCPU, capacity.MilliCPU, roomShare):
 			wishes = append(wishes, unthrottle(v, busy)...)
@@ -53,6 +59,22 @@
 	return v.Healthy() && !v.Idle() && v.Listed.UsageAt > 0 && ix.Now().Sub(v.Listed.UsageAt) <= estimate.FreshFor
 }
 
+// plannedSize is what the VM's tasks were placed with.
+func plannedSize(v *fleet.VM) model.Resources {
+	var sum model.Resources
+	for _, t := range v.Tasks {
+		sum = sum.Plus(t.Size)
+	}
+	return sum
+}
+
+// pressed reports whether use is near the limit and was not planned to be: a
+// VM that is full of tasks which keep to their sizes is well used, and what
+// was stopped there would only be placed there again.
+func pressed(busy, planned, capacity int64, limit float64) bool {
+	return over(busy, capacity, limit) && (busy > planned || planned > capacity)
+}
+
 func over(v, capacity int64, share float64) bool {
 	return float64(v) > float64(capacity)*share
 }
@@ -80,7 +102,7 @@
 	excess := busy.MilliCPU - int64(float64(v.Capacity().MilliCPU)*relievedShare)
 	why := fmt.Sprintf("VM %s nears its limit: %d of %d thousandths of a core in use", v.ID, busy.MilliCPU, v.Capacity().MilliCPU)
 	var wishes []Wish
-	for _, y := range pressed(ix, v, model.Batch, usedCPU) {
+	for _, y := range largest(ix, v, model.Batch, usedCPU) {
 		kept := int64(float64(y.task.Size.MilliCPU) * estimate.ThrottledShare)
 		if excess <= 0 || y.task.Throttled || !y.job.Spec.Throttleable || y.charge.MilliCPU <= kept {
 			continue
@@ -88,28 +110,34 @@
 		wishes = append(wishes, Wish{Throttle, ForPressure, y.task, why})
 		excess -= y.charge.MilliCPU - kept
 	}
-	if excess <= 0 {
+	if excess <= 0 || !sharedWithUrgent(v) {
 		return wishes
 	}
-	return append(wishes, stopFor(ix, v, excess, usedCPU, why, wishes)...)
+	return append(wishes, stopFor(ix, v, excess, usedCPU, why, wishes, model.Batch)...)
+}
+
+// sharedWithUrgent reports whether urgent work or an instance suffers when
+// the VM is short of processors.
+func sharedWithUrgent(v *fleet.VM) bool {
+	return slices.ContainsFunc(v.Tasks, func(t *model.Task) bool { return t.Priority == model.Urgent })
 }
 
 func relieveMemory(ix *fleet.Index, v *fleet.VM, busy model.Resources) []Wish {
 	excess := busy.MemoryMB - int64(float64(v.Capacity().MemoryMB)*relievedShare)
 	why := fmt.Sprintf("VM %s nears its limit: %d of %d MB in use", v.ID, busy.MemoryMB, v.Capacity().MemoryMB)
-	return stopFor(ix, v, excess, usedMemory, why, nil)
+	return stopFor(ix, v, excess, usedMemory, why, nil, model.Batch, model.Normal)
 }
 
-// stopFor checkpoints, then stops, batch work, then normal work, until the
+// stopFor checkpoints, then stops, work of each priority in order until the
 // excess is gone. Tasks that are throttled in this round are left.
-func stopFor(ix *fleet.Index, v *fleet.VM, excess int64, amount func(model.Resources) int64, why string, throttled []Wish) []Wish {
+func stopFor(ix *fleet.Index, v *fleet.VM, excess int64, amount func(model.Resources) int64, why string, throttled []Wish, order ...model.Priority) []Wish {
 	left := make(map[model.TaskID]bool, len(throttled))
 	for _, w := range throttled {
 		left[w.Task.ID] = true
 	}
 	var wishes []Wish
-	for _, priority := range []model.Priority{model.Batch, model.Normal} {
-		candidates := pressed(ix, v, priority, amount)
+	for _, priority := range order {
+		candidates := largest(ix, v, priority, amount)
 		for _, kind := range []WishKind{Checkpoint, Stop} {
 			for _, y := range candidates {
 				if excess <= 0 {
@@ -126,9 +154,9 @@
 	return wishes
 }
 
-// pressed lists the jobs of one priority on a VM with what they were measured
+// largest lists the jobs of one priority on a VM with what they were measured
 // to use, the largest first.
-func pressed(ix *fleet.Index, v *fleet.VM, priority model.Priority, amount func(model.Resources) int64) []yielder {
+func largest(ix *fleet.Index, v *fleet.VM, priority model.Priority, amount func(model.Resources) int64) []yielder {
 	var found []yielder
 	for _, t := range v.Tasks {
 		job := ix.Job(t.Job)
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -2,11 +2,19 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
+const (
+	// retryStep is by how much the wait of a job grows with each attempt once
+	// it failed on every VM; retryMost bounds it.
+	retryStep = 10 * time.Minute
+	retryMost = 6 * time.Hour
+)
+
 // scanLimit bounds the VMs with room that are scored for one job: beyond it
 // a better one is hardly found, and the work would grow with the pool.
 const scanLimit = 48
@@ -14,6 +22,7 @@
 // room is what a pool has left in this round.
 type room struct {
 	pool  *fleet.Pool
+	rules Rules
 	slots []*slot
 	// probes are quarantined VMs on which one job may be tried now.
 	probes []*slot
@@ -40,12 +49,12 @@
 
 func (s *slot) free() model.Resources { return s.vm.Free().Minus(s.held) }
 
-func newRoom(ix *fleet.Index, p *fleet.Pool) *room {
-	r := &room{pool: p, partial: len(p.VMs) == 0}
+func newRoom(ix *fleet.Index, p *fleet.Pool, rules Rules) *room {
+	r := &room{pool: p, rules: rules, partial: len(p.VMs) == 0}
 	seen := make(map[model.Resources]bool)
 	for _, v := range p.VMs {
 		switch {
-		case v.Block == fleet.Open:
+		case v.Block == fleet.Open, rules.SkipBlock && v.Listed != nil:
 			r.slots = append(r.slots, &slot{vm: v})
 		case probeable(ix, v):
 			r.probes = append(r.probes, &slot{vm: v})
@@ -78,6 +87,25 @@
 	return false
 }
 
+// fitShape judges what a job needs and whether any VM of the pool, empty,
+// could hold it. While the platform's list may be partial nothing is ruled
+// out: a job told that it can never run is not tried again.
+func (r *room) fitShape(spec *model.JobSpec, sizes fleet.Sizer) (model.Resources, No) {
+	size := spec.Declared
+	if sizes != nil {
+		size = sizes.Size(spec)
+	}
+	switch {
+	case r.fitsAnyVM(size):
+		return size, Placed
+	case r.fitsAnyVM(spec.Declared):
+		return r.clip(size, spec.Declared), Placed
+	case r.partial:
+		return size, CapacityUnknown
+	}
+	return spec.Declared, TooLarge
+}
+
 // clip bounds a learned size by the largest VM that the declared size fits:
 // a learned ratio must not keep a job from a whole VM.
 func (r *room) clip(size, declared model.Resources) model.Resources {
@@ -121,40 +149,57 @@
 	if r.knownNoFit(size) {
 		return nil, NoRoom
 	}
-	best, fitting, avoided := r.scan(w, j, size)
+	found := r.scan(w, j, size)
 	switch {
-	case best != nil:
-		return best, Placed
-	case avoided > 0:
+	case found.best != nil:
+		return found.best, Placed
+	case found.again != nil && retryDue(w.ix, j):
+		return found.again, Placed
+	case found.again != nil:
 		return nil, FailedHere
-	case fitting == 0:
-		r.rememberNoFit(size)
 	}
+	r.rememberNoFit(size)
 	return nil, NoRoom
 }
 
-func (r *room) scan(w *weigher, j *model.Job, size model.Resources) (best *slot, fitting, avoided int) {
-	bestScore := math.Inf(1)
+// scanned is what a look at the slots found.
+type scanned struct {
+	// best has room, and the job never failed there.
+	best *slot
+	// again has room, but the job failed there before.
+	again *slot
+}
+
+func (r *room) scan(w *weigher, j *model.Job, size model.Resources) scanned {
+	var found scanned
+	bestScore, fitting := math.Inf(1), 0
 	for i := range r.slots {
 		s := r.slots[(r.next+i)%len(r.slots)]
 		free := s.free()
-		if !size.Fits(free) {
+		if !size.Fits(free) && !r.rules.SkipCapacity {
 			continue
 		}
 		if failedOn(j, s.vm) {
-			avoided++
+			found.again = s
 			continue
 		}
 		fitting++
 		if score := w.score(r.pool, s.vm, j, size, free); score < bestScore {
-			best, bestScore = s, score
+			found.best, bestScore = s, score
 		}
 		if fitting == scanLimit {
 			r.next = (r.next + i + 1) % len(r.slots)
 			break
 		}
 	}
-	return best, fitting, avoided
+	return found
+}
+
+// retryDue reports whether a job that failed on every VM with room, but was
+// not held, may try one of them again: the wait grows with its attempts.
+func retryDue(ix *fleet.Index, j *model.Job) bool {
+	wait := min(time.Duration(j.Attempts)*retryStep, retryMost)
+	return ix.Now().Sub(j.Changed) >= wait
 }
 
 func failedOn(j *model.Job, v *fleet.VM) bool {
--- a/internal/placement/wish.go
+++ b/internal/placement/wish.go
@@ -44,7 +44,7 @@
 	ForCancel
 	// ForSpread: one failure domain carries more instances than the service can spare.
 	ForSpread
-	// ForRoom: there is room again.
+	// ForRoom: there is room again, or a VM is kept clear for a large job.
 	ForRoom
 )
 
--- a/internal/placement/yield.go
+++ b/internal/placement/yield.go
@@ -64,7 +64,7 @@
 		}
 	}
 	if best == nil {
-		return p.holdForEnd(r, j, size)
+		return false
 	}
 	best.held = best.held.Plus(size)
 	best.coming = best.coming.Plus(bestGain.gain)
@@ -75,25 +75,6 @@
 	return true
 }
 
-// holdForEnd holds the VM with the most left when nothing can yield: the job
-// runs there once other work ended.
-func (p *planner) holdForEnd(r *room, j *model.Job, size model.Resources) bool {
-	var best *slot
-	for _, s := range r.slots {
-		if j != nil && failedOn(j, s.vm) || !size.Fits(s.vm.Capacity().Minus(s.held)) {
-			continue
-		}
-		if best == nil || s.free().MilliCPU > best.free().MilliCPU {
-			best = s
-		}
-	}
-	if best == nil {
-		return false
-	}
-	best.held = best.held.Plus(size)
-	return true
-}
-
 // concede works out the least that batch work on the VM must give up for the
 // size to fit; nil when that is not enough.
 func (p *planner) concede(s *slot, size model.Resources, why string) *concession {
@@ -182,7 +163,7 @@
 		if missing.Fits(model.Resources{}) {
 			break
 		}
-		if !mayRelease(y.job, kind) || !helps(y.charge, missing) {
+		if !p.mayRelease(y.job, kind) || !helps(y.charge, missing) {
 			continue
 		}
 		c.wishes = append(c.wishes, Wish{kind, ForUrgent, y.task, why})
@@ -197,6 +178,10 @@
 	return missing
 }
 
+func (p *planner) mayRelease(job *model.Job, kind WishKind) bool {
+	return mayRelease(job, kind) || p.o.Rules.SkipIdempotent
+}
+
 // mayRelease reports whether stopping the job in this way can be undone. A
 // job that is not idempotent is never stopped for others: it would not run again.
 func mayRelease(job *model.Job, kind WishKind) bool {
