controller: randomised runs, and the faults that they found

Cause: the controller has to hold its promises through correlated failures, leader changes, a cut-off leader, and a platform that answers late, twice, out of order or not at all. Change: rapid and seeded runs over the state machine and the stand-in in virtual time; seven rules that can be switched off. Faults found and mended: a new leader took a list that answered an earlier question for the whole (permits of VMs not in it ended, ends of tasks were never seen), so lists name the cursor they answer to; a leader that was cut off checked and commanded on an old state, so it stops when the platform shows a later term; instances stayed unevenly spread after failures, so they are spread again by the budget's failure domain; instances stayed on quarantined workers, where they do not count.

--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -190,6 +190,21 @@
 	return 0
 }
 
+// Whole reports whether every instance of a service is available.
+func (l *Ledger) Whole(id model.ServiceID) bool {
+	e := l.byID[id]
+	return e != nil && e.available == len(e.service.Tasks)+len(e.service.Extra)
+}
+
+// Domain names the failure domain of a listed VM whose loss the budget of a
+// service absorbs.
+func (l *Ledger) Domain(id model.ServiceID, v *fleet.VM) string {
+	if e := l.byID[id]; e != nil && v.Listed != nil {
+		return l.domain(e.cover, v)
+	}
+	return ""
+}
+
 // Left is what is left of a service's budget; below 0 it is short.
 func (l *Ledger) Left(id model.ServiceID) int {
 	if e := l.byID[id]; e != nil {
--- a/internal/budget/take.go
+++ b/internal/budget/take.go
@@ -15,10 +15,8 @@
 			return false, l.words(short)
 		}
 	}
-	lines := l.onVM[v.ID]
-	l.shift(v, lines, -1)
-	defer l.shift(v, lines, 1)
-	for _, e := range lines {
+	defer l.without(v)()
+	for _, e := range l.onVM[v.ID] {
 		if e.left(l.options.Rules) < 0 {
 			return false, "without VM " + string(v.ID) + ": " + l.words(e)
 		}
@@ -66,33 +64,32 @@
 	l.onVM[v.ID] = withoutOne(l.onVM[v.ID], e)
 }
 
-// Missing counts, for each service with an instance on the VM, how many more
-// instances must be available before the VM may be taken. It is empty when
-// the VM may be taken.
+// Missing counts, for each service of the VM's pool, how many more instances
+// must be available before the VM may be taken. It is empty when it may.
 func (l *Ledger) Missing(v *fleet.VM) map[model.ServiceID]int {
-	lines := l.onVM[v.ID]
-	l.shift(v, lines, -1)
-	defer l.shift(v, lines, 1)
 	missing := map[model.ServiceID]int{}
-	for _, e := range lines {
-		if left := e.left(l.options.Rules); left < 0 {
-			missing[e.service.Spec.ID] = -left
+	p := l.ix.Pool(v.Pool())
+	if p == nil {
+		return missing
+	}
+	defer l.without(v)()
+	for _, s := range p.Services {
+		if left := l.Left(s.Spec.ID); left < 0 {
+			missing[s.Spec.ID] = -left
 		}
 	}
 	return missing
 }
 
 // Helps reports whether one more instance of a service on the place would
-// leave more of its budget once the target is taken out. One in a failure
-// domain that is then the fullest does not: the reserve grows with it.
+// leave more of its budget once the target, nil for none, is taken out. One in
+// a failure domain that is then the fullest does not: the reserve grows with it.
 func (l *Ledger) Helps(id model.ServiceID, target, place *fleet.VM) bool {
 	e := l.byID[id]
 	if e == nil || place.Listed == nil || place == target {
 		return false
 	}
-	lines := l.onVM[target.ID]
-	l.shift(target, lines, -1)
-	defer l.shift(target, lines, 1)
+	defer l.without(target)()
 	before := e.left(l.options.Rules)
 	l.count(e, place, 1)
 	defer l.count(e, place, -1)
@@ -100,15 +97,13 @@
 }
 
 // Useless reports whether as much would be left of the service's budget
-// without the available instance, once the target is taken out.
+// without the available instance, once the target, nil for none, is taken out.
 func (l *Ledger) Useless(t *model.Task, target *fleet.VM) bool {
 	e := l.byID[t.Service]
-	if e == nil || l.taken[t.VM] || l.taskLoss(t) != Available || t.VM == target.ID {
+	if e == nil || l.taken[t.VM] || l.taskLoss(t) != Available || target != nil && t.VM == target.ID {
 		return false
 	}
-	lines := l.onVM[target.ID]
-	l.shift(target, lines, -1)
-	defer l.shift(target, lines, 1)
+	defer l.without(target)()
 	before := e.left(l.options.Rules)
 	v := l.ix.VM(t.VM)
 	l.count(e, v, -1)
@@ -132,6 +127,16 @@
 	return restored
 }
 
+// without takes a VM out until the function that it returns is called.
+func (l *Ledger) without(v *fleet.VM) (undo func()) {
+	if v == nil {
+		return func() {}
+	}
+	lines := l.onVM[v.ID]
+	l.shift(v, lines, -1)
+	return func() { l.shift(v, lines, 1) }
+}
+
 func (l *Ledger) shift(v *fleet.VM, lines []*line, n int) {
 	for _, e := range lines {
 		l.count(e, v, n)
--- a/internal/controller/check.go
+++ b/internal/controller/check.go
@@ -32,11 +32,14 @@
 //     that command;
 //   - reboot-by-permit: a VM that our command rebooted has a permit in the
 //     phase for it, or a later one.
+//
+// VMs that a controller of a later term commanded are left out: their permits
+// may not have reached this view.
 func Check(view *state.View, vms map[model.VMID]platform.VMReport) []Broken {
 	k := &checker{}
 	for id, r := range vms {
 		permit := view.Permits[id]
-		ours := r.Fence.Generation > 0
+		ours := r.Fence.Generation > 0 && r.Fence.Term <= view.Term
 		last := platform.Undrain.Step()
 		if !ours || !r.Drained || r.Fence.Step >= last {
 			continue
--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -115,7 +115,7 @@
 	if known && report.Ended != "" {
 		return
 	}
-	if m.w.missing[t.ID] {
+	if m.w.missing[t.ID] || !known && t.State != model.TaskStarting {
 		m.asks = append(m.asks, t.ID)
 	}
 	switch t.State {
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +22,8 @@
 	spared  []health.Spared
 	actions []state.Action
 	stopped map[model.TaskID]bool
+	// uneven are the services of which an instance has to move.
+	uneven map[model.ServiceID]bool
 }
 
 func (d *decided) add(actions ...state.Action) { d.actions = append(d.actions, actions...) }
@@ -60,7 +61,7 @@
 // ones before it decided.
 func (c *Controller) decide() *decided {
 	snap := c.snapshot()
-	d := &decided{at: snap.Now, ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}}
+	d := &decided{at: snap.Now, ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}}
 	d.add(c.settle(d.ix)...)
 	d.ledger = budget.NewLedger(d.ix, c.budgetOptions(snap.Now))
 	if c.stale(snap.Now) {
@@ -71,6 +72,7 @@
 	c.decideHealth(d)
 	c.decideFleet(d)
 	c.decideWave(d)
+	c.respread(d)
 	c.decidePlacement(d)
 	c.checkDecided(d)
 	return d
@@ -160,19 +162,11 @@
 		if !c.mayStart(d, &a.StartTask.Task) {
 			return
 		}
-		nameAttempt(a.StartTask, d.ix.Snap.View.Index)
+		c.spreadStart(d, a.StartTask)
 	}
 	d.add(a)
 }
 
-// nameAttempt makes the task's ID one that no earlier attempt had: a platform
-// that refused a start never runs a task of that ID.
-func nameAttempt(s *state.StartTask, index uint64) {
-	if s.Task.Job != "" {
-		s.Task.ID = model.TaskID(fmt.Sprintf("%s.%d", s.Task.ID, index))
-	}
-}
-
 // mayStart keeps displaced jobs off VMs that the wave has still to drain: they
 // would move a second time.
 func (c *Controller) mayStart(d *decided, t *model.Task) bool {
--- /dev/null
+++ b/internal/controller/random_test.go
@@ -0,0 +1,278 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyloom/comfreyloom/internal/budget"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/platform"
+	"github.com/comfreyloom/comfreyloom/internal/platform/standin"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/wave"
+)
+
+// chaos drives a sim through random failures. Every choice is drawn.
+type chaos struct {
+	*sim
+	draw  func(n int) int
+	jobs  []model.JobID
+	site  model.Site
+	waves int
+	steps int
+}
+
+var simNodes = []model.NodeID{"a", "b", "c"}
+
+func newChaos(seed uint64, draw func(n int) int, o simOptions) *chaos {
+	o.platform.RebootTime = 30 * time.Second
+	o.platform.StopGrace = 2 * time.Second
+	o.platform.WrongVM = 0.1
+	o.platform.Remember = 3 * time.Hour
+	o.config.RebootTimeout = time.Minute
+	o.platform.Behaviour = func(s platform.TaskSpec) standin.Work {
+		n := len(s.Payload)
+		return standin.Work{Runtime: time.Duration(5+20*n) * time.Second, Used: cores(int64(1 + n%4)), Fails: n%11 == 10}
+	}
+	return &chaos{sim: smallSim(seed, o), draw: draw, site: smallSite()}
+}
+
+func (c *chaos) vm() standin.Truth {
+	truth := c.platform.Truth()
+	return truth[c.draw(len(truth))]
+}
+
+// act does one random thing.
+func (c *chaos) act() {
+	switch c.draw(24) {
+	case 0:
+		c.platform.Fail(standin.OneVM(c.vm().ID))
+	case 1:
+		v := c.vm()
+		c.platform.Fail(standin.Rack(v.Zone, v.Rack))
+	case 2:
+		if c.draw(4) == 0 {
+			c.platform.Fail(standin.Zone(c.vm().Zone))
+		}
+	case 3, 4:
+		c.platform.Repair(func(standin.VM) bool { return true })
+	case 5:
+		c.platform.Silence(standin.OneVM(c.vm().ID))
+	case 6, 7:
+		c.platform.Reconnect(func(standin.VM) bool { return true })
+	case 8:
+		c.platform.Break(c.vm().Worker)
+	case 9:
+		c.platform.Mend(c.vm().Worker)
+	case 10:
+		c.platform.RebootUnasked(standin.OneVM(c.vm().ID))
+	case 11:
+		c.elect(simNodes[c.draw(3)])
+	case 12:
+		if len(c.log.cut) == 0 {
+			c.cutLeader(simNodes[(c.draw(2)+1)%3])
+		}
+	case 13:
+		clear(c.log.cut)
+	case 14:
+		rate := float64(c.draw(3)) / 10
+		c.client.SetFaults(standin.Faults{Refuse: rate / 2, LoseRequest: rate / 2, LoseAnswer: rate, Late: rate, Double: rate, OldList: rate, LateBy: 40 * time.Second})
+	case 15:
+		c.client.SetFaults(standin.Faults{})
+	case 16:
+		c.log.lose = float64(c.draw(3)) / 10
+	case 17, 18, 19:
+		c.submitJob()
+	case 20:
+		c.cancelSome()
+	case 21:
+		if c.draw(8) == 0 && c.waveDone(c.site.Waves[0].ID)() {
+			c.nextWave()
+		}
+	}
+	for range 1 + c.draw(5) {
+		c.steps++
+		c.step(time.Duration(500+c.draw(2000)) * time.Millisecond)
+	}
+}
+
+func (c *chaos) submitJob() {
+	n := len(c.jobs)
+	spec := job(fmt.Sprintf("j%05d", n), []model.PoolID{"drafts", "night"}[c.draw(2)], model.Priority(c.draw(3)-1), cores(int64(1+c.draw(4))), time.Minute)
+	spec.Idempotent = c.draw(3) > 0
+	spec.Checkpoints = c.draw(2) == 0
+	spec.Throttleable = c.draw(2) == 0
+	spec.Payload = make([]byte, c.draw(12))
+	spec.Kind = fmt.Sprint("kind", len(spec.Payload))
+	c.submit(spec)
+	c.jobs = append(c.jobs, spec.ID)
+}
+
+func (c *chaos) cancelSome() {
+	var some []model.JobID
+	for range min(len(c.jobs), 20) {
+		some = append(some, c.jobs[c.draw(len(c.jobs))])
+	}
+	if len(some) > 0 {
+		c.propose(state.Command{CancelJobs: &state.CancelJobs{Jobs: some}})
+	}
+}
+
+func (c *chaos) nextWave() {
+	c.waves++
+	c.site.Revision++
+	c.site.Waves = []model.Wave{{ID: model.WaveID(fmt.Sprint("wave", c.waves)), Pools: []model.PoolID{"drafts", "night"}, Start: c.platform.Now(), Soak: time.Minute}}
+	c.apply(c.site)
+}
+
+// violations are the invariants that do not hold, in the program and in truth.
+func (c *chaos) violations() []string {
+	all := c.broken()
+	tally := c.platform.Tally()
+	if tally.Overlaps > 0 {
+		all = append(all, "truth: two attempts of a job ran at once")
+	}
+	for id, n := range tally.Starts {
+		if j := c.view().Jobs[id]; j != nil && !j.Spec.Idempotent && n > 1 {
+			all = append(all, fmt.Sprintf("truth: job %s is not idempotent and ran %d times", id, n))
+		}
+	}
+	// A reboot that hit another VM is commanded again.
+	for id, n := range tally.Asked {
+		if n > c.waves+1+tally.WrongReboots {
+			all = append(all, fmt.Sprintf("truth: VM %s was rebooted %d times in %d waves", id, n, c.waves+1))
+		}
+	}
+	return all
+}
+
+// calmLimit is how long, in virtual time, all may take to come right.
+var calmLimit = 6 * time.Hour
+
+// calm ends all failures and reports what does not come right by itself.
+func (c *chaos) calm() []string {
+	c.client.SetFaults(standin.Faults{})
+	c.log.lose = 0
+	clear(c.log.cut)
+	everything := func(standin.VM) bool { return true }
+	c.platform.Repair(everything)
+	c.platform.Reconnect(everything)
+	for _, v := range c.platform.Truth() {
+		c.platform.Mend(v.Worker)
+	}
+	var wrong []string
+	if !c.until(calmLimit, func() bool { return c.settled() == "" }) {
+		wrong = append(wrong, "calm: "+c.settled())
+	}
+	return append(wrong, c.violations()...)
+}
+
+// settled says what is still to come; empty when all is well.
+func (c *chaos) settled() string {
+	for id, j := range c.view().Jobs {
+		// A job that fails everywhere is held once other jobs show that the
+		// workers are good; until then it may wait.
+		fails := len(j.Spec.Payload)%11 == 10 && len(j.FailedOn) > 0
+		if !j.State.Final() && !fails {
+			return fmt.Sprintf("job %s is %s: %s", id, j.State, j.Reason)
+		}
+		if j.State == model.JobDone && c.platform.Tally().Done[id] == 0 {
+			return fmt.Sprintf("job %s is done but did not run", id)
+		}
+	}
+	if n := len(c.serving()); n != 15 {
+		return fmt.Sprintf("%d instances serve", n)
+	}
+	if !c.waveDone(c.site.Waves[0].ID)() || len(c.view().Permits) > 0 {
+		return "the wave is not done"
+	}
+	for _, v := range c.platform.Truth() {
+		if v.Drained {
+			return "VM " + string(v.ID) + " is left drained"
+		}
+	}
+	return ""
+}
+
+// Every promise holds through correlated failures, races, leader changes, a
+// leader that was cut off, and a platform that answers late, twice, out of
+// order, not at all, or reboots the wrong VM.
+func TestRandomRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		numbers := rapid.IntRange(0, 1<<20)
+		c := newChaos(rapid.Uint64().Draw(t, "seed"), func(n int) int { return numbers.Draw(t, "n") % n }, simOptions{})
+		for range 40 {
+			c.act()
+		}
+		if wrong := c.calm(); len(wrong) > 0 {
+			t.Fatal(wrong)
+		}
+	})
+}
+
+// longSteps is how many controller rounds the long run takes.
+func longSteps(t *testing.T) int {
+	steps, err := strconv.Atoi(os.Getenv("COMFREYLOOM_STEPS"))
+	if err != nil {
+		steps = 3000
+	}
+	if testing.Short() {
+		t.Skip("long run")
+	}
+	return steps
+}
+
+// The same with fixed seeds, as long as COMFREYLOOM_STEPS says.
+func TestLongRun(t *testing.T) {
+	total, seed := 0, uint64(1)
+	for limit := longSteps(t); total < limit; seed++ {
+		random := rand.New(rand.NewPCG(seed, 42))
+		c := newChaos(seed, random.IntN, simOptions{})
+		for c.steps < 1000 {
+			c.act()
+		}
+		total += c.steps
+		if wrong := c.calm(); len(wrong) > 0 {
+			t.Fatalf("seed %d after %d steps: %v", seed, c.steps, wrong)
+		}
+	}
+	t.Logf("seeds 1 to %d, %d steps", seed-1, total)
+}
+
+// Each rule that is switched off is found by the same runs.
+func TestRulesAreNeeded(t *testing.T) {
+	for name, o := range map[string]simOptions{
+		"commit before command": {config: Config{Rules: Rules{SkipCommit: true}}},
+		"compare boots":         {config: Config{Rules: Rules{Wave: wave.Rules{IgnoreBoot: true}}}},
+		"wait for leases":       {config: Config{Rules: Rules{SkipLeaseWait: true}}, state: state.Rules{SkipLease: true}},
+		"soak after repair":     {config: Config{Rules: Rules{Budget: budget.Rules{SkipSoak: true}}}},
+		"unknown counts":        {config: Config{Rules: Rules{Budget: budget.Rules{TrustUnknown: true}}}},
+		"reserve":               {config: Config{Rules: Rules{Budget: budget.Rules{SkipReserve: true}}}},
+		"ask the budgets":       {config: Config{Rules: Rules{Wave: wave.Rules{IgnoreBudget: true}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			found, steps := "", 0
+			for seed := uint64(1); found == "" && seed <= 40; seed++ {
+				random := rand.New(rand.NewPCG(seed, 42))
+				c := newChaos(seed, random.IntN, o)
+				for c.steps < 500 && found == "" {
+					c.act()
+					if wrong := c.violations(); len(wrong) > 0 {
+						found = wrong[0]
+					}
+				}
+				steps += c.steps
+			}
+			is.True(found != "")
+			t.Logf("found after %d steps: %s", steps, found)
+		})
+	}
+}
--- a/internal/controller/send.go
+++ b/internal/controller/send.go
@@ -138,7 +138,7 @@
 		if err != nil {
 			return
 		}
-		if known && report.Ended != "" {
+		if known {
 			c.soft.world.takeTask(report)
 		}
 	}
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -31,10 +31,45 @@
 	lose    float64
 	// bytes and entries count what was committed.
 	bytes, entries int
+	// cut are nodes that a partition keeps from the others: each still takes
+	// itself for the leader, sees an old state and commits nothing.
+	cut map[model.NodeID]cutOff
+}
+
+type cutOff struct {
+	view *state.View
+	term uint64
+}
+
+// nodeLog is the log as one node sees it.
+type nodeLog struct {
+	*memLog
+	self model.NodeID
+}
+
+func (l nodeLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if _, cut := l.cut[l.self]; cut {
+		return state.Result{}, state.ErrOutcomeUnknown
+	}
+	return l.memLog.Propose(ctx, c)
+}
+
+func (l nodeLog) View() *state.View {
+	if c, cut := l.cut[l.self]; cut {
+		return c.view
+	}
+	return l.memLog.View()
+}
+
+func (l nodeLog) Leader() (model.NodeID, uint64) {
+	if c, cut := l.cut[l.self]; cut {
+		return l.self, c.term
+	}
+	return l.memLog.Leader()
 }
 
 func newMemLog(rules state.Rules, seed uint64) *memLog {
-	return &memLog{machine: state.NewMachine(state.Options{Rules: rules}), random: rand.New(rand.NewPCG(seed, 7)), leader: "a", term: 1}
+	return &memLog{machine: state.NewMachine(state.Options{Rules: rules}), random: rand.New(rand.NewPCG(seed, 7)), cut: map[model.NodeID]cutOff{}, leader: "a", term: 1}
 }
 
 func (l *memLog) Propose(_ context.Context, c state.Command) (state.Result, error) {
@@ -91,7 +126,6 @@
 	s.platform = standin.New(p)
 	s.client = s.platform.Unreliable(o.seed, o.faults)
 	s.config = o.config
-	s.config.Log = s.log
 	s.config.Platform = s.client
 	s.config.Clock = s.platform.Now
 	s.config.Logger = &log.Logger{Handler: discard.New()}
@@ -139,6 +173,7 @@
 	if s.nodes[id] == nil {
 		config := s.config
 		config.Self = id
+		config.Log = nodeLog{s.log, id}
 		s.nodes[id] = New(config)
 	}
 	return s.nodes[id]
@@ -148,6 +183,9 @@
 func (s *sim) step(d time.Duration) {
 	s.platform.Advance(s.platform.Now().Add(d))
 	_ = s.node(s.log.leader).Step(context.Background())
+	for id := range s.log.cut {
+		_ = s.node(id).Step(context.Background())
+	}
 }
 
 // until steps a second at a time until done says so, at most limit.
@@ -161,6 +199,12 @@
 	return done()
 }
 
+// cutLeader keeps the leader from the others, who elect another.
+func (s *sim) cutLeader(next model.NodeID) {
+	s.log.cut[s.log.leader] = cutOff{s.view(), s.log.term}
+	s.elect(next)
+}
+
 func (s *sim) elect(id model.NodeID) {
 	s.log.leader = id
 	s.log.term++
--- a/internal/controller/step.go
+++ b/internal/controller/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/samber/oops"
@@ -26,11 +27,29 @@
 		c.soft.ungranted = decided.granted()
 	}
 	err := c.commit(ctx, decided)
+	if c.superseded() {
+		return errSuperseded
+	}
 	c.command(ctx)
 	c.publish(decided)
 	return err
 }
 
+// errSuperseded says that the platform took commands of a later term.
+var errSuperseded = errors.New("controller: a later controller commands the platform")
+
+// superseded reports whether the platform took commands of a later term. A
+// leader that is cut off from the other voters may not know yet that it was
+// replaced; it then sends nothing more.
+func (c *Controller) superseded() bool {
+	for _, r := range c.soft.world.vms {
+		if r.Fence.Term > c.term {
+			return true
+		}
+	}
+	return false
+}
+
 // stepDown forgets what was learned as leader: when this node leads again the
 // world has moved on.
 func (c *Controller) stepDown() {
--- a/internal/controller/surge.go
+++ b/internal/controller/surge.go
@@ -42,10 +42,12 @@
 }
 
 // dropUseless stops an instance beyond the number that does not help the
-// target, to free its ordinal.
+// target, or is on it, to free its ordinal.
 func (c *Controller) dropUseless(d *decided, s *fleet.Service, target *fleet.VM) {
 	for _, t := range s.Extra {
-		if d.ledger.Useless(t, target) {
+		onTarget, _ := d.ledger.MayStop(t)
+		onTarget = onTarget && t.VM == target.ID && t.State != model.TaskStopping
+		if onTarget || d.ledger.Useless(t, target) {
 			d.ledger.Stop(t)
 			d.stop(t, "the instance does not help to drain VM "+string(target.ID))
 			return
@@ -54,12 +56,13 @@
 }
 
 // keepSurge reports whether an instance beyond its service's number is to
-// stay: VMs of its pool are yet to be drained, and it will be needed again.
+// stay: VMs of its pool are yet to be drained and it will be needed again, or
+// it stands in while another one moves.
 func (c *Controller) keepSurge(d *decided, s *fleet.Service, t *model.Task) bool {
 	if s == nil || t.Ordinal < s.Spec.Instances || t.Ordinal >= s.Spec.Instances+s.Spec.MaxSurge() {
 		return false
 	}
-	return d.wave.KeepSurge[s.Spec.Pool]
+	return d.wave.KeepSurge[s.Spec.Pool] || d.uneven[t.Service] && !d.ledger.Useless(t, nil)
 }
 
 func hasOrdinal(s *fleet.Service, ordinal int) bool {
@@ -72,18 +75,22 @@
 }
 
 func (c *Controller) startSurge(d *decided, s *fleet.Service, ordinal int, target *fleet.VM) bool {
-	p := d.ix.Pool(s.Spec.Pool)
-	v := surgePlace(d, p, s, target)
+	v := surgePlace(d, d.ix.Pool(s.Spec.Pool), s, target)
 	if v == nil {
 		return false
 	}
+	d.startSurgeOn(s, ordinal, v, fmt.Sprintf("VM %s is to be drained", target.ID))
+	return true
+}
+
+func (d *decided) startSurgeOn(s *fleet.Service, ordinal int, v *fleet.VM, why string) {
 	name := fmt.Sprintf("%s.%d.%d", s.Spec.ID, ordinal, d.ix.Snap.View.Index)
 	if d.ix.Snap.Region != "" {
 		name = model.Qualify(d.ix.Snap.Region, name)
 	}
 	a := state.Action{
-		Reason: fmt.Sprintf("service %s needs one more instance before VM %s is drained", s.Spec.ID, target.ID),
-		StartTask: &state.StartTask{Pool: p.Spec.ID, Task: model.Task{
+		Reason: fmt.Sprintf("service %s needs one more instance for a while: %s", s.Spec.ID, why),
+		StartTask: &state.StartTask{Pool: s.Spec.Pool, Task: model.Task{
 			ID: model.TaskID(name), Service: s.Spec.ID, Ordinal: ordinal, VM: v.ID, Worker: v.Listed.Worker,
 			Size: s.Spec.Size, Priority: model.Urgent, State: model.TaskStarting, Generation: v.Generation(),
 			Started: d.at, LeaseUntil: d.ix.LeaseUntil(),
@@ -91,7 +98,6 @@
 	}
 	d.ix.Plan(a)
 	d.add(a)
-	return true
 }
 
 // surgePlace is the open VM with room where an instance helps to drain the
--- a/internal/controller/world.go
+++ b/internal/controller/world.go
@@ -21,6 +21,7 @@
 	tasks       map[model.TaskID]platform.TaskReport
 	tasksAt     model.Instant
 	tasksCursor platform.Cursor
+	tasksFullAt model.Instant
 	// missing are tasks that the platform does not run, by a renewal's answer.
 	missing map[model.TaskID]bool
 	// renewed is the lease that the platform confirmed for each task.
@@ -44,11 +45,15 @@
 	}
 }
 
-// fullEvery is how often, in milliseconds, the whole list of VMs is asked for
-// though only changes are needed, so that no lost change lasts.
+// fullEvery is how often, in milliseconds, whole lists are asked for though
+// only changes are needed, so that no lost change lasts.
 const fullEvery = 10 * 60 * 1000
 
 // observe asks the platform what changed. What can't be had stays as it was.
+//
+// An answer to another question than was asked, such as one that comes late,
+// may lack changes that its cursor leaves behind: the end of a task would then
+// never be seen. It names the cursor that it answers to, and is dropped.
 func (c *Controller) observe(ctx context.Context) {
 	w := c.soft.world
 	now := c.config.Clock()
@@ -56,10 +61,14 @@
 	if now-w.vmsFullAt > fullEvery {
 		since = ""
 	}
-	if list, err := c.config.Platform.VMs(ctx, since); c.counts.observed(err) {
+	if list, err := c.config.Platform.VMs(ctx, since); c.counts.observed(err) && list.Since == since {
 		w.takeVMs(list)
 	}
-	if list, err := c.config.Platform.Tasks(ctx, w.tasksCursor); c.counts.observed(err) {
+	since = w.tasksCursor
+	if now-w.tasksFullAt > fullEvery {
+		since = ""
+	}
+	if list, err := c.config.Platform.Tasks(ctx, since); c.counts.observed(err) && list.Since == since {
 		w.takeTasks(list)
 	}
 	if list, err := c.config.Platform.Usage(ctx, w.usageCursor); c.counts.observed(err) {
@@ -74,9 +83,12 @@
 }
 
 // stale reports whether the list of VMs is too old to take anything out on
-// purpose: VMs may have failed that it still shows as up.
+// purpose: VMs may have failed that it still shows as up. A new leader knows
+// nothing until it has a full list; an answer to an earlier question may list
+// some VMs only, and the others are not gone.
 func (c *Controller) stale(now model.Instant) bool {
-	return now.Sub(c.soft.world.vmsAt) > c.config.StaleAfter
+	w := c.soft.world
+	return w.vmsFullAt == 0 || now.Sub(w.vmsAt) > c.config.StaleAfter
 }
 
 // takeVMs enters a list. A list made before the one in hand is an answer that
@@ -105,6 +117,9 @@
 	if list.At < w.tasksAt || list.Next == "" {
 		return
 	}
+	if list.Full {
+		w.tasksFullAt = list.At
+	}
 	for _, report := range list.Tasks {
 		w.takeTask(report)
 	}
--- a/internal/platform/report.go
+++ b/internal/platform/report.go
@@ -30,8 +30,10 @@
 // VMList is a list of VMs that changed since a cursor.
 type VMList struct {
 	// Full says that VMs is the complete list; a VM not in it is gone.
-	Full bool   `json:"full"`
-	Next Cursor `json:"next"`
+	Full bool `json:"full"`
+	// Since is the cursor that the list answers to.
+	Since Cursor `json:"since,omitempty"`
+	Next  Cursor `json:"next"`
 	// At is when the list was made; a list made before another is older.
 	At      model.Instant `json:"at_ms"`
 	VMs     []VMReport    `json:"vms"`
@@ -70,8 +72,10 @@
 // TaskList is a list of tasks that changed since a cursor.
 type TaskList struct {
 	// Full says that Tasks holds all tasks that the platform runs or remembers.
-	Full bool   `json:"full"`
-	Next Cursor `json:"next"`
+	Full bool `json:"full"`
+	// Since is the cursor that the list answers to.
+	Since Cursor `json:"since,omitempty"`
+	Next  Cursor `json:"next"`
 	// At is when the list was made.
 	At    model.Instant `json:"at_ms"`
 	Tasks []TaskReport  `json:"tasks"`
--- a/internal/platform/standin/command.go
+++ b/internal/platform/standin/command.go
@@ -85,6 +85,7 @@
 	case platform.Undrain, platform.Return:
 		v.drained = false
 	case platform.Reboot:
+		p.tally.Asked[v.ID]++
 		p.reboot(p.rebootTarget(v))
 	}
 	return platform.Answer{Code: platform.Accepted}
--- a/internal/platform/standin/list.go
+++ b/internal/platform/standin/list.go
@@ -13,7 +13,7 @@
 func (p *Platform) VMs(_ context.Context, since platform.Cursor) (platform.VMList, error) {
 	defer p.enter()()
 	after := parseCursor(since)
-	list := platform.VMList{Full: after == 0, Next: formatCursor(p.revision), At: p.now}
+	list := platform.VMList{Full: after == 0, Since: since, Next: formatCursor(p.revision), At: p.now}
 	for _, id := range p.vmOrder {
 		if v := p.vms[id]; v != nil && v.revision > after {
 			list.VMs = append(list.VMs, v.report())
@@ -45,7 +45,7 @@
 	after := parseCursor(since)
 	p.compact()
 	first := sort.Search(len(p.changes), func(i int) bool { return p.changes[i].revision > after })
-	list := platform.TaskList{Full: after == 0, Next: formatCursor(p.revision), At: p.now}
+	list := platform.TaskList{Full: after == 0, Since: since, Next: formatCursor(p.revision), At: p.now}
 	for _, c := range p.changes[first:] {
 		t := p.tasks[c.task]
 		if t != nil && t.revision == c.revision && !t.hidden {
--- a/internal/platform/standin/tally.go
+++ b/internal/platform/standin/tally.go
@@ -13,6 +13,8 @@
 type Tally struct {
 	// Reboots counts commanded and unasked reboots by VM.
 	Reboots map[model.VMID]int
+	// Asked counts the reboot commands that were accepted, by VM.
+	Asked map[model.VMID]int
 	// WrongReboots counts those that hit another VM than was named.
 	WrongReboots int
 	// Starts counts the attempts that ran, by job.
@@ -30,7 +32,7 @@
 }
 
 func newTally() Tally {
-	return Tally{Reboots: map[model.VMID]int{}, Starts: map[model.JobID]int{}, Done: map[model.JobID]int{}, live: map[model.JobID]int{}}
+	return Tally{Reboots: map[model.VMID]int{}, Asked: map[model.VMID]int{}, Starts: map[model.JobID]int{}, Done: map[model.JobID]int{}, live: map[model.JobID]int{}}
 }
 
 // Tally returns a copy of the counts.
@@ -38,6 +40,7 @@
 	defer p.enter()()
 	t := p.tally
 	t.Reboots = maps.Clone(t.Reboots)
+	t.Asked = maps.Clone(t.Asked)
 	t.Starts = maps.Clone(t.Starts)
 	t.Done = maps.Clone(t.Done)
 	t.live = maps.Clone(t.live)
--- a/internal/wave/phase.go
+++ b/internal/wave/phase.go
@@ -22,7 +22,7 @@
 	p := v.Permit
 	switch {
 	case v.Listed == nil:
-		d.release(v, false, "the platform does not list the VM any more")
+		d.advanceAbsent(v)
 	case p.Phase == model.PhaseGranted:
 		d.advanceGranted(v)
 	case p.Phase == model.PhaseDraining:
@@ -34,6 +34,19 @@
 	}
 }
 
+// advanceAbsent ends the permit of a VM that the platform dropped. A partial
+// answer also lacks VMs: a permit that ended for it would leave a VM drained
+// that counts as available.
+func (d *decider) advanceAbsent(v *fleet.VM) {
+	since, known := d.ix.Snap.Absent[v.ID]
+	if known && d.ix.Now().Sub(since) >= absentFor {
+		d.release(v, false, "the platform does not list the VM any more")
+	}
+}
+
+// absentFor is how long the platform must not list a VM before its permit ends.
+const absentFor = 10 * time.Minute
+
 func (d *decider) advanceGranted(v *fleet.VM) {
 	if d.wave(v) == nil {
 		d.release(v, false, "the manifest has no such wave any more")
