demo: a small site in one process, end to end on loopback

Cause: a newcomer needs one command that shows the whole path, and every later change needs one that fails when the path breaks. Change: package demo starts the platform's stand-in, three entry VMs and stand-in upstreams, drives them only through the callers' and operators' listeners, and checks invariants, equal state, budgets and one reboot a VM. VMs that are spares are not covered by a wave yet.

--- a/cmd/comfreyloom/script_platform_test.go
+++ b/cmd/comfreyloom/script_platform_test.go
@@ -7,13 +7,12 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/demo"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/platform"
 	"github.com/comfreyloom/comfreyloom/internal/platform/standin"
-	upstreams "github.com/comfreyloom/comfreyloom/internal/upstream/standin"
 )
 
 // platformMain is the stand-in of the platform as a process: the VMs of a
@@ -24,12 +23,12 @@
 	zones := flag.Int("zones", 4, "availability zones")
 	racks := flag.Int("racks", 4, "racks a zone, of four VMs each")
 	flag.Parse()
-	host := &instanceHost{announce: strings.Split(*announce, ","), running: map[model.TaskID]*upstreams.Upstream{}}
+	host := &demo.Instances{Announce: strings.Split(*announce, ",")}
 	p := standin.New(standin.Config{
 		VMs: siteVMs(*zones, *racks), Now: func() model.Instant { return model.InstantOf(time.Now()) },
 		Start: model.InstantOf(time.Now()), RebootTime: 200 * time.Millisecond,
 		Behaviour: func(platform.TaskSpec) standin.Work { return standin.Work{Runtime: 300 * time.Millisecond} },
-		OnStart:   host.start, OnStop: host.stop,
+		OnStart:   host.Start, OnStop: host.Stop,
 	})
 	go p.Run(context.Background())
 	if err := http.ListenAndServe(*listen, standin.Handler(p)); err != nil {
@@ -54,47 +53,3 @@
 	}
 	return vms
 }
-
-// instanceHost runs an upstream for each instance that the platform starts.
-type instanceHost struct {
-	announce []string
-	mu       sync.Mutex
-	running  map[model.TaskID]*upstreams.Upstream
-}
-
-func (h *instanceHost) start(r standin.Running) {
-	if r.Service == "" {
-		return
-	}
-	u, err := upstreams.Start(upstreams.Options{
-		Service: string(r.Service), Instance: string(r.Task), VM: string(r.VM), AvailabilityZone: string(r.Zone),
-		Slots: 8, Connections: 64, Announce: h.announce, Renew: 500 * time.Millisecond,
-	})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return
-	}
-	h.mu.Lock()
-	h.running[r.Task] = u
-	h.mu.Unlock()
-	go u.Run(context.Background())
-}
-
-func (h *instanceHost) stop(r standin.Running) {
-	h.mu.Lock()
-	u := h.running[r.Task]
-	delete(h.running, r.Task)
-	h.mu.Unlock()
-	if u == nil {
-		return
-	}
-	if r.Killed {
-		u.Close()
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		defer cancel()
-		_ = u.Shutdown(ctx)
-	}()
-}
--- a/cmd/comfreyloom/script_test.go
+++ b/cmd/comfreyloom/script_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -28,6 +30,7 @@
 			"request": request,
 			"signal":  sendSignal,
 			"edit":    editFile,
+			"exits":   exits,
 		},
 		Setup: func(env *testscript.Env) error {
 			examples, err := filepath.Abs("../../examples")
@@ -118,3 +121,20 @@
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(strings.Replace(text, args[1], args[2], 1)), 0o600))
 }
+
+// exits is "exits N PROGRAM ARGS": the program must end with exit code N.
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits N PROGRAM ARGS")
+	}
+	code := 0
+	var failed *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &failed) {
+		code = failed.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("exit code %d, want %s", code, args[0])
+	}
+}
--- a/internal/agent/operators.go
+++ b/internal/agent/operators.go
@@ -95,7 +95,7 @@
 
 // checks collects the invariants that do not hold in this process.
 func (a *Agent) checks() []state.Broken {
-	var all []state.Broken
+	all := a.machine.Broken()
 	for _, detail := range a.heartbeats.Check() {
 		all = append(all, state.Broken{Invariant: "membership", Detail: detail})
 	}
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -28,6 +28,7 @@
 func (a *Agent) wire(o Options) error {
 	a.wireNodes()
 	a.wireRequests()
+	a.wireNodeServer()
 	return a.wireController(o)
 }
 
@@ -45,20 +46,27 @@
 		Machine: a.machine, Client: a.client, Leader: a.leader, Spreader: a.spreader,
 		Unconfirmed: a.follower.Rotate, Metrics: a.metrics, Logger: a.logger,
 	})
+	voter := a.voter()
+	a.log = node.NewLog(node.LogConfig{
+		Self: a.settings.Node.Name, Machine: a.machine, Voter: voter, Client: a.client,
+		Voters: a.settings.Voters, Leader: a.leader, Metrics: a.metrics,
+	})
+	if voter != nil {
+		a.heartbeats.SetVoter(voter)
+	}
+}
+
+// wireNodeServer comes last of what other processes call, so that no call
+// finds a part missing.
+func (a *Agent) wireNodeServer() {
 	a.nodeServer = node.NewServer(node.ServerConfig{
 		Self: a.settings.Node.Name, Site: a.settings.Node.Site, Authorizer: a.tokens.nodes,
 		Identity: a.identity, Client: a.client, Heartbeats: a.heartbeats, Spreader: a.spreader,
-		Metrics: a.metrics,
+		Lender: a.dispatcher, Metrics: a.metrics,
 	})
-	voter := a.voter()
-	if voter != nil {
+	if voter := a.voter(); voter != nil {
 		a.nodeServer.SetVoter(voter)
-		a.heartbeats.SetVoter(voter)
 	}
-	a.log = node.NewLog(node.LogConfig{
-		Self: a.settings.Node.Name, Machine: a.machine, Voter: voter, Client: a.client,
-		Voters: a.settings.Voters, Leader: a.leader, Metrics: a.metrics,
-	})
 }
 
 // voter returns this process's part in the quorum, nil on a learner.
@@ -84,12 +92,12 @@
 func (a *Agent) wireRequests() {
 	a.dispatcher = slots.New(slots.Config{
 		Self: a.settings.Node.Name, Zone: a.settings.Node.Zone, Nodes: a.members(), Members: a.live,
-		Registry: a.registry, Services: catalog{a.log}, Metrics: a.metrics, Log: a.logger,
+		Registry: a.registry, Services: catalog{a.log}, Peer: slots.NewPeer(a.client.Lend), Metrics: a.metrics, Log: a.logger,
 	})
 	a.transport = upstream.NewTransport(upstream.Options{EntryVMs: len(a.settings.Nodes), Metrics: a.metrics})
 	a.callers = caller.New(caller.Config{
 		Self: a.settings.Node.Name,
-		Log: a.log, Broker: a.dispatcher, Sender: a.transport,
+		Log:  a.log, Broker: a.dispatcher, Sender: a.transport,
 		Limits: caller.Limits{
 			BodyBytes:   a.settings.Limits.RequestBody,
 			Connections: int64(a.settings.Limits.CallerConnections),
