replica: the voter's driver, first cut

Change: package replica as it stands: founding, rejoining with a new disk, group commit, feed for followers, read index, transfer of leadership.

--- a/internal/datafolder/fakedisk/disk.go
+++ b/internal/datafolder/fakedisk/disk.go
@@ -360,6 +360,13 @@
 	d.names[name].data[offset] ^= 1 << (bit % 8)
 }
 
+// Zero clears bytes of a file, durably, as a lost block does.
+func (d *Disk) Zero(name string, from, to int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.names[name].data[from:to])
+}
+
 // Truncate cuts a file to size bytes, durably.
 func (d *Disk) Truncate(name string, size int) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/replica/cluster_test.go
@@ -0,0 +1,308 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyloom/comfreyloom/internal/datafolder/fakedisk"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+var quiet = &log.Logger{Handler: text.New(io.Discard), Level: log.FatalLevel}
+
+// listMachine is a state machine that remembers its commands.
+type listMachine struct {
+	mu   sync.Mutex
+	list listState
+}
+
+type listState struct {
+	Index    uint64
+	Commands []string
+}
+
+func (m *listMachine) Apply(index uint64, data []byte) state.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if index != m.list.Index+1 {
+		panic(fmt.Sprintf("entry %d applied after %d", index, m.list.Index))
+	}
+	m.list.Index = index
+	if len(data) > 0 {
+		m.list.Commands = append(m.list.Commands, string(data))
+	}
+	return state.Result{Index: index}
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return cbor.Marshal(m.list)
+}
+
+func (m *listMachine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var next listState
+	if err := cbor.Unmarshal(data, &next); err != nil {
+		return err
+	}
+	if next.Index < m.list.Index {
+		panic("stepped back")
+	}
+	m.list = next
+	return nil
+}
+
+func (m *listMachine) Applied() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list.Index
+}
+
+func (m *listMachine) commands() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.list.Commands)
+}
+
+// cluster is voters in one process with disks, clock and network in memory.
+// Its clock moves only while a test waits in until.
+type cluster struct {
+	t       *testing.T
+	members []model.NodeID
+	mu      sync.Mutex
+	now     time.Duration
+	nodes   map[model.NodeID]*node
+	cut     map[model.NodeID]bool
+	// heard holds every voter identity that granted a vote or acknowledged entries.
+	heard map[quorum.ID]bool
+}
+
+type node struct {
+	*Replica
+	machine *listMachine
+	disk    *fakedisk.Disk
+	cancel  context.CancelFunc
+	ended   chan error
+}
+
+func newCluster(t *testing.T, members ...model.NodeID) *cluster {
+	c := &cluster{t: t, members: members, nodes: map[model.NodeID]*node{},
+		cut: map[model.NodeID]bool{}, heard: map[quorum.ID]bool{}}
+	t.Cleanup(func() {
+		for _, n := range c.members {
+			c.stop(n)
+		}
+	})
+	return c
+}
+
+func (c *cluster) clock() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+// Send implements Transport for all voters.
+func (c *cluster) Send(to model.NodeID, messages []quorum.Message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from := model.NodeID(messages[0].From[:1])
+	if c.cut[to] || c.cut[from] || c.nodes[to] == nil {
+		return
+	}
+	for _, m := range messages {
+		if !m.Reject && (m.Kind == quorum.KindVoteReply || m.Kind == quorum.KindAppendReply) {
+			c.heard[m.From] = true
+		}
+	}
+	c.nodes[to].Step(slices.Clone(messages))
+}
+
+// Identify implements Bootstrapper.
+func (c *cluster) Identify(_ context.Context, to model.NodeID) (Identity, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut[to] || c.nodes[to] == nil {
+		return Identity{}, errors.New("no answer")
+	}
+	return c.nodes[to].Identity(), nil
+}
+
+func (c *cluster) config(name model.NodeID, disk *fakedisk.Disk, machine *listMachine) Config {
+	random := rand.New(rand.NewPCG(uint64(name[0]), 5))
+	return Config{
+		Folder: "/data", Site: "port-klang", Self: name, Members: c.members,
+		Machine: machine, Transport: c, Bootstrapper: c, Disk: disk, Clock: c.clock, Random: random.IntN,
+		TickEvery: 2 * time.Millisecond, ElectionTicks: 12, HeartbeatTicks: 2, ReviewTicks: 5,
+		SnapshotEntries: 20, KeepEntries: 5, SegmentBytes: 2000, Log: quiet,
+	}
+}
+
+// start runs a voter on a disk; a nil disk is a new one.
+func (c *cluster) start(name model.NodeID, disk *fakedisk.Disk) *node {
+	c.t.Helper()
+	if disk == nil {
+		disk = fakedisk.New()
+	}
+	n := &node{machine: &listMachine{}, disk: disk, ended: make(chan error, 1)}
+	r, err := Open(c.config(name, disk, n.machine))
+	if err != nil {
+		c.t.Fatalf("open %s: %v", name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.Replica, n.cancel = r, cancel
+	c.mu.Lock()
+	c.nodes[name] = n
+	c.mu.Unlock()
+	go func() { n.ended <- r.Run(ctx) }()
+	return n
+}
+
+func (c *cluster) startAll() {
+	for _, name := range c.members {
+		c.start(name, nil)
+	}
+}
+
+// stop ends a voter and returns its disk as the next process finds it.
+func (c *cluster) stop(name model.NodeID) *fakedisk.Disk {
+	c.mu.Lock()
+	n := c.nodes[name]
+	delete(c.nodes, name)
+	c.mu.Unlock()
+	if n == nil {
+		return nil
+	}
+	n.cancel()
+	<-n.ended
+	return n.disk.Restart()
+}
+
+func (c *cluster) isolate(name model.NodeID, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[name] = cut
+}
+
+const patience = 60 * time.Second
+
+// until lets time pass until the condition holds.
+func (c *cluster) until(what string, condition func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); !condition(); {
+		if time.Now().After(end) {
+			c.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+		c.mu.Lock()
+		c.now += 2 * time.Millisecond
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) all() map[model.NodeID]*node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	nodes := map[model.NodeID]*node{}
+	for name, n := range c.nodes {
+		if !c.cut[name] {
+			nodes[name] = n
+		}
+	}
+	return nodes
+}
+
+// leader waits for a voter that leads and is confirmed.
+func (c *cluster) leader() (model.NodeID, *node) {
+	c.t.Helper()
+	var name model.NodeID
+	c.until("a confirmed leader", func() bool {
+		for n, voter := range c.all() {
+			if voter.Status().Confirmed {
+				name = n
+				return true
+			}
+		}
+		return false
+	})
+	return name, c.nodes[name]
+}
+
+// propose commits a command through whoever leads.
+func (c *cluster) propose(command string) {
+	c.t.Helper()
+	c.until("commit of "+command, func() bool {
+		_, leader := c.leader()
+		return c.tryPropose(leader, command) == nil
+	})
+}
+
+// tryPropose lets time pass while a proposal waits.
+func (c *cluster) tryPropose(n *node, command string) error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := n.Propose(context.Background(), []byte(command))
+		done <- err
+	}()
+	var err error
+	c.until("outcome of "+command, func() bool {
+		select {
+		case err = <-done:
+			return true
+		default:
+			return false
+		}
+	})
+	return err
+}
+
+// agree waits until all running voters have applied the same.
+func (c *cluster) agree() []string {
+	c.t.Helper()
+	var first []string
+	c.until("all voters agree", func() bool {
+		first = nil
+		for _, n := range c.all() {
+			commands := n.machine.commands()
+			if first == nil {
+				first = commands
+			}
+			if !slices.Equal(first, commands) || len(commands) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return first
+}
+
+// voters waits until the leader's set of voters is exactly that of the disks
+// that run, and all of it is committed.
+func (c *cluster) votersSettle() {
+	c.t.Helper()
+	c.until("voters are the disks that run", func() bool {
+		_, leader := c.leader()
+		s := leader.Status()
+		for _, n := range c.all() {
+			if !s.Voters.Has(n.Identity().Voter()) {
+				return false
+			}
+		}
+		return !s.VotersPending && len(s.Voters.Members) == len(c.all())
+	})
+}
--- /dev/null
+++ b/internal/replica/driver.go
@@ -0,0 +1,341 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/ring"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/wal"
+)
+
+// driver is the duty that owns the quorum core. Nothing else touches its
+// fields while it runs.
+type driver struct {
+	*Replica
+	raft *quorum.Raft
+
+	lastTick  time.Duration
+	ticks     uint64
+	reviewIn  int
+	role      quorum.Role
+	term      uint64
+	leader    quorum.ID
+	lastSeen  quorum.Status
+	waiters   waiters
+	reads     *reads
+	sinceSnap snapshotDebt
+	saving    bool
+	fatal     error
+
+	toSave  *ring.Ring[quorum.Snapshot]
+	reviews *ring.Ring[struct{}]
+}
+
+// snapshotDebt is what was applied since the last snapshot was taken.
+type snapshotDebt struct {
+	entries int
+	bytes   int
+}
+
+// freshTicks is how many ticks old a published status may be. Together with
+// the lease it stays well below the silence after which another is elected.
+func freshTicks(electionTicks int) time.Duration { return time.Duration(max(electionTicks/4, 1)) }
+
+// newDriver starts the core from what was recovered.
+func newDriver(r *Replica) (*driver, error) {
+	if err := r.foundState(); err != nil {
+		return nil, err
+	}
+	var meta quorum.SnapshotMeta
+	if r.loaded != nil {
+		meta = r.loaded.Meta
+		if err := r.config.Machine.Restore(r.loaded.Data); err != nil {
+			return nil, fmt.Errorf("restore the snapshot: %w", err)
+		}
+	}
+	raft, err := quorum.New(r.coreConfig(), r.recovered.Hard, meta, r.recovered.Entries)
+	if err != nil {
+		return nil, &wal.CorruptError{File: r.folder.LogPath(), Why: err.Error(), Remedy: datafolder.RemedyRejoin}
+	}
+	if err := r.alignLog(raft, meta); err != nil {
+		return nil, err
+	}
+	if r.loaded != nil {
+		r.feed.reset(r.loaded)
+		r.saver.saved = meta.Index
+		raft.SetSnapshot(*r.loaded)
+	}
+	r.recovered, r.loaded = wal.Recovered{}, nil
+	return &driver{
+		Replica:  r,
+		raft:     raft,
+		lastTick: r.config.Clock(),
+		reviewIn: r.config.ReviewTicks,
+		waiters:  waiters{},
+		reads:    newReads(),
+		toSave:   ring.New[quorum.Snapshot](1),
+		reviews:  ring.New[struct{}](1),
+	}, nil
+}
+
+func (r *Replica) coreConfig() quorum.Config {
+	return quorum.Config{
+		Self:           r.Identity().Voter(),
+		ElectionTicks:  r.config.ElectionTicks,
+		HeartbeatTicks: r.config.HeartbeatTicks,
+		LeaseTicks:     max(r.config.ElectionTicks/2, 1),
+		Random:         r.config.Random,
+	}
+}
+
+// foundState makes the snapshot from which a founded site starts, the same
+// on every founding voter. A disk that joined later gets one from the leader.
+func (r *Replica) foundState() error {
+	founding := r.Identity().Founding
+	if r.loaded != nil || len(founding.Voters.Members) == 0 {
+		return nil
+	}
+	if r.recovered.Records > 0 {
+		return &datafolder.CorruptError{File: r.folder.SnapshotPath(),
+			Why: "the snapshot of the founding is missing", Remedy: datafolder.RemedyRejoin}
+	}
+	meta := quorum.FoundingMeta(founding.Voters)
+	r.config.Machine.Apply(meta.Index, nil)
+	data, err := r.config.Machine.Snapshot()
+	if err != nil {
+		return fmt.Errorf("snapshot of the empty state: %w", err)
+	}
+	first := quorum.Snapshot{Meta: meta, Data: data}
+	if err := r.saver.save(first); err != nil {
+		return err
+	}
+	r.loaded = &first
+	return nil
+}
+
+// alignLog makes the log on disk end where the core's does. They differ when
+// a crash came after a received snapshot was saved and before the log was
+// restarted behind it.
+func (r *Replica) alignLog(raft *quorum.Raft, meta quorum.SnapshotMeta) error {
+	if raft.Status().Last == r.log.Last() {
+		return nil
+	}
+	hard := r.log.Hard()
+	return r.log.Restart(&hard, meta.Index)
+}
+
+// runDuties runs the core, the writer of snapshots and the review of voters
+// until one of them fails or ctx ends.
+func (d *driver) runDuties(ctx context.Context) error {
+	p := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	p.Go(d.run)
+	p.Go(d.saveSnapshots)
+	p.Go(d.reviewVoters)
+	return p.Wait()
+}
+
+func (d *driver) run(ctx context.Context) error {
+	defer d.finish()
+	ticker := time.NewTicker(d.config.TickEvery)
+	defer ticker.Stop()
+	for {
+		if err := d.round(); err != nil {
+			return oops.In("replica").Wrapf(err, "voter %s", d.config.Self)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-d.wake:
+		}
+	}
+}
+
+// round takes in what has come and does what follows from it. Missed ticks
+// pass first, so that a leader that was stopped past its lease finds out
+// before it acts on anything.
+func (d *driver) round() error {
+	d.tick()
+	if err := d.takeMessages(); err != nil {
+		return err
+	}
+	d.takeControls()
+	d.takeProposals()
+	d.reads.start(d.raft, d.notLeader())
+	for d.raft.HasReady() {
+		if err := d.handle(d.raft.Ready()); err != nil {
+			return err
+		}
+		d.followRole()
+	}
+	d.followRole()
+	d.publish()
+	if d.fatal != nil {
+		return d.fatal
+	}
+	return d.checkInvariants()
+}
+
+// tick lets the core's time pass. After a long stop only so many ticks count
+// as it takes to end any lease and any campaign.
+func (d *driver) tick() {
+	passed := uint64((d.config.Clock() - d.lastTick) / d.config.TickEvery)
+	d.lastTick += time.Duration(passed) * d.config.TickEvery
+	for range min(passed, uint64(4*d.config.ElectionTicks)) {
+		d.ticks++
+		d.raft.Tick()
+		d.reviewIn--
+	}
+	if passed == 0 {
+		return
+	}
+	d.followRole()
+	d.expireWaiters()
+	if d.reviewIn <= 0 && d.raft.Status().Ready {
+		d.reviewIn = d.config.ReviewTicks
+		_ = d.reviews.TryPut(struct{}{}) // full: a review is on its way
+	}
+}
+
+func (d *driver) takeMessages() error {
+	for range d.messages.Len() {
+		batch, ok := d.messages.TryGet()
+		if !ok {
+			return nil
+		}
+		for _, m := range batch {
+			if err := d.step(m); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *driver) step(m quorum.Message) error {
+	err := d.raft.Step(m)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, quorum.ErrDiverged) {
+		return err
+	}
+	d.counters.messagesRefused.Inc(1)
+	return nil
+}
+
+func (d *driver) takeControls() {
+	for range d.controls.Len() {
+		if f, ok := d.controls.TryGet(); ok {
+			f(d)
+		}
+	}
+}
+
+// takeProposals enters everything that came while the last append was synced;
+// it all shares the next one.
+func (d *driver) takeProposals() {
+	for range d.proposals.Len() {
+		p, ok := d.proposals.TryGet()
+		if !ok {
+			return
+		}
+		if p.take() {
+			d.propose(p)
+		}
+	}
+}
+
+func (d *driver) propose(p *proposal) {
+	index, term, err := d.raft.Propose(p.data)
+	switch {
+	case err == nil:
+		d.counters.proposals.Inc(1)
+		d.waiters[index] = &waiter{proposal: p, term: term}
+		return
+	case errors.Is(err, quorum.ErrNotLeader):
+		err = d.notLeader()
+	default:
+		err = fmt.Errorf("%w: %w", state.ErrNotProposed, err)
+	}
+	d.counters.refused.Inc(1)
+	p.finish(state.Result{}, err)
+}
+
+func (d *driver) notLeader() error {
+	return ErrNotLeader{Leader: datafolder.NodeOf(d.raft.Status().Leader)}
+}
+
+// followRole notices that leadership was gained or lost.
+func (d *driver) followRole() {
+	s := d.raft.Status()
+	if s.Role == d.role && s.Term == d.term && s.Leader == d.leader {
+		return
+	}
+	leads := s.Role == quorum.RoleLeader
+	if leads && (d.role != quorum.RoleLeader || d.term != s.Term) {
+		d.counters.leaderships.Inc(1)
+	}
+	if !leads || d.term != s.Term {
+		d.leadershipLost(s.Term)
+	}
+	if s.Leader != d.leader {
+		d.config.Log.WithField("leader", string(s.Leader)).WithField("term", s.Term).Info("leader changed")
+	}
+	d.role, d.term, d.leader = s.Role, s.Term, s.Leader
+	d.notify.signal()
+}
+
+// leadershipLost fails reads at once, as the core forgot them. Proposals get
+// some time to be committed or overwritten by the successor: after an orderly
+// handover nearly all of them then have a known outcome.
+func (d *driver) leadershipLost(term uint64) {
+	d.reads.fail(d.notLeader())
+	for _, w := range d.waiters {
+		if w.deadline == 0 && w.term < term || d.raft.Status().Role != quorum.RoleLeader && w.deadline == 0 {
+			w.deadline = d.ticks + uint64(2*d.config.ElectionTicks)
+		}
+	}
+}
+
+func (d *driver) expireWaiters() {
+	n := d.waiters.unknown("leadership was lost before a quorum confirmed the command", func(_ uint64, w *waiter) bool {
+		return w.deadline != 0 && d.ticks >= w.deadline
+	})
+	d.counters.unknown.Inc(n)
+}
+
+func (d *driver) publish() {
+	d.status.Store(&published{status: d.raft.Status(), at: d.lastTick})
+}
+
+// finish answers everybody when the duty ends.
+func (d *driver) finish() {
+	d.reads.fail(ErrNotLeader{})
+	n := d.waiters.unknown("this voter stopped before the command was applied", func(uint64, *waiter) bool { return true })
+	d.counters.unknown.Inc(n)
+}
+
+// transfer hands leadership to the voter that answers and is furthest.
+func (d *driver) transfer() error {
+	if s := d.raft.Status(); s.Role != quorum.RoleLeader || s.Transferring {
+		return nil
+	}
+	peers := slices.DeleteFunc(d.raft.Peers(), func(p quorum.PeerStatus) bool {
+		return p.Silent > uint64(d.config.ElectionTicks/2) || p.Snapshot
+	})
+	if len(peers) == 0 {
+		return ErrNoSuccessor
+	}
+	best := slices.MaxFunc(peers, func(a, b quorum.PeerStatus) int { return int(int64(a.Match) - int64(b.Match)) })
+	return d.raft.TransferLeadership(best.ID)
+}
--- /dev/null
+++ b/internal/replica/feed.go
@@ -0,0 +1,119 @@
+package replica
+
+import (
+	"context"
+	"sync"
+
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+)
+
+// feed holds the applied part of the log for followers: the latest durable
+// snapshot, the entries since, and some before it. Its memory is bounded,
+// because each new snapshot drops what it covers.
+type feed struct {
+	mu       sync.Mutex
+	snapshot *quorum.Snapshot
+	entries  []quorum.Entry
+	// applied is the index of the last of entries.
+	applied uint64
+	changed chan struct{}
+	ended   bool
+}
+
+func newFeed() *feed { return &feed{changed: make(chan struct{})} }
+
+// append adds applied entries.
+func (f *feed) append(entries []quorum.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = append(f.entries, entries...)
+	f.applied = entries[len(entries)-1].Index
+	f.wake()
+}
+
+// reset starts over from a snapshot that replaced the state.
+func (f *feed) reset(s *quorum.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot = s
+	f.entries = nil
+	f.applied = s.Meta.Index
+	f.wake()
+}
+
+// compact takes a new snapshot and drops entries that it covers but for the
+// last keep. They are copied, so that the dropped ones can be freed.
+func (f *feed) compact(s *quorum.Snapshot, keep int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.snapshot != nil && f.snapshot.Meta.Index >= s.Meta.Index {
+		return
+	}
+	f.snapshot = s
+	after := int(f.applied - s.Meta.Index)
+	if drop := len(f.entries) - after - keep; drop > 0 {
+		f.entries = append([]quorum.Entry(nil), f.entries[drop:]...)
+	}
+}
+
+func (f *feed) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = true
+	f.wake()
+}
+
+func (f *feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// read returns what there is from an index on, or the channel that is closed
+// when there is more.
+func (f *feed) read(from uint64, maxBytes int) (Feed, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return Feed{}, nil, errEnded
+	}
+	if from > f.applied {
+		return Feed{}, f.changed, nil
+	}
+	first := f.applied - uint64(len(f.entries)) + 1
+	if from < first {
+		return Feed{Snapshot: f.snapshot, Commit: f.applied}, nil, nil
+	}
+	return Feed{Entries: limitBytes(f.entries[from-first:], maxBytes), Commit: f.applied}, nil, nil
+}
+
+// limitBytes returns the first entries of at most maxBytes, but at least one.
+func limitBytes(entries []quorum.Entry, maxBytes int) []quorum.Entry {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+		if size > maxBytes && i > 0 {
+			return entries[:i:i]
+		}
+	}
+	return entries[:len(entries):len(entries)]
+}
+
+// Committed returns applied entries from an index on, of at most maxBytes but
+// at least one, or a snapshot when they were compacted. It waits until there
+// is something or ctx ends.
+func (r *Replica) Committed(ctx context.Context, from uint64, maxBytes int) (Feed, error) {
+	for {
+		piece, changed, err := r.feed.read(from, maxBytes)
+		if err != nil || changed == nil {
+			return piece, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Feed{}, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/store.go
@@ -0,0 +1,164 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// handle does one Ready in the order that keeps every promise: what binds
+// this voter is durable before a message that follows from it leaves, and an
+// entry is applied before its proposer is answered.
+func (d *driver) handle(rd quorum.Ready) error {
+	d.send(rd.Messages, false)
+	if err := d.store(rd); err != nil {
+		return err
+	}
+	if err := d.checkPromises(rd.Messages); err != nil {
+		return err
+	}
+	d.send(rd.Messages, true)
+	if err := d.install(rd.Snapshot); err != nil {
+		return err
+	}
+	d.apply(rd.Committed)
+	d.reads.confirmed(rd.Reads)
+	d.raft.Advance(rd)
+	return d.takeSnapshot()
+}
+
+// store makes hard state, snapshot and entries durable, entries and hard
+// state by one sync. After an error nothing was promised, and the duty ends.
+func (d *driver) store(rd quorum.Ready) error {
+	if rd.Snapshot != nil {
+		if err := d.saver.save(*rd.Snapshot); err != nil {
+			return err
+		}
+		if err := d.log.Restart(rd.Hard, rd.Snapshot.Meta.Index); err != nil {
+			return err
+		}
+	}
+	if len(rd.Entries) == 0 && (rd.Hard == nil || rd.Snapshot != nil) {
+		return nil
+	}
+	start := time.Now()
+	if err := d.log.Append(rd.Hard, rd.Entries); err != nil {
+		return err
+	}
+	d.counters.syncs.Inc(1)
+	d.counters.syncTime.UpdateSince(start)
+	return nil
+}
+
+// send passes on the messages that make a promise, or the others. Messages to
+// one voter stay in order.
+func (d *driver) send(messages []quorum.Message, promises bool) {
+	var nodes []model.NodeID
+	batches := map[model.NodeID][]quorum.Message{}
+	for i := range messages {
+		if messages[i].Promises() != promises {
+			continue
+		}
+		node := datafolder.NodeOf(messages[i].To)
+		if batches[node] == nil {
+			nodes = append(nodes, node)
+		}
+		batches[node] = append(batches[node], messages[i])
+	}
+	for _, node := range nodes {
+		d.config.Transport.Send(node, batches[node])
+	}
+}
+
+// install replaces the state by a snapshot that a leader sent.
+func (d *driver) install(s *quorum.Snapshot) error {
+	if s == nil {
+		return nil
+	}
+	if err := d.config.Machine.Restore(s.Data); err != nil {
+		return fmt.Errorf("restore a received snapshot: %w", err)
+	}
+	d.counters.installed.Inc(1)
+	d.sinceSnap = snapshotDebt{}
+	d.feed.reset(s)
+	n := d.waiters.unknown("a snapshot took the place of the command", func(index uint64, _ *waiter) bool {
+		return index <= s.Meta.Index
+	})
+	d.counters.unknown.Inc(n)
+	d.config.Log.WithField("index", s.Meta.Index).Info("installed a snapshot of the leader")
+	return d.log.Compact(s.Meta.Index + 1)
+}
+
+func (d *driver) apply(entries []quorum.Entry) {
+	for i := range entries {
+		e := &entries[i]
+		d.waiters.applied(e.Index, e.Term, d.applyOne(e))
+		d.sinceSnap.bytes += len(e.Data)
+	}
+	d.sinceSnap.entries += len(entries)
+	d.counters.applied.Inc(int64(len(entries)))
+	d.feed.append(entries)
+}
+
+// applyOne feeds the state machine; entries of the quorum's own only advance it.
+func (d *driver) applyOne(e *quorum.Entry) state.Result {
+	if e.Kind != quorum.EntryCommand {
+		return d.config.Machine.Apply(e.Index, nil)
+	}
+	return d.config.Machine.Apply(e.Index, e.Data)
+}
+
+// takeSnapshot takes one when enough was applied since the last, and leaves
+// the writing to another duty.
+func (d *driver) takeSnapshot() error {
+	due := d.sinceSnap.entries >= d.config.SnapshotEntries || d.sinceSnap.bytes >= d.config.SnapshotBytes
+	if !due || d.saving {
+		return nil
+	}
+	meta, err := d.raft.SnapshotMeta(d.config.Machine.Applied())
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	data, err := d.config.Machine.Snapshot()
+	if err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	d.saving = true
+	d.sinceSnap = snapshotDebt{}
+	return d.toSave.TryPut(quorum.Snapshot{Meta: meta, Data: data})
+}
+
+// saveSnapshots is the duty that writes snapshots.
+func (d *driver) saveSnapshots(ctx context.Context) error {
+	for {
+		s, err := d.toSave.Get(ctx)
+		if err != nil {
+			return err
+		}
+		if err := d.saver.save(s); err != nil {
+			return oops.In("replica").Wrapf(err, "save a snapshot")
+		}
+		if err := d.control(ctx, func(d *driver) { d.snapshotSaved(s) }); err != nil {
+			return err
+		}
+	}
+}
+
+// snapshotSaved drops what the durable snapshot stands for. Some entries
+// before it stay for followers that lag a little.
+func (d *driver) snapshotSaved(s quorum.Snapshot) {
+	d.saving = false
+	d.counters.snapshots.Inc(1)
+	d.raft.SetSnapshot(s)
+	d.feed.compact(&s, d.config.KeepEntries)
+	if err := d.log.Compact(s.Meta.Index + 1); err != nil {
+		d.fatal = err
+	}
+}
