--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -55,7 +55,7 @@
 		return
 	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxCallBytes)
-	g.next.ServeHTTP(w, r)
+	g.next.ServeHTTP(w, keepEnvelope(r))
 }
 
 func (g *guard) check(r *http.Request) error {
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -108,7 +108,8 @@
 }
 
 func (p *peer) exchange(ctx context.Context, messages []quorum.Message) error {
-	data, err := encode(messages)
+	envelope := envelopeOf(messages)
+	data, err := encode(envelope.seal(messages))
 	if err != nil {
 		p.dropped.Inc(int64(len(messages)))
 		return err
@@ -119,6 +120,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	ctx, err = envelope.attach(ctx)
+	if err != nil {
+		return err
+	}
 	reply, err := link.node.Exchange(ctx, &nodepb.ExchangeRequest{Node: string(p.self), Messages: data})
 	if err != nil {
 		p.dropped.Inc(int64(len(messages)))
@@ -127,7 +132,7 @@
 	}
 	answers, err := decodeMessages(reply.Messages)
 	if err == nil && len(answers) > 0 {
-		p.receive(answers)
+		p.receive(envelope.reverse().open(answers))
 	}
 	return err
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -82,6 +82,7 @@
 		s.badInput.Inc(1)
 		return nil, twirp.InvalidArgumentError("messages", err.Error())
 	}
+	envelopeFrom(ctx).open(messages)
 	from := s.sender(r.Node)
 	if from == nil || !answersAtOnce(messages) {
 		voter.Step(messages)
@@ -95,7 +96,8 @@
 func (s *Server) stepAndAnswer(ctx context.Context, voter Voter, from *peer, messages []quorum.Message) (*nodepb.ExchangeReply, error) {
 	answers := from.answers.open()
 	voter.Step(messages)
-	data, err := encode(from.answers.wait(ctx, answers, answerWait))
+	answer := from.answers.wait(ctx, answers, answerWait)
+	data, err := encode(envelopeFrom(ctx).reverse().seal(answer))
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
