--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,10 +21,14 @@
 
 // Rules names the rules that tests switch off one by one.
 type Rules struct {
+	// IgnorePriority serves in order of arrival.
 	IgnorePriority bool
-	KeepExpired    bool
-	KeepHopeless   bool
-	ShedNewcomer   bool
+	// RunExpired runs requests whose deadline has passed.
+	RunExpired bool
+	// KeepHopeless lets requests wait that can't start before their deadline.
+	KeepHopeless bool
+	// ShedNewcomer refuses the newcomer when the queue is full, whatever waits.
+	ShedNewcomer bool
 }
 
 // Defaults of Options.
@@ -90,14 +94,19 @@
 
 const classes = 3
 
-// class is the index of a priority's list.
-func class(p model.Priority) int { return int(min(max(p, model.Batch), model.Urgent)) + 1 }
+// Class is the index of a priority, 0 for batch to 2 for urgent.
+func Class(p model.Priority) int { return int(min(max(p, model.Batch), model.Urgent)) + 1 }
 
 // Len is the number of requests that wait.
 func (q *Queue[T]) Len() int { return q.length }
 
 // Waiting is the number of requests of one priority that wait.
-func (q *Queue[T]) Waiting(p model.Priority) int { return q.classes[class(p)].Len() }
+func (q *Queue[T]) Waiting(p model.Priority) int { return q.classes[Class(p)].Len() }
+
+// Expired reports whether a request must not run any more.
+func (q *Queue[T]) Expired(t *Ticket[T], now model.Instant) bool {
+	return now >= t.Deadline && !q.options.Rules.RunExpired
+}
 
 // Rate returns the queue's estimate of the service rate.
 func (q *Queue[T]) Rate() *Rate { return &q.rate }
@@ -128,12 +137,17 @@
 	return nil, shed
 }
 
-func (q *Queue[T]) list(p model.Priority) *list.List { return &q.classes[class(p)] }
+func (q *Queue[T]) list(p model.Priority) *list.List {
+	if q.options.Rules.IgnorePriority {
+		return &q.classes[Class(model.Normal)]
+	}
+	return &q.classes[Class(p)]
+}
 
 // ahead counts the requests that go before a new one of priority p.
 func (q *Queue[T]) ahead(p model.Priority) int {
 	ahead := 0
-	for c := class(p); c < classes; c++ {
+	for c := Class(p); c < classes; c++ {
 		ahead += q.classes[c].Len()
 	}
 	return ahead
@@ -144,7 +158,7 @@
 	if q.options.Rules.ShedNewcomer {
 		return nil
 	}
-	for c := 0; c < class(p); c++ {
+	for c := 0; c < Class(p); c++ {
 		if last := q.classes[c].Back(); last != nil {
 			return last.Value.(*Ticket[T])
 		}
@@ -172,7 +186,7 @@
 // Each calls f for the waiting tickets in the order in which they should run,
 // until f returns false. F may take the ticket that it was called with.
 func (q *Queue[T]) Each(now model.Instant, f func(t *Ticket[T]) bool) {
-	if old := q.oldBatch(now); old != nil && q.classes[class(model.Urgent)].Len() == 0 {
+	if old := q.oldBatch(now); old != nil && q.classes[Class(model.Urgent)].Len() == 0 {
 		if !f(old) {
 			return
 		}
@@ -188,11 +202,30 @@
 	}
 }
 
+// First returns the request that should run next, or nil.
+func (q *Queue[T]) First(now model.Instant) *Ticket[T] {
+	var first *Ticket[T]
+	q.Each(now, func(t *Ticket[T]) bool {
+		first = t
+		return false
+	})
+	return first
+}
+
+// Oldest returns when the oldest waiting request of a priority came.
+func (q *Queue[T]) Oldest(p model.Priority) (model.Instant, bool) {
+	first := q.list(p).Front()
+	if first == nil {
+		return 0, false
+	}
+	return first.Value.(*Ticket[T]).Entered, true
+}
+
 // oldBatch is the batch request whose turn has come by age: without this
 // floor a steady stream of normal requests would starve batch work. Urgent
 // requests never wait for it.
 func (q *Queue[T]) oldBatch(now model.Instant) *Ticket[T] {
-	first := q.classes[class(model.Batch)].Front()
+	first := q.classes[Class(model.Batch)].Front()
 	if first == nil || q.turns < q.options.AgeingEvery-1 {
 		return nil
 	}
@@ -238,7 +271,7 @@
 }
 
 func (q *Queue[T]) hopeless(t *Ticket[T], position, slots int, now model.Instant) string {
-	if now >= t.Deadline && !q.options.Rules.KeepExpired {
+	if q.Expired(t, now) {
 		return "no slot came free before the deadline"
 	}
 	wait := q.rate.Wait(position, slots)
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -217,13 +217,13 @@
 
 // pickProbe returns an ejected instance whose time out is over, for one
 // request at a time. Urgent requests probe only when nothing else is left.
-func (s *Set) pickProbe(avoid model.InstanceID, p model.Priority, other bool, now model.Instant) *Instance {
-	if s.ejected == 0 || (p == model.Urgent && other) {
+func (s *Set) pickProbe(w Wish, other bool, now model.Instant) *Instance {
+	if s.ejected == 0 || (w.Priority == model.Urgent && other) {
 		return nil
 	}
 	for _, i := range s.listed {
 		h := &i.health
-		if h.ejected && !h.probing && now >= h.probeAt && i.InUse < i.Allowed && i.Upstream.Instance != avoid {
+		if h.ejected && !h.probing && now >= h.probeAt && i.free(w) {
 			return i
 		}
 	}
--- a/internal/balance/set.go
+++ b/internal/balance/set.go
@@ -38,8 +38,10 @@
 // Instance is one upstream with what this entry VM knows of it.
 type Instance struct {
 	Upstream model.Upstream
-	// Allowed is how many slots this entry VM may use now.
+	// Allowed is how many slots this entry VM may use now; Own of them are not
+	// on loan.
 	Allowed int
+	Own     int
 	// InUse is how many it uses; it exceeds Allowed for a while after Allowed
 	// was lowered, because running requests are never cut off.
 	InUse  int
@@ -111,17 +113,26 @@
 // InUse is the number of slots in use at all instances.
 func (s *Set) InUse() int { return s.inUse }
 
+// Wish is what a request asks of the choice.
+type Wish struct {
+	// Avoid is an instance that is not wanted; empty for none.
+	Avoid    model.InstanceID
+	Priority model.Priority
+	// OwnOnly keeps the request off slots that are on loan.
+	OwnOnly bool
+}
+
 // Pick takes a slot at the best instance, or reports that none has one. It
 // compares two instances chosen at random and falls back to all of them.
-func (s *Set) Pick(avoid model.InstanceID, p model.Priority, now model.Instant) (Use, bool) {
+func (s *Set) Pick(w Wish, now model.Instant) (Use, bool) {
 	if len(s.listed) == 1 {
-		avoid = ""
+		w.Avoid = ""
 	}
-	best := s.pickTwo(avoid, now)
+	best := s.pickTwo(w, now)
 	if best == nil {
-		best = s.pickAny(avoid, now)
+		best = s.pickAny(w, now)
 	}
-	if probe := s.pickProbe(avoid, p, best != nil, now); probe != nil {
+	if probe := s.pickProbe(w, best != nil, now); probe != nil {
 		best = probe
 	}
 	if best == nil {
@@ -138,7 +149,7 @@
 	return Use{Instance: i, Started: now, probe: probe, epoch: i.health.epoch}
 }
 
-func (s *Set) pickTwo(avoid model.InstanceID, now model.Instant) *Instance {
+func (s *Set) pickTwo(w Wish, now model.Instant) *Instance {
 	n := len(s.listed)
 	if n < 2 {
 		return nil
@@ -149,13 +160,13 @@
 		second++
 	}
 	a, b := s.listed[first], s.listed[second]
-	if !s.usable(a, avoid, now) || !s.usable(b, avoid, now) {
+	if !s.usable(a, w, now) || !s.usable(b, w, now) {
 		return nil
 	}
 	return s.better(a, b, now)
 }
 
-func (s *Set) pickAny(avoid model.InstanceID, now model.Instant) *Instance {
+func (s *Set) pickAny(w Wish, now model.Instant) *Instance {
 	n := len(s.listed)
 	if n == 0 {
 		return nil
@@ -164,15 +175,24 @@
 	offset := s.random(n)
 	for k := range n {
 		i := s.listed[(offset+k)%n]
-		if s.usable(i, avoid, now) {
+		if s.usable(i, w, now) {
 			best = s.better(best, i, now)
 		}
 	}
 	return best
 }
 
-func (s *Set) usable(i *Instance, avoid model.InstanceID, now model.Instant) bool {
-	return i.InUse < i.Allowed && !i.health.ejected && now >= i.health.busyUntil && i.Upstream.Instance != avoid
+func (s *Set) usable(i *Instance, w Wish, now model.Instant) bool {
+	return i.free(w) && !s.Rests(i, now)
+}
+
+// free reports whether the instance has a slot that suits the wish.
+func (i *Instance) free(w Wish) bool {
+	limit := i.Allowed
+	if w.OwnOnly {
+		limit = i.Own
+	}
+	return i.InUse < limit && i.Upstream.Instance != w.Avoid
 }
 
 // better returns the less loaded instance; on equal load the one in this
@@ -214,13 +234,24 @@
 	}
 }
 
+// Idle is the number of slots at an instance that Pick could hand out now.
+func (s *Set) Idle(i *Instance, now model.Instant) int {
+	if !i.listed || !s.usable(i, Wish{}, now) {
+		return 0
+	}
+	return i.Allowed - i.InUse
+}
+
+// Rests reports whether an instance is ejected or busy.
+func (s *Set) Rests(i *Instance, now model.Instant) bool {
+	return i.health.ejected || now < i.health.busyUntil
+}
+
 // Free is the number of slots that Pick could hand out now.
 func (s *Set) Free(now model.Instant) int {
 	free := 0
 	for _, i := range s.listed {
-		if s.usable(i, "", now) {
-			free += i.Allowed - i.InUse
-		}
+		free += s.Idle(i, now)
 	}
 	return free
 }
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,13 +29,13 @@
 	done func(whole bool)
 }
 
-// errNoRoom says that the budget of buffered bytes is used up.
-var errNoRoom = errors.New("caller: no room for an answer")
-
 // readAnswer reads up to limit bytes of the answer's body. A body that ends
 // within the limit is whole; a cut one is an error.
 func readAnswer(resp *http.Response, limit int64) (*answer, error) {
 	a := &answer{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, done: func(bool) {}}
+	if resp.Body == http.NoBody {
+		return a, nil
+	}
 	size := limit
 	if resp.ContentLength >= 0 && resp.ContentLength < limit {
 		size = resp.ContentLength
--- a/internal/caller/claim.go
+++ b/internal/caller/claim.go
@@ -39,6 +39,10 @@
 		s.answerFromClaim(w, r, q.id, known, digest)
 		return
 	}
+	if !s.gate.pass(s.Now()) {
+		s.writeFailure(w, q.id, overloaded(noClaims, time.Second))
+		return
+	}
 	c := &claiming{server: s, request: q, digest: digest, incarnation: rand.Uint64()}
 	q.beforeSend = c.claim
 	q.answerLimit = max(q.answerLimit, s.limits.KeptBytes)
@@ -138,13 +142,16 @@
 	defer cancel()
 	command := c.command()
 	result, err := c.propose(ctx, command)
+	c.server.gate.note(c.server.Now(), err == nil)
 	switch {
-	case err != nil && errors.Is(err, state.ErrOutcomeUnknown):
+	case errors.Is(err, state.ErrNotProposed):
+		return overloaded(noClaims, time.Second)
+	case err != nil:
+		// Nothing is sent, so not-run is true. The claim may still land; it
+		// is settled as not run then, or its key would stay blocked.
 		c.server.unsettled.Add(1)
-		c.server.settle(settlement{key: c.request.key, incarnation: c.incarnation, claim: &command, verdict: model.NotRun})
+		c.server.settle(settlement{key: c.request.key, incarnation: c.incarnation, claim: &command, state: model.ClaimSettled, verdict: model.NotRun})
 		return overloaded("the key could not be claimed in time", time.Second)
-	case err != nil:
-		return overloaded("the control log takes no claims at present", time.Second)
 	case result.Claim == nil:
 		return overloaded("the key can't be claimed: "+string(result.Refused), time.Second)
 	case !result.Claim.Granted:
@@ -167,6 +174,9 @@
 	}
 }
 
+const noClaims = "the control log takes no claims at present"
+
+// proposePause is the wait between two proposals of one command.
 const proposePause = 20 * time.Millisecond
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/caller/counters.go
+++ b/internal/caller/counters.go
@@ -13,6 +13,9 @@
 	retries      metrics.Counter
 	noBudget     metrics.Counter
 	busy         metrics.Counter
+	silent       metrics.Counter
+	panics       metrics.Counter
+	serverErrors metrics.Counter
 	aborted      metrics.Counter
 	claims       metrics.Counter
 	replayed     metrics.Counter
@@ -28,6 +31,9 @@
 		retries:      metrics.GetOrRegisterCounter("caller.retries", r),
 		noBudget:     metrics.GetOrRegisterCounter("caller.retries.over_budget", r),
 		busy:         metrics.GetOrRegisterCounter("caller.attempts.busy", r),
+		silent:       metrics.GetOrRegisterCounter("caller.attempts.silent", r),
+		panics:       metrics.GetOrRegisterCounter("caller.panics", r),
+		serverErrors: metrics.GetOrRegisterCounter("caller.server_errors", r),
 		aborted:      metrics.GetOrRegisterCounter("caller.answers.aborted", r),
 		claims:       metrics.GetOrRegisterCounter("caller.claims.granted", r),
 		replayed:     metrics.GetOrRegisterCounter("caller.claims.found", r),
--- a/internal/caller/failure.go
+++ b/internal/caller/failure.go
@@ -27,6 +27,8 @@
 	retryAfter time.Duration
 	// gone says that the caller went away, so that nobody reads the answer.
 	gone bool
+	// final says that another try would do no better.
+	final bool
 }
 
 // Error returns the message with the verdict.
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -29,6 +30,10 @@
 	beforeSend func(context.Context) *failure
 	// answerLimit bounds the answer that is read whole.
 	answerLimit int64
+	// streaming says that the answer passes on to the caller while it comes.
+	streaming atomic.Bool
+	// prepaid says that the retry after a silent try is charged already.
+	prepaid atomic.Bool
 }
 
 // keyed reports whether the request must be claimed before it is sent.
--- a/internal/caller/jobs.go
+++ b/internal/caller/jobs.go
@@ -26,7 +26,7 @@
 	Pool     string `json:"pool"`
 	Kind     string `json:"kind"`
 	Priority string `json:"priority"`
-	// Processors is in thousandths of a core, MemoryMB in megabytes.
+	// MilliCPU is in thousandths of a core, MemoryMB in megabytes.
 	MilliCPU     int64 `json:"milli_cpu"`
 	MemoryMB     int64 `json:"memory_mb"`
 	Accelerators int64 `json:"accelerators"`
@@ -203,10 +203,8 @@
 	if in.Team != "" && !knownTeam(site, model.TeamID(in.Team)) {
 		return badJob("team", "allowed are "+strings.Join(teamNames(site), ", "))
 	}
-	for key, v := range map[string]int64{"milli_cpu": in.MilliCPU, "memory_mb": in.MemoryMB, "accelerators": in.Accelerators} {
-		if v < 0 || v > maxAmount {
-			return badJob(key, "must be an amount of at least 0")
-		}
+	if f := in.checkAmounts(); f != nil {
+		return f
 	}
 	if in.MilliCPU == 0 && in.MemoryMB == 0 && in.Accelerators == 0 {
 		return badJob("milli_cpu", "a job must declare processors, memory or accelerators")
@@ -214,6 +212,18 @@
 	return nil
 }
 
+func (in *jobRequest) checkAmounts() *failure {
+	for _, amount := range []struct {
+		key   string
+		value int64
+	}{{"milli_cpu", in.MilliCPU}, {"memory_mb", in.MemoryMB}, {"accelerators", in.Accelerators}} {
+		if amount.value < 0 || amount.value > maxAmount {
+			return badJob(amount.key, "must be an amount of at least 0")
+		}
+	}
+	return nil
+}
+
 func poolNames(site *model.Site) []string {
 	var names []string
 	for i := range site.Pools {
--- a/internal/caller/late.go
+++ b/internal/caller/late.go
@@ -1,12 +1,17 @@
 package caller
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
 )
 
 // maxConfirms bounds the reads that ask the leader at one time.
@@ -53,3 +58,86 @@
 	}
 	s.answerFromClaim(w, r, id, claim, nil)
 }
+
+// answerFromClaim answers a resend, and GET /requests/:key, from the claim.
+// digest is nil when the asker sent no request to compare.
+func (s *Server) answerFromClaim(w http.ResponseWriter, r *http.Request, id string, c *model.Claim, digest []byte) {
+	s.counters.replayed.Inc(1)
+	if digest != nil && !bytes.Equal(digest, c.Digest) {
+		s.writeFailure(w, id, refuseKey(http.StatusUnprocessableEntity, "the key was used for another request"))
+		return
+	}
+	if c.State == model.ClaimRunning && s.ownerLost(c) {
+		c = s.takeOver(r.Context(), c)
+	}
+	switch {
+	case c.State == model.ClaimRunning:
+		s.writeFailure(w, id, stillRunning(digest != nil))
+	case reclaimable(c):
+		s.writeFailure(w, id, wasNotRun(digest != nil))
+	case c.State == model.ClaimUnknown || c.Answer == nil:
+		s.writeFailure(w, id, &failure{status: http.StatusConflict, verdict: model.MayHaveRun,
+			message: "the outcome of the request is unknown, and it will not be run again"})
+	case c.Answer.Dropped:
+		s.writeFailure(w, id, &failure{status: http.StatusGone, verdict: model.Ran,
+			message: fmt.Sprintf("the request ran with status %d; its answer was not kept", c.Answer.Status)})
+	default:
+		s.writeKept(w, r, id, c.Answer)
+	}
+}
+
+func refuseKey(status int, message string) *failure {
+	f := refuseHeader(headerKey, message)
+	f.status = status
+	return f
+}
+
+func stillRunning(resend bool) *failure {
+	f := &failure{status: http.StatusAccepted, verdict: model.MayHaveRun, message: "the request is still running", retryAfter: time.Second}
+	if resend {
+		f.status = http.StatusConflict
+	}
+	return f
+}
+
+func wasNotRun(resend bool) *failure {
+	if resend {
+		return overloaded(noRun, time.Second)
+	}
+	return refuse(http.StatusNotFound, noRun)
+}
+
+const noRun = "the request was not run; it may be sent again under its key"
+
+func (s *Server) writeKept(w http.ResponseWriter, r *http.Request, id string, k *model.KeptAnswer) {
+	header := http.Header{}
+	if k.ContentType != "" {
+		header.Set("Content-Type", k.ContentType)
+	}
+	w.Header().Set(headerKept, "true")
+	s.writeAnswer(w, r, id, &answer{status: k.Status, header: header, body: k.Body, length: int64(len(k.Body)), done: func(bool) {}})
+}
+
+// ownerLost reports a claim whose owner should have settled it by now.
+func (s *Server) ownerLost(c *model.Claim) bool {
+	return s.Now().After(c.Deadline.Time().Add(s.limits.OwnerGrace))
+}
+
+// takeOver ends a claim whose owner was lost as unknown and returns the claim
+// as it is then. On an error the claim is still taken to run.
+func (s *Server) takeOver(ctx context.Context, c *model.Claim) *model.Claim {
+	ctx, cancel := context.WithTimeout(ctx, s.limits.ClaimTimeout)
+	defer cancel()
+	out := settlement{key: c.Key, incarnation: c.Incarnation, state: model.ClaimUnknown, verdict: model.MayHaveRun}
+	command := s.settleCommand(out, true)
+	command.SettleRequest.Owner = c.Owner
+	command.Cause = "the owner did not record an outcome before the deadline"
+	if _, err := s.Log.Propose(ctx, command); err != nil && !errors.Is(err, state.ErrOutcomeUnknown) {
+		return c
+	}
+	s.counters.takeovers.Inc(1)
+	if now := s.Log.Claim(c.Key); now != nil {
+		return now
+	}
+	return c
+}
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -86,10 +87,34 @@
 			_ = c.Close()
 			continue
 		}
+		boundSilence(c)
 		return &callerConn{Conn: c, ip: ip, surplus: surplus, open: l.open}, nil
 	}
 }
 
+const (
+	// callerKeepAlive is the idle time before, and the interval between, TCP
+	// keepalive probes of a caller's connection.
+	callerKeepAlive = 5 * time.Second
+	// callerProbes is how many probes may go unanswered.
+	callerProbes = 3
+	// callerUserTimeout bounds how long an answer may stay unacknowledged.
+	callerUserTimeout = 15 * time.Second
+)
+
+// boundSilence lets the kernel find connections whose other end is gone: a
+// request that runs for a caller who vanished holds a slot until then.
+func boundSilence(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: callerProbes})
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = upstream.SetUserTimeout(raw, callerUserTimeout)
+	}
+}
+
 func remoteIP(c net.Conn) netip.Addr {
 	a, err := netip.ParseAddrPort(c.RemoteAddr().String())
 	if err != nil {
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -4,48 +4,78 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/slots"
-	"github.com/comfreyloom/comfreyloom/internal/upstream"
 )
 
+// trail is what the tries of one request came to so far.
+type trail struct {
+	tries int
+	// last is the instance of the last try; empty before the first.
+	last model.InstanceID
+	// verdict is that over all tries.
+	verdict model.Verdict
+	// fallback is an answer with a server error that another try may better.
+	fallback *answer
+}
+
 // run tries a request until it is answered or given up. Its failure carries
 // the verdict over all tries, not that of the last one.
 func (s *Server) run(ctx context.Context, q *request) (*answer, *failure) {
 	s.budgets.of(q.service.ID).pay()
-	verdict := model.NotRun
-	var avoid model.InstanceID
-	for try := 1; ; try++ {
-		a, instance, f := s.once(ctx, q, avoid)
-		if f == nil {
-			return a, nil
+	t := &trail{}
+	for {
+		a, f := s.once(ctx, q, t)
+		if f != nil && !s.mayRetry(ctx, q, f, t) {
+			return s.giveUp(q, t, f)
 		}
-		verdict = max(verdict, f.verdict)
-		if instance == "" || !s.mayRetry(ctx, q, f, try) {
-			f.verdict = verdict
-			return nil, f
+		if f == nil && !s.mayBetter(ctx, q, a, t) {
+			t.dropFallback()
+			return a, nil
 		}
-		avoid = instance
 	}
 }
 
-// once makes one try. The instance is empty when none was tried.
-func (s *Server) once(ctx context.Context, q *request, avoid model.InstanceID) (*answer, model.InstanceID, *failure) {
-	grant, f := s.acquire(ctx, q, avoid)
+// giveUp ends a request without a further try.
+func (s *Server) giveUp(q *request, t *trail, f *failure) (*answer, *failure) {
+	if t.fallback != nil {
+		return t.fallback, nil
+	}
+	s.checkVerdict(q, t, f)
+	f.verdict = max(f.verdict, t.verdict)
+	return nil, f
+}
+
+func (t *trail) dropFallback() {
+	if t.fallback != nil {
+		t.fallback.done(true)
+	}
+}
+
+// once makes one try. Its failure has no verdict over the earlier ones.
+func (s *Server) once(ctx context.Context, q *request, t *trail) (*answer, *failure) {
+	grant, f := s.acquire(ctx, q, t.last)
 	if f != nil {
-		return nil, "", f
+		f.final = true
+		return nil, f
 	}
 	if q.beforeSend != nil {
 		if f := q.beforeSend(ctx); f != nil {
 			grant.Release(slots.Abandoned)
-			return nil, "", f
+			f.final = true
+			return nil, f
 		}
 	}
-	a, f := s.attempt(ctx, q, grant)
-	return a, grant.Upstream.Instance, f
+	s.checkSingle(q, t)
+	t.tries++
+	t.last = grant.Upstream.Instance
+	a, f := s.attempt(ctx, q, t, grant)
+	if f != nil {
+		t.verdict = max(t.verdict, f.verdict)
+	}
+	return a, f
 }
 
 // acquire waits for a slot. All its failures are not-run.
@@ -83,138 +113,51 @@
 	}
 }
 
-// attempt sends the request to one instance and reads its answer.
-func (s *Server) attempt(ctx context.Context, q *request, grant *slots.Grant) (*answer, *failure) {
-	began := s.Now()
-	resp, sent, err := s.Sender.Send(ctx, grant.Upstream, s.outgoing(q))
-	if err != nil {
-		grant.Release(outcomeOf(err))
-		return nil, failureOf(err, sent)
-	}
-	if f := busy(resp); f != nil {
-		s.counters.busy.Inc(1)
-		grant.Release(slots.Busy)
-		return nil, f
-	}
-	a, f := s.receive(q, resp)
-	if f != nil {
-		grant.Release(slots.Failed)
-		return nil, f
-	}
-	s.latency.of(q.service.ID).add(s.Now().Sub(began))
-	s.releaseWith(a, grant)
-	return a, nil
-}
-
-// releaseWith gives the slot back as soon as the upstream is done: a caller
-// that is slow to take a whole answer holds no slot.
-func (s *Server) releaseWith(a *answer, grant *slots.Grant) {
-	if a.stream == nil {
-		grant.Release(outcomeOfAnswer(a, true))
-		return
-	}
-	release := a.done
-	a.done = func(whole bool) {
-		release(whole)
-		grant.Release(outcomeOfAnswer(a, whole))
-	}
-}
-
-func (s *Server) outgoing(q *request) *upstream.Request {
-	out := &upstream.Request{
-		ID:           q.id,
-		Method:       q.method,
-		URL:          q.url,
-		Host:         q.host,
-		Header:       q.header,
-		Length:       q.body.length,
-		SuspectAfter: s.latency.of(q.service.ID).suspect(),
-	}
-	if q.body.length != 0 {
-		out.Body = q.body.reader
-	}
-	return out
-}
-
-// busy recognises an upstream that refused for lack of capacity and promises
-// that it did not run the request.
-func busy(resp *http.Response) *failure {
-	if resp.StatusCode != http.StatusServiceUnavailable {
-		return nil
-	}
-	v, ok := model.ParseVerdict(resp.Header.Get(model.VerdictHeader))
-	if !ok || v != model.NotRun {
-		return nil
-	}
-	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
-	_, _ = readUpTo(make([]byte, 0, smallBuffer), resp.Body, smallBuffer-1)
-	_ = resp.Body.Close()
-	return overloaded("the instance is busy", time.Duration(seconds)*time.Second)
-}
-
-// receive reads the beginning of an answer, or all of it.
-func (s *Server) receive(q *request, resp *http.Response) (*answer, *failure) {
-	limit := q.answerLimit
-	if resp.ContentLength >= 0 {
-		limit = min(limit, resp.ContentLength)
-	}
-	if !s.buffers.take(limit) {
-		_ = resp.Body.Close()
-		return nil, failureOf(errNoRoom, upstream.MaybeSent)
-	}
-	a, err := readAnswer(resp, q.answerLimit)
-	if err != nil {
-		s.buffers.give(limit)
-		_ = resp.Body.Close()
-		return nil, failureOf(err, upstream.MaybeSent)
+// mayRetry decides whether a failed try may be followed by another: only if
+// a second run does no harm, another instance may do better, and the caller
+// still waits.
+func (s *Server) mayRetry(ctx context.Context, q *request, f *failure, t *trail) bool {
+	harmless := q.idempotent || t.verdict == model.NotRun
+	if f.final || f.gone || !harmless || !q.body.resendable() {
+		return false
 	}
-	a.done = func(bool) { s.buffers.give(limit) }
-	return a, nil
+	return s.mayTryAgain(ctx, q, t)
 }
 
-// failureOf turns the error of a try into a verdict.
-func failureOf(err error, sent upstream.SentState) *failure {
-	f := &failure{status: http.StatusBadGateway, verdict: model.MayHaveRun, message: "no whole answer came from the instance"}
-	if sent == upstream.NotSent {
-		f = overloaded("the instance can't be reached", time.Second)
-	}
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		f.status = http.StatusGatewayTimeout
-		f.message = "no answer came in time"
-	case errors.Is(err, context.Canceled):
-		f.gone = true
+// mayBetter keeps a server error for the case that no other try does better,
+// and reports whether to try. It does so once for a request.
+func (s *Server) mayBetter(ctx context.Context, q *request, a *answer, t *trail) bool {
+	if !q.idempotent || a.stream != nil || t.fallback != nil || !serverError(a.status) {
+		return false
 	}
-	return f
-}
-
-func outcomeOf(err error) slots.Outcome {
-	if errors.Is(err, context.Canceled) {
-		return slots.Abandoned
+	if !q.body.resendable() || !s.mayTryAgain(ctx, q, t) {
+		return false
 	}
-	return slots.Failed
+	t.fallback = a
+	return true
 }
 
-func outcomeOfAnswer(a *answer, whole bool) slots.Outcome {
-	switch {
-	case a.status >= http.StatusInternalServerError:
-		return slots.Failed
-	case !whole:
-		return slots.Abandoned
+func serverError(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
 	default:
-		return slots.Answered
+		return false
 	}
 }
 
-// mayRetry decides whether a failed try may be followed by another.
-func (s *Server) mayRetry(ctx context.Context, q *request, f *failure, try int) bool {
-	harmless := q.idempotent || f.verdict == model.NotRun
-	if !harmless || !q.body.resendable() || f.gone || ctx.Err() != nil {
+// mayTryAgain checks what bounds every retry and charges the budget.
+func (s *Server) mayTryAgain(ctx context.Context, q *request, t *trail) bool {
+	if ctx.Err() != nil || t.tries >= s.limits.Attempts {
 		return false
 	}
-	if try >= s.limits.Attempts {
-		return false
+	if q.prepaid.Swap(false) {
+		return true
 	}
+	return s.chargeRetry(q)
+}
+
+func (s *Server) chargeRetry(q *request) bool {
 	if !s.budgets.of(q.service.ID).take() {
 		s.counters.noBudget.Inc(1)
 		return false
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -1,39 +1,81 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	golog "log"
 	"net"
 	"net/http"
+	"runtime/debug"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
 )
 
+// lingerFor bounds the wait, after the listener is closed, for callers to end
+// the connections that they keep open.
+const lingerFor = time.Second
+
+// lingerPause is how often open connections are looked at meanwhile.
+const lingerPause = 10 * time.Millisecond
+
 func (s *Server) newHTTPServer() *http.Server {
 	return &http.Server{
-		Handler:           marked(s.routes()),
+		Handler:           s.guarded(s.routes()),
 		ReadHeaderTimeout: s.limits.HeaderTimeout,
 		IdleTimeout:       s.limits.IdleTimeout,
 		MaxHeaderBytes:    s.limits.MaxHeaderBytes,
 		ConnContext:       withConn,
 		ConnState:         noteState,
-		ErrorLog:          nil,
+		ErrorLog:          golog.New(serverErrors{s}, "", 0),
 	}
 }
 
-// marked notes on the connection that a handler has taken over.
-func marked(next http.Handler) http.Handler {
+// serverErrors counts what net/http would write to its log.
+type serverErrors struct{ s *Server }
+
+// Write counts one message.
+func (e serverErrors) Write(p []byte) (int, error) {
+	e.s.counters.serverErrors.Inc(1)
+	e.s.Logger.Debugf("callers: %s", bytes.TrimSpace(p))
+	return len(p), nil
+}
+
+// guarded surrounds every handler: it notes on the connection that a handler
+// has taken over, bounds the arrival of a body even if nobody reads it, and
+// turns a panic into a cut connection, which promises nothing.
+func (s *Server) guarded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		markServed(r)
+		if r.ContentLength != 0 {
+			setReadDeadline(w, time.Now().Add(s.limits.BodyTimeout))
+		}
+		defer s.contain()
 		next.ServeHTTP(w, r)
 	})
 }
 
+func (s *Server) contain() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		s.counters.panics.Inc(1)
+		s.Logger.Errorf("callers: panic: %v\n%s", cause, debug.Stack())
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Serve accepts callers on l until Drain; it returns nil after a drain.
 func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
 	err := s.http.Serve(&listener{Listener: l, open: s.open})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return oops.In("caller").Wrapf(err, "listener of callers")
@@ -50,19 +92,39 @@
 	duties.Wait()
 }
 
-// Drain stops gracefully: readiness goes off, the balancer gets time to see
-// it, then no more is accepted and every request in progress ends by itself.
-// It returns an error if ctx ends first.
+// Drain stops gracefully: readiness goes off and each answer asks its caller
+// to close the connection; after BalancerDelay no more is accepted; then every
+// request in progress ends by itself. It returns an error if ctx ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	s.Logger.Info("callers: draining")
 	pause(ctx, s.BalancerDelay)
+	s.closeListeners()
+	s.linger(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		return oops.In("caller").Wrapf(err, "requests were still in progress")
 	}
 	return s.waitSettled(ctx)
 }
 
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+}
+
+// linger serves on the open connections for a while. Shutdown closes the idle
+// ones at once, and a request that is just arriving on one would be cut.
+func (s *Server) linger(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lingerFor)
+	defer cancel()
+	for s.open.open() > 0 && ctx.Err() == nil {
+		pause(ctx, lingerPause)
+	}
+}
+
 // waitSettled waits until the outcome of every claim of ours is recorded.
 func (s *Server) waitSettled(ctx context.Context) error {
 	settled := make(chan struct{})
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	budgets  retryBudgets
 	latency  latencies
 	buffers  budget
+	gate     claimGate
 	active   atomic.Int64
 	site     siteCache
 	confirms chan struct{}
@@ -67,6 +69,8 @@
 	mu         sync.Mutex
 	conditions []Condition
 	open       *openConns
+	broken     []string
+	listeners  []net.Listener
 }
 
 // New returns a server; Run must run for claims and cancellations to end.
--- a/internal/slots/config.go
+++ b/internal/slots/config.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/balance"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/registry"
+	"github.com/comfreyloom/comfreyloom/internal/slots/lending"
 )
 
 // Services is the part of the desired state that a dispatcher needs.
@@ -30,6 +31,14 @@
 	Members  func() []model.NodeID
 	Registry *registry.Registry
 	Services Services
+	// Peer reaches the other entry VMs; nil keeps to static shares.
+	Peer Peer
+	// Incarnation grows with each process of this entry VM; 0 takes the clock.
+	Incarnation uint64
+	// ReclaimAfter is when the others use the share of an entry VM that is
+	// lost; 0 takes DefaultReclaimAfter, a negative value means never.
+	ReclaimAfter time.Duration
+	Lending      lending.Options
 	// Now is a clock that never steps; nil takes a monotonic one that starts
 	// at the wall clock.
 	Now func() model.Instant
@@ -54,6 +63,12 @@
 	if c.Now == nil {
 		c.Now = Clock()
 	}
+	if c.Incarnation == 0 {
+		c.Incarnation = uint64(c.Now())
+	}
+	if c.ReclaimAfter == 0 {
+		c.ReclaimAfter = DefaultReclaimAfter
+	}
 	if c.Random == nil {
 		c.Random = rand.IntN
 	}
--- a/internal/slots/desk.go
+++ b/internal/slots/desk.go
@@ -8,9 +8,11 @@
 	"github.com/comfreyloom/comfreyloom/internal/admission"
 	"github.com/comfreyloom/comfreyloom/internal/balance"
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/slots/lending"
 )
 
-// desk hands out the slots of one service at this entry VM.
+// desk is the core of one service with its lock, its parked replies and its
+// calls to other entry VMs.
 type desk struct {
 	dispatcher *Dispatcher
 	id         model.ServiceID
@@ -18,127 +20,135 @@
 	dropped atomic.Bool
 
 	mu       sync.Mutex
-	service  model.Service
-	set      *balance.Set
-	queue    *admission.Queue[*waiter]
+	core     *core
 	revision uint64
-	fresh    bool
+	parked   map[model.NodeID]parked
 }
 
-// waiter is one Acquire that waits in the queue. Its answer comes exactly once.
-type waiter struct {
-	ask    Ask
-	answer chan answer
+// parked is a borrower's call that waits for its reply.
+type parked struct {
+	incarnation uint64
+	number      uint64
+	reply       chan lending.Reply
 }
 
+// answer is what a request in the queue gets.
 type answer struct {
-	grant *Grant
-	use   balance.Use
-	err   error
+	use     balance.Use
+	refusal *admission.Refusal
 }
 
 func newDesk(d *Dispatcher, service model.Service) *desk {
-	return &desk{
-		dispatcher: d,
-		id:         service.ID,
-		service:    service,
-		set:        balance.New(d.config.Balance, d.config.Zone, d.config.Random),
-		queue:      admission.NewQueue[*waiter](d.config.Admission),
-	}
-}
-
-// acquire grants at once, refuses at once, or waits in the queue.
-func (k *desk) acquire(ctx context.Context, ask Ask) (*Grant, error) {
+	c := d.config
+	k := &desk{dispatcher: d, id: service.ID, parked: map[model.NodeID]parked{}}
+	now := c.Now()
+	k.core = newCore(coreConfig{
+		self: c.Self, zone: c.Zone, nodes: c.Nodes, incarnation: c.Incarnation,
+		lending: c.Lending, admission: c.Admission, balance: c.Balance, random: c.Random,
+		lend: c.Peer != nil && len(c.Nodes) > 1, reclaimAfter: c.ReclaimAfter,
+	}, service, now)
+	k.core.started = d.started
+	k.core.members(c.Members(), now)
+	k.load(now)
+	return k
+}
+
+// load takes in the announced instances.
+func (k *desk) load(now model.Instant) {
+	registry := k.dispatcher.config.Registry
+	k.revision = registry.Revision()
+	k.core.update(k.core.service, registry.Serving(k.id), now)
+}
+
+// step runs f on the core and does what the core asks for.
+func (k *desk) step(f func(now model.Instant)) {
 	now := k.dispatcher.config.Now()
 	k.mu.Lock()
-	k.refresh(now)
-	if grant := k.grantNow(ask, now); grant != nil {
-		k.mu.Unlock()
-		return grant, nil
+	if k.dispatcher.config.Registry.Revision() != k.revision {
+		k.load(now)
 	}
-	ticket, err := k.enqueue(ask, now)
+	f(now)
+	out := k.core.take()
+	again := k.core.again
+	k.deliver(out.answers)
 	k.mu.Unlock()
-	if err != nil {
-		return nil, err
+	for _, s := range out.sends {
+		k.call(s)
 	}
-	select {
-	case a := <-ticket.Value.answer:
-		return a.grant, a.err
-	case <-ctx.Done():
-		return nil, k.abandon(ticket, ctx.Err())
+	if again {
+		k.dispatcher.hurry()
 	}
 }
 
-// grantNow takes a free slot, unless a request of the same or a higher
-// priority waits for it already.
-func (k *desk) grantNow(ask Ask, now model.Instant) *Grant {
-	if now >= ask.Deadline {
-		return nil
-	}
-	for p := ask.Priority; p <= model.Urgent; p++ {
-		if k.queue.Waiting(p) > 0 {
-			return nil
+// deliver hands replies to the calls that wait for them.
+func (k *desk) deliver(answers []lending.Answer) {
+	for _, a := range answers {
+		waiting, ok := k.parked[a.Node]
+		if ok && waiting.incarnation == a.Incarnation && waiting.number == a.Number {
+			waiting.reply <- a.Reply
+			delete(k.parked, a.Node)
 		}
 	}
-	use, ok := k.set.Pick(ask.Avoid, ask.Priority, now)
-	if !ok {
-		return nil
-	}
-	return k.grant(ask, use)
 }
 
-func (k *desk) enqueue(ask Ask, now model.Instant) (*admission.Ticket[*waiter], error) {
-	counters := k.dispatcher.counters
-	if len(k.set.Listed()) == 0 {
-		counters.refused.Inc(1)
-		return nil, &Rejection{Reason: "no instance of the service serves", RetryAfter: noInstanceRetry}
-	}
-	ticket := &admission.Ticket[*waiter]{
-		Value:    &waiter{ask: ask, answer: make(chan answer, 1)},
-		Priority: ask.Priority,
-		Deadline: ask.Deadline,
+// acquire grants at once, refuses at once, or waits in the queue.
+func (k *desk) acquire(ctx context.Context, ask Ask) (*Grant, error) {
+	if grant := k.acquireNow(ask); grant != nil {
+		return grant, nil
 	}
-	refusal, shed := k.queue.Offer(ticket, k.slots(), k.service.QueueLimit, now)
-	if shed != nil {
-		counters.shed.Inc(1)
-		k.reject(*shed)
+	answers := make(chan answer, 1)
+	w := &waiter{ask: ask, answer: func(u balance.Use, r *admission.Refusal) { answers <- answer{u, r} }}
+	var got answer
+	var t *ticket
+	k.step(func(now model.Instant) { got.use, t, got.refusal = k.core.ask(w, now) })
+	if t != nil {
+		k.dispatcher.counters.queued.Inc(1)
+		select {
+		case got = <-answers:
+		case <-ctx.Done():
+			return nil, k.abandon(t, answers, ctx.Err())
+		}
 	}
-	if refusal != nil {
-		counters.refused.Inc(1)
-		return nil, &Rejection{Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+	if got.refusal != nil {
+		k.dispatcher.counters.refuse(t != nil)
+		return nil, &Rejection{Reason: got.refusal.Reason, RetryAfter: got.refusal.RetryAfter}
 	}
-	counters.queued.Inc(1)
-	return ticket, nil
+	return k.grant(ask, got.use), nil
 }
 
-// reject gives a request that left the queue unrun its final answer at once.
-func (k *desk) reject(dropped admission.Dropped[*waiter]) {
-	rejection := &Rejection{Reason: dropped.Refusal.Reason, RetryAfter: dropped.Refusal.RetryAfter}
-	dropped.Ticket.Value.answer <- answer{err: rejection}
+// acquireNow is the short way of a request that needs not wait.
+func (k *desk) acquireNow(ask Ask) *Grant {
+	config := &k.dispatcher.config
+	now := config.Now()
+	k.mu.Lock()
+	if config.Registry.Revision() != k.revision {
+		k.mu.Unlock()
+		return nil
+	}
+	use, ok := k.core.grantNow(ask, now)
+	k.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return k.grant(ask, use)
 }
 
 // abandon takes a request whose caller went away out of the queue. A grant
 // that came at the same moment goes back.
-func (k *desk) abandon(t *admission.Ticket[*waiter], cause error) error {
-	k.mu.Lock()
-	waited := k.queue.Remove(t)
-	k.mu.Unlock()
+func (k *desk) abandon(t *ticket, answers <-chan answer, cause error) error {
 	k.dispatcher.counters.abandoned.Inc(1)
+	waited := false
+	k.step(func(model.Instant) { waited = k.core.cancel(t) })
 	if waited {
 		return cause
 	}
-	a := <-t.Value.answer
-	if a.grant != nil {
-		k.free(a.use, Abandoned)
+	if got := <-answers; got.refusal == nil {
+		k.free(got.use, Abandoned)
 	}
 	return cause
 }
 
-// slots is how many requests of the service run at once through this entry VM
-// when all its slots are in use.
-func (k *desk) slots() int { return max(k.set.InUse(), 1) }
-
-// grant wraps a slot in use. Releasing it serves the queue.
+// grant wraps a slot in use. Only the first release counts.
 func (k *desk) grant(ask Ask, use balance.Use) *Grant {
 	k.dispatcher.counters.granted.Inc(1)
 	var released atomic.Bool
@@ -152,98 +162,32 @@
 	})
 }
 
-// free gives a slot back and serves the queue.
+// free gives a slot back.
 func (k *desk) free(use balance.Use, o Outcome) {
-	now := k.dispatcher.config.Now()
 	k.dispatcher.counters.outcome(o)
-	k.mu.Lock()
-	k.set.Done(use, o, now)
-	k.queue.Rate().Observe(now.Sub(use.Started))
-	k.serve(now)
-	k.mu.Unlock()
-}
-
-// maxSkips bounds how many waiting requests are passed over because the only
-// free slot is at the instance which they avoid.
-const maxSkips = 8
-
-// serve grants free slots to the queue, in its order.
-func (k *desk) serve(now model.Instant) {
-	if k.queue.Len() == 0 {
-		return
-	}
-	skips := 0
-	again := true
-	for again {
-		again = false
-		k.queue.Each(now, func(t *admission.Ticket[*waiter]) bool {
-			if now >= t.Deadline {
-				return true
-			}
-			use, ok := k.set.Pick(t.Value.ask.Avoid, t.Priority, now)
-			if !ok {
-				skips++
-				return t.Value.ask.Avoid != "" && skips < maxSkips
-			}
-			k.queue.Take(t)
-			t.Value.answer <- answer{grant: k.grant(t.Value.ask, use), use: use}
-			again = true
-			return false
-		})
-	}
+	k.step(func(now model.Instant) { k.core.done(use, o, now) })
 }
 
-// tick takes in changes, drops what can't run any more and serves the queue.
-func (k *desk) tick() {
-	now := k.dispatcher.config.Now()
+// tick takes in the manifest and the members, and moves time on.
+func (k *desk) tick(members []model.NodeID) {
 	service, known := k.dispatcher.config.Services.Service(k.id)
 	k.dropped.Store(!known)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if known && !k.sameLimits(service) {
-		k.fresh = false
-	}
-	if known {
-		k.service = service
-	}
-	k.refresh(now)
-	for _, dropped := range k.queue.Sweep(k.slots(), now) {
-		k.dispatcher.counters.expired.Inc(1)
-		k.reject(dropped)
-	}
-	k.serve(now)
-	k.check()
-}
-
-func (k *desk) sameLimits(s model.Service) bool {
-	return s.Slots == k.service.Slots && s.Connections == k.service.Connections
-}
-
-// refresh takes in the announced instances when they changed.
-func (k *desk) refresh(now model.Instant) {
-	revision := k.dispatcher.config.Registry.Revision()
-	if k.fresh && revision == k.revision {
-		return
-	}
-	k.fresh = true
-	k.revision = revision
-	k.set.Update(k.dispatcher.config.Registry.Serving(k.id), now)
-	for _, i := range k.set.Listed() {
-		i.Allowed = k.share(i.Upstream)
-	}
-}
-
-// share is this entry VM's static share of an instance's slots.
-func (k *desk) share(u model.Upstream) int {
-	limit := min(k.service.Slots, u.Slots)
-	key := string(u.Service) + "/" + string(u.Instance)
-	return balance.Share(limit, k.dispatcher.config.Nodes, k.dispatcher.config.Self, key)
-}
-
-// check counts and logs broken invariants.
-func (k *desk) check() {
-	for _, what := range append(k.set.Check(), k.queue.Check()...) {
+	var broken []string
+	k.step(func(now model.Instant) {
+		if known && changed(service, k.core.service) {
+			k.core.update(service, k.dispatcher.config.Registry.Serving(k.id), now)
+		}
+		k.core.members(members, now)
+		k.core.tick(now)
+		broken = k.core.check()
+	})
+	for _, what := range broken {
 		k.dispatcher.counters.broken.Inc(1)
 		k.dispatcher.config.Log.WithField("service", string(k.id)).Error("invariant broken: " + what)
 	}
 }
+
+// changed compares what the core uses of a service.
+func changed(a, b model.Service) bool {
+	return a.Slots != b.Slots || a.Connections != b.Connections || a.QueueLimit != b.QueueLimit || a.Timeout != b.Timeout
+}
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/comfreyloom/comfreyloom/internal/admission"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
@@ -17,6 +19,9 @@
 // instances serves: an instance that starts announces itself within it.
 const noInstanceRetry = 3 * time.Second
 
+// stopGrace is how long a stop waits for the calls that give back loans.
+const stopGrace = 300 * time.Millisecond
+
 // Dispatcher is the Broker of one entry VM.
 type Dispatcher struct {
 	config   Config
@@ -25,6 +30,17 @@
 	mu    sync.RWMutex
 	desks map[model.ServiceID]*desk
 
+	// ctx bounds the calls to other entry VMs.
+	ctx    context.Context
+	cancel context.CancelFunc
+	calls  conc.WaitGroup
+	// stopped says that no more calls may start.
+	callsMu sync.Mutex
+	stopped bool
+	// soon holds one token while a tick is wanted early.
+	soon    chan struct{}
+	started model.Instant
+
 	quotaMu sync.Mutex
 	quota   *admission.Quota
 }
@@ -34,34 +50,83 @@
 // New returns a dispatcher; Run must be called for its duties.
 func New(c Config) *Dispatcher {
 	c = c.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Dispatcher{
 		config:   c,
+		ctx:      ctx,
+		cancel:   cancel,
+		soon:     make(chan struct{}, 1),
+		started:  c.Now(),
 		counters: newCounters(c.Metrics),
 		desks:    map[model.ServiceID]*desk{},
 		quota:    admission.NewQuota(),
 	}
 }
 
-// Run sweeps the queues until ctx ends.
+// Run moves the queues and loans on until ctx ends. Then it gives back what is
+// borrowed and ends the calls to other entry VMs.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer d.stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			d.Tick()
+		case <-d.soon:
+			time.Sleep(d.config.Lending.WithDefaults().Spacing)
+			d.Tick()
 		}
 	}
 }
 
-// Tick sweeps the queues and takes in changes of the manifest and the registry.
+// hurry asks for a tick before the next regular one.
+func (d *Dispatcher) hurry() {
+	select {
+	case d.soon <- struct{}{}:
+	default:
+	}
+}
+
+// stop gives back what is borrowed and leaves the own share to the others, for
+// a moment, and ends all calls.
+func (d *Dispatcher) stop() {
+	d.mu.RLock()
+	for _, k := range d.desks {
+		k.step(func(now model.Instant) {
+			k.core.giveBackAll(now)
+			k.core.bequeath()
+		})
+	}
+	d.mu.RUnlock()
+	d.callsMu.Lock()
+	d.stopped = true
+	d.callsMu.Unlock()
+	timer := time.AfterFunc(stopGrace, d.cancel)
+	defer timer.Stop()
+	defer d.cancel()
+	d.calls.Wait()
+}
+
+// start runs a call to another entry VM, unless the dispatcher stopped.
+func (d *Dispatcher) start(call func()) {
+	d.callsMu.Lock()
+	defer d.callsMu.Unlock()
+	if !d.stopped {
+		d.calls.Go(call)
+	}
+}
+
+// Tick takes in changes of the manifest, the members and the registry, and
+// moves the queues and loans on.
 func (d *Dispatcher) Tick() {
+	members := d.config.Members()
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	for _, desk := range d.desks {
-		desk.tick()
+		desk.tick(members)
 	}
 }
 
--- /dev/null
+++ b/internal/slots/lending/ledger.go
@@ -0,0 +1,342 @@
+package lending
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// Ledger is the lender's side: which of its own slots are lent, and who wants more.
+type Ledger struct {
+	options   Options
+	borrowers map[model.NodeID]*borrower
+	// order lists the borrowers by name, so that every run decides the same.
+	order  []*borrower
+	lent   map[model.InstanceID]int
+	total  int
+	wanted int
+}
+
+// borrower is what the lender knows of one entry VM.
+type borrower struct {
+	node        model.NodeID
+	incarnation uint64
+	number      uint64
+	// counted is what it may have in use, allowed what it may start work on.
+	counted map[model.InstanceID]int
+	allowed map[model.InstanceID]int
+	total   int
+	wanted  [Classes]int
+	since   [Classes]model.Instant
+	avoid   []model.InstanceID
+	run     time.Duration
+	// lapses is when the leases end, ends when the requests on them have.
+	lapses model.Instant
+	ends   model.Instant
+	// urgentUntil is when the urgent demand is dropped.
+	urgentUntil model.Instant
+	// parked says that a request waits for its reply, until parkedUntil.
+	parked      bool
+	parkedUntil model.Instant
+	// offered says that the reply should go out now.
+	offered bool
+	// recalled is how many slots it was told to give back and has not yet.
+	recalled int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(o Options) *Ledger {
+	return &Ledger{options: o.WithDefaults(), borrowers: map[model.NodeID]*borrower{}, lent: map[model.InstanceID]int{}}
+}
+
+// Lent is how many slots of an instance count as lent.
+func (l *Ledger) Lent(i model.InstanceID) int { return l.lent[i] }
+
+// Total is how many slots count as lent at all instances.
+func (l *Ledger) Total() int { return l.total }
+
+// Receive takes in a request. What the borrower holds is as it says; its
+// demand is kept until the reply goes out. The error is ErrStale.
+func (l *Ledger) Receive(r Request, now model.Instant) error {
+	if err := l.Check(r); err != nil {
+		return err
+	}
+	b := l.borrowers[r.Borrower]
+	if b == nil {
+		b = l.open(r.Borrower)
+	}
+	b.incarnation = r.Incarnation
+	b.number = r.Number
+	l.count(b, r.Held)
+	b.run = span(r.RunMS)
+	b.avoid = r.Avoid
+	l.want(b, r.Wanted)
+	for c, ms := range r.OldestMS {
+		b.since[c] = now.Add(-span(ms))
+	}
+	b.urgentUntil = now.Add(urgentLife * l.options.Spacing)
+	b.parked = true
+	b.parkedUntil = now.Add(min(span(r.WaitMS), l.options.Park))
+	b.offered = r.WaitMS <= 0
+	l.extend(b, now)
+	return nil
+}
+
+// Check reports ErrStale for a request that was overtaken by a later one.
+func (l *Ledger) Check(r Request) error {
+	b := l.borrowers[r.Borrower]
+	if b != nil && !l.options.Rules.TakeStale && stale(b, r) {
+		return ErrStale
+	}
+	return nil
+}
+
+// stale reports whether the request was sent before one that came already. A
+// late copy would tell of slots that were given back, or hide some that were
+// granted since.
+func stale(b *borrower, r Request) bool {
+	if r.Incarnation != b.incarnation {
+		return r.Incarnation < b.incarnation
+	}
+	return r.Number <= b.number
+}
+
+// Adopt counts slots that a borrower says it holds of an earlier process here.
+func (l *Ledger) Adopt(node model.NodeID, d Debt, now model.Instant) {
+	b := l.borrowers[node]
+	if b == nil {
+		b = l.open(node)
+	}
+	if stale(b, Request{Incarnation: d.Incarnation, Number: d.Number + 1}) {
+		return // A later request told of it already.
+	}
+	b.incarnation = d.Incarnation
+	b.number = d.Number
+	b.run = span(d.RunMS)
+	l.count(b, d.Held)
+	l.extend(b, now)
+}
+
+func (l *Ledger) open(node model.NodeID) *borrower {
+	b := &borrower{node: node}
+	l.borrowers[node] = b
+	l.order = append(l.order, b)
+	slices.SortFunc(l.order, func(a, b *borrower) int { return cmp.Compare(a.node, b.node) })
+	return b
+}
+
+// count makes held what the borrower has.
+func (l *Ledger) count(b *borrower, held []Holding) {
+	for i, n := range b.counted {
+		l.lent[i] -= n
+		if l.lent[i] == 0 {
+			delete(l.lent, i)
+		}
+	}
+	l.total -= b.total
+	b.counted = map[model.InstanceID]int{}
+	b.allowed = map[model.InstanceID]int{}
+	b.total = 0
+	b.recalled = 0
+	for _, h := range held {
+		if h.Slots <= 0 {
+			continue
+		}
+		b.counted[h.Instance] += h.Slots
+		b.allowed[h.Instance] += h.Usable
+		l.lent[h.Instance] += h.Slots
+		b.total += h.Slots
+		b.recalled += h.Slots - h.Usable
+	}
+	l.total += b.total
+}
+
+func (l *Ledger) want(b *borrower, wanted [Classes]int) {
+	for c := range wanted {
+		l.wanted += wanted[c] - b.wanted[c]
+	}
+	b.wanted = wanted
+}
+
+// extend counts the leases from now.
+func (l *Ledger) extend(b *borrower, now model.Instant) {
+	b.lapses = now.Add(l.options.Lease)
+	b.ends = max(b.ends, b.lapses.Add(b.run))
+	if l.options.Rules.FreeAtLapse {
+		b.ends = b.lapses
+	}
+}
+
+// DropUrgent forgets the urgent demand that is too old to be still there.
+func (l *Ledger) DropUrgent(now model.Instant) {
+	if l.wanted == 0 {
+		return
+	}
+	for _, b := range l.order {
+		if b.wanted[Classes-1] > 0 && now >= b.urgentUntil {
+			wanted := b.wanted
+			wanted[Classes-1] = 0
+			l.want(b, wanted)
+		}
+	}
+}
+
+// Demand is the best unmet demand of the borrowers whose reply is held.
+type Demand struct {
+	Node  model.NodeID
+	Class int
+	Since model.Instant
+}
+
+// Best returns the highest class that is wanted, and within it the longest
+// wait. Skip names borrowers to pass over.
+func (l *Ledger) Best(skip map[model.NodeID]bool) (Demand, bool) {
+	var best Demand
+	found := false
+	if l.wanted == 0 {
+		return best, false
+	}
+	for _, b := range l.order {
+		c := b.class()
+		if c < 0 || !b.parked || skip[b.node] {
+			continue
+		}
+		if !found || c > best.Class || (c == best.Class && b.since[c] < best.Since) {
+			best = Demand{b.node, c, b.since[c]}
+			found = true
+		}
+	}
+	return best, found
+}
+
+// class is the highest class that the borrower wants; -1 for none.
+func (b *borrower) class() int {
+	for c := Classes - 1; c >= 0; c-- {
+		if b.wanted[c] > 0 {
+			return c
+		}
+	}
+	return -1
+}
+
+// Avoids reports whether a borrower has no use for an instance.
+func (l *Ledger) Avoids(node model.NodeID, i model.InstanceID) bool {
+	return slices.Contains(l.borrowers[node].avoid, i)
+}
+
+// Lend gives one slot to a borrower whose reply is held.
+func (l *Ledger) Lend(d Demand, i model.InstanceID) {
+	b := l.borrowers[d.Node]
+	b.counted[i]++
+	b.allowed[i]++
+	b.total++
+	b.wanted[d.Class]--
+	b.offered = true
+	l.lent[i]++
+	l.total++
+	l.wanted--
+}
+
+// Recall takes back up to need slots for a request of class that waits since
+// an instant, from borrowers whose reply is held and whose own requests don't
+// go before it. Slots in use come back when their requests end. It returns how
+// many are on their way back. Nothing is taken from the borrower except, for
+// which the slots are called back.
+func (l *Ledger) Recall(class int, since model.Instant, need int, except model.NodeID) int {
+	coming := 0
+	for _, b := range l.order {
+		coming += b.recalled
+	}
+	for _, b := range l.order {
+		if coming >= need {
+			break
+		}
+		if b.offered {
+			continue // What was just lent to it must get there first.
+		}
+		theirs := b.class()
+		if !b.parked || b.node == except || theirs > class || (theirs == class && b.since[theirs] < since) {
+			continue
+		}
+		coming += b.recall(need - coming)
+	}
+	return coming
+}
+
+func (b *borrower) recall(need int) int {
+	taken := 0
+	for _, c := range counts(b.allowed) {
+		n := min(c.Slots, need-taken)
+		b.allowed[c.Instance] -= n
+		taken += n
+	}
+	if taken > 0 {
+		b.recalled += taken
+		b.offered = true
+	}
+	return taken
+}
+
+// Answer is a reply that should go out now.
+type Answer struct {
+	Node        model.NodeID
+	Incarnation uint64
+	Number      uint64
+	Reply       Reply
+}
+
+// Answers returns the replies that are due: with something to say, or held
+// for as long as they may be.
+func (l *Ledger) Answers(now model.Instant) []Answer {
+	var due []Answer
+	for _, b := range l.order {
+		if !b.parked || (!b.offered && now < b.parkedUntil) {
+			continue
+		}
+		b.parked = false
+		b.offered = false
+		l.want(b, [Classes]int{})
+		l.extend(b, now)
+		due = append(due, Answer{b.node, b.incarnation, b.number, Reply{
+			Loans: counts(b.allowed), LeaseMS: l.options.Lease.Milliseconds(),
+		}})
+	}
+	return due
+}
+
+// Unpark forgets a request whose sender no longer waits for the reply.
+func (l *Ledger) Unpark(node model.NodeID, number uint64) {
+	if b := l.borrowers[node]; b != nil && b.number == number {
+		b.parked = false
+		l.want(b, [Classes]int{})
+	}
+}
+
+// Tick ends loans whose leases and requests are over.
+func (l *Ledger) Tick(now model.Instant) {
+	for _, b := range l.order {
+		if b.parked || now < b.lapses {
+			continue
+		}
+		// Slots on their way back from a borrower that fell silent don't come
+		// before the loan ends, so they can't stand for others that would.
+		b.recalled = 0
+		if now >= b.ends && b.total > 0 {
+			l.count(b, nil)
+		}
+	}
+}
+
+// counts lists the instances with slots, by name.
+func counts(m map[model.InstanceID]int) []Count {
+	var out []Count
+	for i, n := range m {
+		if n > 0 {
+			out = append(out, Count{Instance: i, Slots: n})
+		}
+	}
+	slices.SortFunc(out, func(a, b Count) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
--- /dev/null
+++ b/internal/slots/sim_test.go
@@ -0,0 +1,395 @@
+package slots
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/admission"
+	"github.com/comfreyloom/comfreyloom/internal/balance"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/slots/lending"
+)
+
+// tickLength is the length of one Instant in the simulation. The cores count
+// in milliseconds; a finer grain shows delays of half a millisecond.
+const tickLength = 100 * time.Microsecond
+
+// scaled converts a real duration to what the cores see.
+func scaled(d time.Duration) time.Duration { return d * time.Millisecond / tickLength }
+
+// sim runs the cores of all entry VMs in virtual time against instances that
+// hold what they are sent in order of arrival once their slots are full.
+type sim struct {
+	random    *rand.Rand
+	now       model.Instant
+	events    eventHeap
+	order     int
+	nodes     []model.NodeID
+	vms       []*simVM
+	instances map[model.InstanceID]*simInstance
+	upstreams []model.Upstream
+	service   model.Service
+	reclaim   time.Duration
+	options   lending.Options
+	// cut says which pairs of entry VMs don't reach each other, lossy how
+	// many of 100 messages are lost.
+	cut      func(a, b int) bool
+	lossy    int
+	delay    func() time.Duration
+	limit    int
+	messages int
+	overruns int
+	answered int
+	asked    int
+	onStart  func(r *simRequest)
+	// alive says which entry VMs take requests; hop is the way of a grant or a
+	// release when the core is at another entry VM than the request.
+	alive []bool
+	hop   func() time.Duration
+	// orphaned takes the releases of requests whose entry VM was lost.
+	orphaned func(release func())
+	// all are the requests so far, where a test looks at each.
+	all        []*simRequest
+	queueRules admission.Rules
+}
+
+type simVM struct {
+	index  int
+	core   *core
+	alive  bool
+	starts uint64
+	// draining says that the entry VM stops gracefully.
+	draining bool
+	inUse    map[*simRequest]bool
+	queued   map[*simRequest]*ticket
+	parked   map[model.NodeID]func(lending.Reply, bool)
+	tickAt   model.Instant
+}
+
+type simInstance struct {
+	running int
+	backlog []*simRequest
+}
+
+type simRequest struct {
+	vm       int
+	origin   int
+	priority model.Priority
+	arrived  model.Instant
+	deadline model.Instant
+	work     time.Duration
+	use      balance.Use
+	answers  int
+	started  bool
+	// resume starts a request that an instance held back.
+	resume func()
+	// abort ends a request whose connection was closed; cutOff says that its
+	// entry VM was lost before it could answer.
+	abort  func()
+	cutOff bool
+}
+
+type event struct {
+	at    model.Instant
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// after runs f in d of simulated time, given as the cores see it.
+func (s *sim) after(d time.Duration, f func()) {
+	s.order++
+	heap.Push(&s.events, event{s.now.Add(d), s.order, f})
+}
+
+func (s *sim) runUntil(end model.Instant) {
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+func newSim(seed uint64, vms, instances, slots int) *sim {
+	s := &sim{
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		instances: map[model.InstanceID]*simInstance{},
+		cut:       func(a, b int) bool { return false },
+		limit:     slots,
+		now:       scaledInstant(time.Minute),
+		service: model.Service{
+			ID: "drafts", Slots: slots, Connections: 64, QueueLimit: 500, Timeout: scaled(4 * time.Second),
+		},
+		reclaim: scaled(DefaultReclaimAfter),
+		options: scaledOptions(),
+	}
+	s.delay = func() time.Duration {
+		return scaled(500*time.Microsecond) + time.Duration(s.random.IntN(3))*time.Millisecond
+	}
+	for n := range vms {
+		s.nodes = append(s.nodes, model.NodeID(fmt.Sprintf("n%d", n)))
+		s.alive = append(s.alive, true)
+	}
+	for n := range instances {
+		id := model.InstanceID(fmt.Sprintf("i%d", n))
+		s.instances[id] = &simInstance{}
+		s.upstreams = append(s.upstreams, model.Upstream{Service: "drafts", Instance: id, Incarnation: 1, Slots: slots, Connections: 64})
+	}
+	return s
+}
+
+func scaledInstant(d time.Duration) model.Instant { return model.Instant(0).Add(scaled(d)) }
+
+func scaledOptions() lending.Options {
+	o := lending.Options{}.WithDefaults()
+	for _, d := range []*time.Duration{&o.Lease, &o.Park, &o.KeepIdle, &o.Spacing, &o.HelpAfter, &o.Margin, &o.UrgentMargin} {
+		*d = scaled(*d)
+	}
+	return o
+}
+
+// start adds the entry VMs, with the nodes over which each takes its share.
+func (s *sim) start(lend bool, share func(n int) []model.NodeID) {
+	for n := range s.nodes {
+		vm := &simVM{index: n, inUse: map[*simRequest]bool{}}
+		s.vms = append(s.vms, vm)
+		s.boot(vm, lend, share(n))
+	}
+}
+
+func (s *sim) boot(vm *simVM, lend bool, nodes []model.NodeID) {
+	vm.starts++
+	vm.alive = true
+	vm.draining = false
+	vm.queued = map[*simRequest]*ticket{}
+	vm.parked = map[model.NodeID]func(lending.Reply, bool){}
+	vm.core = newCore(coreConfig{
+		self: s.nodes[vm.index], nodes: nodes, incarnation: vm.starts, lending: s.options,
+		admission: admission.Options{AgeingAfter: scaled(time.Second), Rules: s.queueRules},
+		random:    s.random.IntN, lend: lend, reclaimAfter: s.reclaim,
+	}, s.service, s.now)
+	s.step(vm, func() { vm.core.update(s.service, s.upstreams, s.now) })
+	s.tickLater(vm, vm.starts)
+}
+
+func (s *sim) tickLater(vm *simVM, starts uint64) {
+	s.after(scaled(tickInterval), func() {
+		if vm.alive && vm.starts == starts {
+			s.tick(vm)
+			s.tickLater(vm, starts)
+		}
+	})
+}
+
+func (s *sim) tick(vm *simVM) {
+	var live []model.NodeID
+	for n, other := range s.vms {
+		if other.alive && !s.cut(vm.index, n) && !s.cut(n, vm.index) {
+			live = append(live, s.nodes[n])
+		}
+	}
+	s.step(vm, func() {
+		vm.core.members(live, s.now)
+		vm.core.tick(s.now)
+	})
+}
+
+// step runs f on a core and carries out its effects.
+func (s *sim) step(vm *simVM, f func()) {
+	f()
+	out := vm.core.take()
+	for _, a := range out.answers {
+		if reply := vm.parked[a.Node]; reply != nil {
+			delete(vm.parked, a.Node)
+			reply(a.Reply, true)
+		}
+	}
+	for _, call := range out.sends {
+		s.call(vm, call)
+	}
+	if vm.core.again && vm.tickAt <= s.now {
+		vm.tickAt = s.now.Add(vm.core.config.lending.Spacing)
+		starts := vm.starts
+		s.after(vm.core.config.lending.Spacing, func() {
+			if vm.alive && vm.starts == starts {
+				s.tick(vm)
+			}
+		})
+	}
+}
+
+// call carries a request and its reply; either may be lost.
+func (s *sim) call(from *simVM, c send) {
+	to := s.vms[s.index(c.to)]
+	starts := from.starts
+	settled := false
+	finish := func(r lending.Reply, ok bool) {
+		if settled || !from.alive || from.starts != starts {
+			return
+		}
+		settled = true
+		s.step(from, func() {
+			switch {
+			case !ok:
+				from.core.failed(c.to, c.request.Number, s.now)
+			case len(c.request.Bequest) > 0:
+			case c.request.Recover:
+				from.core.recovered(c.to, r, s.now)
+			default:
+				from.core.applied(c.to, c.request.Number, r, s.now)
+			}
+		})
+	}
+	back := func(r lending.Reply, ok bool) { s.carry(from.index, to.index, func() { finish(r, ok) }) }
+	s.after(scaled(callTimeout)+vmWait(c), func() { finish(lending.Reply{}, false) })
+	s.carry(from.index, to.index, func() {
+		if !to.alive {
+			return
+		}
+		if c.request.Recover {
+			back(to.core.holding(c.request), true)
+			return
+		}
+		if len(c.request.Bequest) > 0 {
+			s.step(to, func() { to.core.inheritFrom(c.request, s.now) })
+			return
+		}
+		if to.core.ledger.Check(c.request) != nil {
+			back(lending.Reply{}, false)
+			return
+		}
+		if before := to.parked[c.request.Borrower]; before != nil {
+			before(lending.Reply{}, false)
+		}
+		to.parked[c.request.Borrower] = back
+		s.step(to, func() { _ = to.core.receive(c.request, s.now) })
+	})
+}
+
+func vmWait(c send) time.Duration { return time.Duration(c.request.WaitMS) * time.Millisecond }
+
+func (s *sim) carry(from, to int, f func()) {
+	s.messages++
+	if s.cut(from, to) || s.random.IntN(100) < s.lossy {
+		return
+	}
+	s.after(s.delay(), f)
+	if s.lossy > 0 && s.random.IntN(100) < s.lossy {
+		s.after(s.delay()+scaled(time.Duration(s.random.IntN(2000))*time.Millisecond), f)
+	}
+}
+
+func (s *sim) index(n model.NodeID) int {
+	for i, known := range s.nodes {
+		if known == n {
+			return i
+		}
+	}
+	panic("unknown node " + n)
+}
+
+// arrive is a request at an entry VM.
+func (s *sim) arrive(vm *simVM, r *simRequest) {
+	s.asked++
+	r.vm = vm.index
+	r.arrived = s.now
+	w := &waiter{ask: Ask{Service: "drafts", Priority: r.priority, Deadline: r.deadline}}
+	w.answer = func(u balance.Use, refusal *admission.Refusal) {
+		delete(vm.queued, r)
+		s.answer(vm, r, u, refusal)
+	}
+	s.step(vm, func() {
+		use, t, refusal := vm.core.ask(w, s.now)
+		if t == nil {
+			s.answer(vm, r, use, refusal)
+			return
+		}
+		if r.answers == 0 {
+			vm.queued[r] = t
+		}
+	})
+}
+
+// answer is the one final answer of a request: a slot, or a refusal.
+func (s *sim) answer(vm *simVM, r *simRequest, u balance.Use, refusal *admission.Refusal) {
+	r.answers++
+	s.answered++
+	if refusal != nil {
+		return
+	}
+	r.use = u
+	vm.inUse[r] = true
+	starts := vm.starts
+	release := func() {
+		if vm.alive && vm.starts == starts {
+			delete(vm.inUse, r)
+			s.step(vm, func() { vm.core.done(u, Answered, s.now) })
+		}
+	}
+	id := u.Instance.Upstream.Instance
+	if s.hop == nil {
+		s.sendTo(id, r, release)
+		return
+	}
+	s.after(s.hop(), func() {
+		s.sendTo(id, r, func() {
+			if !s.alive[r.origin] {
+				s.orphaned(release)
+				return
+			}
+			s.after(s.hop(), release)
+		})
+	})
+}
+
+// sendTo runs a request at an instance, after those that came before it.
+func (s *sim) sendTo(id model.InstanceID, r *simRequest, done func()) {
+	i := s.instances[id]
+	run := func() {
+		i.running++
+		r.started = true
+		if s.onStart != nil {
+			s.onStart(r)
+		}
+		ended := false
+		end := func() {
+			if ended {
+				return
+			}
+			ended = true
+			i.running--
+			if len(i.backlog) > 0 {
+				next := i.backlog[0]
+				i.backlog = i.backlog[1:]
+				next.resume()
+			}
+			done()
+		}
+		r.abort = end
+		s.after(r.work, end)
+	}
+	r.abort = func() {}
+	if i.running >= s.limit {
+		s.overruns++
+		r.resume = run
+		i.backlog = append(i.backlog, r)
+		return
+	}
+	run()
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,8 +23,9 @@
 	// earlier answer is left in its buffer.
 	reading bool
 	closed  bool
-	// proved is when the connection was made or last yielded bytes.
-	proved time.Time
+	// proved is when the connection was made or last yielded bytes, on the
+	// pool's clock.
+	proved time.Duration
 }
 
 func newConn(c net.Conn, p *pool) *conn {
@@ -41,15 +42,16 @@
 	defer c.mu.Unlock()
 	c.current = x
 	c.asked = false
+	x.reused.Store(reused)
 	if reused && !c.pool.trusted(c.proved) {
 		x.stale.Store(true)
 	}
 }
 
 // Write sends bytes of the current exchange. The first write waits until the
-// reader is in the socket: bytes left over from an earlier answer would
-// otherwise be taken for the answer to this request. Such bytes show as an
-// answer that begins before the request was written (see answerBegan).
+// reader is in the socket. Were bytes left over from an earlier answer, the
+// reader would take them for the answer to this request; it does so before a
+// byte of the request was written then, and checkAnswer sees that.
 func (c *conn) Write(p []byte) (int, error) {
 	x, first, err := c.beginWrite()
 	if err != nil {
@@ -82,6 +84,7 @@
 		return x, false, err
 	}
 	c.asked = true
+	x.movedAt.Store(int64(c.pool.now()))
 	return x, true, nil
 }
 
@@ -118,6 +121,7 @@
 		c.proved = c.pool.now()
 		c.pool.prove(c.proved)
 		c.current.answered.Store(true)
+		c.current.movedAt.Store(int64(c.proved))
 		return n, err
 	}
 	c.endUnanswered(err)
@@ -133,16 +137,6 @@
 	}
 }
 
-// answerBegan is called when net/http found the first byte of an answer to x.
-func (c *conn) answerBegan(x *exchange) {
-	if x.begun() {
-		return
-	}
-	x.foreign.Store(true)
-	c.pool.foreign.Inc(1)
-	_ = c.Close()
-}
-
 // Close closes the connection and wakes a waiting writer.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,6 +24,10 @@
 	ErrLost = errors.New("upstream: connection ended without an answer")
 	// ErrForeign says that an answer was not that of the request.
 	ErrForeign = errors.New("upstream: answer belongs to another request")
+	// ErrSilent says that the request was given up after a long silence.
+	ErrSilent = errors.New("upstream: connection went silent")
+	// ErrBadStatus says that an answer's status is not a final one.
+	ErrBadStatus = errors.New("upstream: answer has no final status")
 	// ErrUndelimited says that an answer's end can't be told from a cut.
 	ErrUndelimited = errors.New("upstream: answer has neither a length nor chunks")
 
@@ -45,11 +49,13 @@
 	owner atomic.Pointer[conn]
 	// stale is set when a connection was refused for being unproved.
 	stale atomic.Bool
-	// foreign is set when an answer came before the request was written.
-	foreign atomic.Bool
 	// answered is set when the first byte of the answer was read.
 	answered atomic.Bool
-	cancel   context.CancelCauseFunc
+	// reused says that the connection carried an exchange before.
+	reused atomic.Bool
+	// movedAt is when a byte was first written or last read, on the pool's clock.
+	movedAt atomic.Int64
+	cancel  context.CancelCauseFunc
 }
 
 // sealed stands in for the owner of an exchange that must not be written.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,18 +22,20 @@
 	options *Options
 	http    http.Transport
 	foreign metrics.Counter
-	// provedAt is when any connection last yielded bytes, in ns.
+	// started is the zero of the pool's clock, which never steps.
+	started time.Time
+	// provedAt is when any connection last yielded bytes.
 	provedAt atomic.Int64
-	// distrustedAt is when a request last met silence, in ns: connections
-	// that have not answered since are not used again.
+	// distrustedAt is when a request last met silence: connections that have
+	// not answered since are not used again.
 	distrustedAt atomic.Int64
-	// usedAt is when the pool was last asked, in ns.
+	// usedAt is when the pool was last asked.
 	usedAt   atomic.Int64
 	inFlight atomic.Int64
 }
 
 func newPool(key poolKey, o *Options, foreign metrics.Counter) *pool {
-	p := &pool{options: o, foreign: foreign}
+	p := &pool{options: o, foreign: foreign, started: time.Now()}
 	p.http = http.Transport{
 		DialContext:            p.dial,
 		DisableCompression:     true,
@@ -48,7 +50,8 @@
 	return p
 }
 
-func (p *pool) now() time.Time { return p.options.Now() }
+// now is the time since the pool was made.
+func (p *pool) now() time.Duration { return time.Since(p.started) }
 
 func (p *pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{
@@ -60,7 +63,7 @@
 			Count:    keepAliveProbes,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return setUserTimeout(raw, p.options.UserTimeout)
+			return SetUserTimeout(raw, p.options.UserTimeout)
 		},
 	}
 	c, err := d.DialContext(ctx, network, address)
@@ -71,24 +74,24 @@
 }
 
 // prove records that a connection of the pool works.
-func (p *pool) prove(at time.Time) { p.provedAt.Store(at.UnixNano()) }
+func (p *pool) prove(at time.Duration) { p.provedAt.Store(int64(at)) }
 
 // distrust records that a request met silence.
-func (p *pool) distrust() { p.distrustedAt.Store(p.now().UnixNano()) }
+func (p *pool) distrust() { p.distrustedAt.Store(int64(p.now())) }
 
 // trusted reports whether a connection that was proved at the time may carry
 // a request.
-func (p *pool) trusted(proved time.Time) bool {
-	if p.now().Sub(proved) > p.options.FreshFor {
+func (p *pool) trusted(proved time.Duration) bool {
+	if p.now()-proved > p.options.FreshFor {
 		return false
 	}
-	return proved.UnixNano() > p.distrustedAt.Load()
+	return int64(proved) > p.distrustedAt.Load()
 }
 
 // dropStale closes the idle connections when none of them can be trusted, so
 // that the next request makes a new one.
 func (p *pool) dropStale() {
-	if !p.trusted(time.Unix(0, p.provedAt.Load())) {
+	if !p.trusted(time.Duration(p.provedAt.Load())) {
 		p.http.CloseIdleConnections()
 	}
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -18,6 +18,9 @@
 // RequestIDHeader carries the id of a request; an upstream may echo it.
 const RequestIDHeader = "Comfreyloom-Request-Id"
 
+// maxStatus is the largest status that an answer may have.
+const maxStatus = 599
+
 // staleTries bounds how often Send looks for a connection that is proved.
 const staleTries = 3
 
@@ -40,6 +43,13 @@
 	// SuspectAfter is how long an answer may keep still before the other
 	// connections to the address are no longer trusted; 0 means never.
 	SuspectAfter time.Duration
+	// GiveUp is asked after a longer silence whether to end the request with
+	// ErrSilent. It may be nil and is asked once at most.
+	GiveUp func() bool
+	// GiveUpAfter is that silence on a new connection, GiveUpReused that on
+	// one which was used before and may be dead.
+	GiveUpAfter  time.Duration
+	GiveUpReused time.Duration
 }
 
 // Send sends a request and returns the answer once its header was read. The
@@ -68,15 +78,13 @@
 func (t *Transport) try(ctx context.Context, p *pool, u model.Upstream, r *Request) (*http.Response, SentState, error) {
 	x := &exchange{}
 	ctx, x.cancel = context.WithCancelCause(ctx)
-	suspect := t.watch(p, x, r.SuspectAfter)
+	w := startWatch(p, x, r)
 	resp, err := p.http.RoundTrip(r.build(withTrace(ctx, x), u.Address))
-	if suspect != nil {
-		suspect.Stop()
-	}
 	if err == nil {
 		err = checkAnswer(x, r, resp)
 	}
 	if err != nil {
+		w.stop()
 		sent := x.seal()
 		err = t.explain(ctx, p, x, sent, err)
 		x.cancel(err)
@@ -85,7 +93,7 @@
 		}
 		return nil, sent, err
 	}
-	resp.Body = &answerBody{ReadCloser: resp.Body, transport: t, pool: p, exchange: x, ctx: ctx}
+	resp.Body = &answerBody{ReadCloser: resp.Body, pool: p, exchange: x, watch: w, ctx: ctx}
 	return resp, MaybeSent, nil
 }
 
@@ -113,25 +121,23 @@
 
 // withTrace binds whichever connection net/http picks to the exchange.
 func withTrace(ctx context.Context, x *exchange) context.Context {
-	var bound *conn
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			bound = info.Conn.(*conn)
-			bound.bind(x, info.Reused)
-		},
-		GotFirstResponseByte: func() { bound.answerBegan(x) },
+		GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*conn).bind(x, info.Reused) },
 	})
 }
 
 // checkAnswer refuses an answer that can't be that of the request, and one
 // whose end could not be told from a cut.
 func checkAnswer(x *exchange, r *Request, resp *http.Response) error {
-	if x.foreign.Load() || !x.begun() {
+	if !x.begun() {
 		return ErrForeign
 	}
 	if echo := resp.Header.Get(RequestIDHeader); echo != "" && echo != r.ID {
 		return ErrForeign
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return ErrBadStatus
+	}
 	delimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 	if !delimited {
 		return ErrUndelimited
@@ -143,9 +149,9 @@
 // other connections to the address.
 func (t *Transport) explain(ctx context.Context, p *pool, x *exchange, sent SentState, err error) error {
 	switch {
-	case x.foreign.Load() || errors.Is(err, ErrForeign):
+	case errors.Is(err, ErrForeign):
+		t.foreign.Inc(1)
 		p.distrust()
-		err = ErrForeign
 	case x.stale.Load() && sent == NotSent:
 		err = ErrStale
 	case errors.Is(err, errGivenUp) || errors.Is(err, errSecondSend):
@@ -166,29 +172,15 @@
 	}
 }
 
-// watch distrusts the other connections early, while the request itself still
-// waits: whatever lost track of one connection lost track of others too, and
-// a new connection costs one round trip.
-func (t *Transport) watch(p *pool, x *exchange, after time.Duration) *time.Timer {
-	if after <= 0 {
-		return nil
-	}
-	return time.AfterFunc(after, func() {
-		if x.begun() && !x.answered.Load() {
-			p.distrust()
-		}
-	})
-}
-
 // answerBody is the body of an answer. Closing it before its end closes the
 // connection, so that what comes late is never read as another answer.
 type answerBody struct {
 	io.ReadCloser
-	transport *Transport
-	pool      *pool
-	exchange  *exchange
-	ctx       context.Context
-	once      sync.Once
+	pool     *pool
+	exchange *exchange
+	watch    *watch
+	ctx      context.Context
+	once     sync.Once
 }
 
 // Read fails with io.ErrUnexpectedEOF on a cut answer.
@@ -204,6 +196,7 @@
 func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
 	b.once.Do(func() {
+		b.watch.stop()
 		b.exchange.cancel(context.Canceled)
 		b.pool.inFlight.Add(-1)
 	})
--- a/internal/upstream/tcp_linux.go
+++ b/internal/upstream/tcp_linux.go
@@ -9,10 +9,10 @@
 // milliseconds; the syscall package does not name it.
 const tcpUserTimeout = 0x12
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged. Without
+// SetUserTimeout bounds how long sent bytes may stay unacknowledged. Without
 // it a connection whose path lost track of it retries for many minutes before
 // the kernel reports an error.
-func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+func SetUserTimeout(raw syscall.RawConn, d time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
--- a/internal/upstream/tcp_other.go
+++ b/internal/upstream/tcp_other.go
@@ -7,6 +7,6 @@
 	"time"
 )
 
-// setUserTimeout does nothing where TCP_USER_TIMEOUT does not exist; keepalive
+// SetUserTimeout does nothing where TCP_USER_TIMEOUT does not exist; keepalive
 // probes then find dead connections, later.
-func setUserTimeout(syscall.RawConn, time.Duration) error { return nil }
+func SetUserTimeout(syscall.RawConn, time.Duration) error { return nil }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -45,8 +45,6 @@
 	// EntryVMs is how many entry VMs share an instance's connections; each
 	// keeps to its share.
 	EntryVMs int
-	// Now is the clock; time.Now when nil.
-	Now func() time.Time
 	// Metrics takes the counters; the default registry when nil.
 	Metrics metrics.Registry
 }
@@ -59,9 +57,6 @@
 	setDefault(&o.MaxAnswerHeader, defaultMaxAnswerHeader)
 	setDefault(&o.BufferBytes, defaultBufferBytes)
 	setDefault(&o.EntryVMs, 1)
-	if o.Now == nil {
-		o.Now = time.Now
-	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.DefaultRegistry
 	}
@@ -113,7 +108,7 @@
 
 // enter returns the pool of an upstream and counts a request into it.
 func (t *Transport) enter(u model.Upstream) *pool {
-	now := t.options.Now()
+	now := time.Now()
 	key := poolKey{address: u.Address, limit: t.share(u.Connections)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -123,7 +118,7 @@
 		p = newPool(key, &t.options, t.foreign)
 		t.pools[key] = p
 	}
-	p.usedAt.Store(now.UnixNano())
+	p.usedAt.Store(int64(p.now()))
 	p.inFlight.Add(1)
 	return p
 }
@@ -143,7 +138,7 @@
 	}
 	t.swept = now
 	for key, p := range t.pools {
-		idle := now.Sub(time.Unix(0, p.usedAt.Load()))
+		idle := p.now() - time.Duration(p.usedAt.Load())
 		if idle > poolIdle && p.inFlight.Load() == 0 {
 			p.http.CloseIdleConnections()
 			delete(t.pools, key)
