node: replica adapter, benchmarks with real voters

Change: the adapter returns; BenchmarkIdle and BenchmarkChange run real voters with their data folders.

--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 func BenchmarkIdle(b *testing.B) {
 	for _, shape := range []struct{ voters, learners int }{{3, 4}, {5, 13}} {
 		b.Run(fmt.Sprintf("processes=%d", shape.voters+shape.learners), func(b *testing.B) {
-			s := newSite(b, shape.voters, shape.learners, 0)
+			s := startSite(b, shape.voters, shape.learners, &site{folders: b.TempDir()})
 			eventually(b, "ready", s.all(func(p *process) bool { return p.heartbeats.Ready() }))
 			time.Sleep(2 * time.Second)
 			for range b.N {
@@ -67,3 +68,46 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkChange reports, for one change proposed at a learner of a site of
+// seven with real voters: how long until it is applied there and until it is
+// in force at all seven, and the bytes it costs beyond idle.
+//
+//	go test -run - -bench Change -benchtime 200x ./internal/node
+func BenchmarkChange(b *testing.B) {
+	s := startSite(b, 3, 4, &site{folders: b.TempDir()})
+	eventually(b, "ready", s.all(func(p *process) bool { return p.heartbeats.Ready() }))
+	learner := s.processes["n7"]
+	var proposed, inForce []time.Duration
+	before := s.byteCounts()
+	b.ResetTimer()
+	for i := range b.N {
+		began := time.Now()
+		command := claim(fmt.Sprint(i))
+		command.ClaimRequest.Claim.Digest = command.ClaimRequest.Claim.Digest[:32]
+		result, err := learner.log.Propose(b.Context(), command)
+		if err != nil {
+			b.Fatal(err)
+		}
+		proposed = append(proposed, time.Since(began))
+		if behind := learner.heartbeats.WaitInForce(b.Context(), result.Index); len(behind) > 0 {
+			b.Fatal(behind)
+		}
+		inForce = append(inForce, time.Since(began))
+	}
+	b.StopTimer()
+	var total int64
+	for name, bytes := range s.byteCounts() {
+		total += bytes - before[name]
+	}
+	b.ReportMetric(float64(total)/float64(b.N)/float64(len(s.names)), "B/change/process")
+	b.ReportMetric(percentile(proposed, 50), "ms-proposed-p50")
+	b.ReportMetric(percentile(proposed, 99), "ms-proposed-p99")
+	b.ReportMetric(percentile(inForce, 50), "ms-in-force-p50")
+	b.ReportMetric(percentile(inForce, 99), "ms-in-force-p99")
+}
+
+func percentile(times []time.Duration, p int) float64 {
+	slices.Sort(times)
+	return float64(times[(len(times)-1)*p/100].Microseconds()) / 1000
+}
--- a/internal/node/site_test.go
+++ b/internal/node/site_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/quorum"
 	"github.com/comfreyloom/comfreyloom/internal/registry"
+	"github.com/comfreyloom/comfreyloom/internal/replica"
 	"github.com/comfreyloom/comfreyloom/internal/security"
 	"github.com/comfreyloom/comfreyloom/internal/state"
 	"github.com/matryer/is"
@@ -188,6 +190,7 @@
 	name       model.NodeID
 	machine    *state.Machine
 	voter      *fakeVoter
+	replica    *replica.Replica
 	client     *Client
 	log        *Log
 	follower   *Follower
@@ -209,14 +212,23 @@
 	byAddress map[string]model.NodeID
 	token     string
 	interval  time.Duration
+	// folders, when set, holds the data folders of real replicas that vote
+	// instead of fakes.
+	folders   string
 	processes map[model.NodeID]*process
 }
 
 func newSite(tb testing.TB, voters, learners int, interval time.Duration) *site {
 	tb.Helper()
-	s := &site{
+	return startSite(tb, voters, learners, &site{interval: interval})
+}
+
+func startSite(tb testing.TB, voters, learners int, s *site) *site {
+	tb.Helper()
+	*s = site{
+		interval: s.interval, folders: s.folders,
 		network: newNetwork(), addresses: map[model.NodeID]string{}, byAddress: map[string]model.NodeID{},
-		token: "node-token-of-the-test", interval: interval, processes: map[model.NodeID]*process{},
+		token: "node-token-of-the-test", processes: map[model.NodeID]*process{},
 	}
 	listeners := map[model.NodeID]net.Listener{}
 	for i := range voters + learners {
@@ -270,7 +282,14 @@
 		Identity: func() datafolder.Identity { return datafolder.Identity{Site: testSite, Node: name} },
 		Client:   p.client, Heartbeats: p.heartbeats, Spreader: p.spreader, Metrics: counters})
 	logConfig := LogConfig{Self: name, Machine: p.machine, Client: p.client, Voters: s.voters, Leader: leader, Metrics: counters}
-	if s.isVoter(name) {
+	if s.isVoter(name) && s.folders != "" {
+		p.replica = s.openReplica(tb, p)
+		voter := FromReplica(p.replica)
+		p.client.SetReceiver(voter.Step)
+		p.server.SetVoter(voter)
+		p.heartbeats.SetVoter(voter)
+		logConfig.Voter = voter
+	} else if s.isVoter(name) {
 		p.voter = &fakeVoter{name: name, log: s.log, machine: p.machine, client: p.client}
 		p.server.SetVoter(p.voter)
 		p.heartbeats.SetVoter(p.voter)
@@ -282,6 +301,17 @@
 	return p
 }
 
+func (s *site) openReplica(tb testing.TB, p *process) *replica.Replica {
+	tb.Helper()
+	r, err := replica.Open(replica.Config{
+		Folder: filepath.Join(s.folders, string(p.name)), Site: testSite, Self: p.name, Members: s.voters, Machine: p.machine,
+		Transport: p.client, Bootstrapper: p.client, Log: p.follower.config.Logger, Metrics: p.metrics,
+	})
+	is.New(tb).NoErr(err)
+	p.server.config.Identity = r.Identity
+	return r
+}
+
 func (s *site) run(p *process, l net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties conc.WaitGroup
@@ -290,10 +320,13 @@
 	duties.Go(func() { _ = p.client.Run(ctx) })
 	duties.Go(func() { _ = p.heartbeats.Run(ctx) })
 	duties.Go(func() { _ = p.spreader.Run(ctx) })
-	if p.voter == nil {
-		duties.Go(func() { _ = p.follower.Run(ctx) })
-	} else {
+	switch {
+	case p.replica != nil:
+		duties.Go(func() { _ = p.replica.Run(ctx) })
+	case p.voter != nil:
 		duties.Go(func() { p.voter.follow(ctx) })
+	default:
+		duties.Go(func() { _ = p.follower.Run(ctx) })
 	}
 	var once sync.Once
 	p.stop = func() {
