fleet, placement: decisions at 1,300 workers measured and made quicker

Cause: a round of placement with 10,000 queued jobs, 2,000 of them urgent, took 287 ms: each urgent job sorted the batch tasks of every VM of its pool anew. Change: what can yield is worked out once for each VM; sizes for which nothing can yield are remembered; a task's job and charge are joined once in the index; yields are bounded in one round. Arrivals decides about single new jobs between rounds.

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -56,7 +56,7 @@
 		demands[i] = &Demand{Pool: p}
 		byPool[p.Spec.ID] = demands[i]
 		demands[i].countVMs(ix, o)
-		demands[i].addTasks(ix)
+		demands[i].addTasks()
 	}
 	addQueue(ix, byPool, o)
 	for _, d := range demands {
@@ -112,23 +112,22 @@
 	return ix.Snap.Now.Sub(v.Listed.HealthSince) >= o.LostAfter
 }
 
-func (d *Demand) addTasks(ix *Index) {
+func (d *Demand) addTasks() {
 	for _, v := range d.Pool.VMs {
-		for _, t := range v.Tasks {
-			if t.Job != "" {
-				d.addJobTask(ix, t)
-			}
+		for i := range v.Running {
+			d.addTask(&v.Running[i])
 		}
 	}
 }
 
-func (d *Demand) addJobTask(ix *Index, t *model.Task) {
-	job := ix.Job(t.Job)
-	if job != nil && Yields(job, t) {
-		d.Yielding = d.Yielding.Plus(t.Size)
-		return
+func (d *Demand) addTask(r *Running) {
+	switch {
+	case r.Task.Job == "":
+	case r.Yields():
+		d.Yielding = d.Yielding.Plus(r.Task.Size)
+	default:
+		d.Running = d.Running.Plus(r.Task.Size)
 	}
-	d.Running = d.Running.Plus(t.Size)
 }
 
 // Yields reports whether a running job can make room without a loss that
--- a/internal/fleet/fill.go
+++ b/internal/fleet/fill.go
@@ -185,12 +185,11 @@
 	if v.Block != Open || !settled || !Eligible(to, v.Listed) {
 		return 0, false
 	}
-	for _, t := range v.Tasks {
-		job := d.ix.Job(t.Job)
-		switch {
-		case t.Job == "":
+	for i := range v.Running {
+		switch r := &v.Running[i]; {
+		case r.Task.Job == "":
 			cost += instanceMoveCost
-		case job == nil || !Yields(job, t):
+		case !r.Yields():
 			return 0, false
 		default:
 			cost++
--- a/internal/fleet/guard.go
+++ b/internal/fleet/guard.go
@@ -65,7 +65,7 @@
 }
 
 func (ix *Index) guardJob(t *model.Task) {
-	job := ix.Snap.View.Jobs[t.Job]
+	job := ix.Job(t.Job)
 	if job == nil {
 		ix.Guard(false, InvariantOneTask, "task %s runs job %s, which is not known", t.ID, t.Job)
 		return
@@ -81,7 +81,7 @@
 // isProbe reports whether a task may test a quarantined VM: the first there,
 // due, and of a batch job that can run again.
 func (ix *Index) isProbe(v *VM, t *model.Task) bool {
-	job := ix.Snap.View.Jobs[t.Job]
+	job := ix.Job(t.Job)
 	return v.Block == BlockQuarantine && v.Quarantine.ProbeAt <= ix.Snap.Now && v.Idle() &&
 		job != nil && job.Spec.Idempotent && job.Spec.Priority == model.Batch
 }
--- a/internal/fleet/index.go
+++ b/internal/fleet/index.go
@@ -22,6 +22,10 @@
 	Services []*Service
 	// Spares are the VMs whose entry names no pool, by ID.
 	Spares []*VM
+	// Total is what all listed VMs offer together.
+	Total model.Resources
+	// Strays are the tasks on VMs that are neither listed nor entered.
+	Strays []*model.Task
 	// Queue holds the queued jobs in the order of Submitted, then ID.
 	Queue []*model.Job
 	// Zones and Racks name the failure domains by their numbers; a rack is
@@ -38,6 +42,7 @@
 	teams    map[model.TeamID]*Team
 	zones    map[model.ZoneID]int
 	racks    map[string]int
+	arrived  map[model.JobID]*model.Job
 	planned  planned
 	broken   []state.Broken
 }
@@ -87,13 +92,13 @@
 		teams:    make(map[model.TeamID]*Team),
 		zones:    make(map[model.ZoneID]int),
 		racks:    make(map[string]int),
+		arrived:  make(map[model.JobID]*model.Job),
 		planned:  planned{jobs: make(map[model.JobID]bool), ended: make(map[model.TaskID]bool)},
 	}
 	ix.addSite()
 	ix.addVMs()
 	ix.addPoolMembers()
 	ix.addTasks()
-	ix.addMeasured()
 	ix.countAvailable()
 	ix.addJobs()
 	return ix
@@ -115,7 +120,20 @@
 func (ix *Index) Team(id model.TeamID) *Team { return ix.teams[id] }
 
 // Job returns the job, nil when it is not recorded.
-func (ix *Index) Job(id model.JobID) *model.Job { return ix.Snap.View.Jobs[id] }
+func (ix *Index) Job(id model.JobID) *model.Job {
+	if j := ix.arrived[id]; j != nil {
+		return j
+	}
+	return ix.Snap.View.Jobs[id]
+}
+
+// Arrive enters jobs that were submitted after the snapshot was taken, so that
+// they can be decided about without a new index.
+func (ix *Index) Arrive(jobs ...*model.Job) {
+	for _, j := range jobs {
+		ix.arrived[j.Spec.ID] = j
+	}
+}
 
 // Now is the instant of the snapshot.
 func (ix *Index) Now() model.Instant { return ix.Snap.Now }
@@ -214,6 +232,7 @@
 	slices.SortFunc(ix.VMs, func(a, b *VM) int { return cmp.Compare(a.ID, b.ID) })
 	for _, v := range ix.VMs {
 		ix.addDomain(v)
+		ix.Total = ix.Total.Plus(v.Capacity())
 		v.Block = v.block()
 	}
 }
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -48,6 +48,10 @@
 }
 
 func (ix *Index) addTasks() {
+	for _, v := range ix.VMs {
+		v.Tasks = make([]*model.Task, 0, tasksGuess)
+		v.Running = make([]Running, 0, tasksGuess)
+	}
 	for _, t := range ix.Snap.View.Tasks {
 		ix.addTask(t)
 	}
@@ -56,15 +60,25 @@
 	}
 }
 
+// tasksGuess is for how many tasks of a VM memory is set aside at first.
+const tasksGuess = 8
+
 func (ix *Index) addTask(t *model.Task) {
-	if v := ix.vms[t.VM]; v != nil {
-		v.Tasks = append(v.Tasks, t)
-		v.Used = v.Used.Plus(ix.Charge(t))
-	}
+	r := Running{Task: t, Charge: ix.Charge(t)}
 	if t.Job != "" {
-		ix.chargeTeam(t)
+		r.Job = ix.Job(t.Job)
+		ix.chargeTeam(&r)
+	} else {
+		ix.addInstance(t)
+	}
+	if v := ix.vms[t.VM]; v != nil {
+		v.addTask(r)
 		return
 	}
+	ix.Strays = append(ix.Strays, t)
+}
+
+func (ix *Index) addInstance(t *model.Task) {
 	s := ix.services[t.Service]
 	switch {
 	case s == nil:
@@ -75,31 +89,29 @@
 	}
 }
 
-func (ix *Index) chargeTeam(t *model.Task) {
-	job := ix.Snap.View.Jobs[t.Job]
-	if job == nil {
+// addTask enters a task with its charge. What the VM was measured to use
+// beyond the charges of its tasks is taken off its room; tasks that started
+// after the measurement are not in it.
+func (v *VM) addTask(r Running) {
+	v.Tasks = append(v.Tasks, r.Task)
+	v.Running = append(v.Running, r)
+	v.Used = v.Used.Plus(r.Charge)
+	if v.Listed == nil || v.Listed.UsageAt == 0 {
 		return
 	}
-	if team := ix.teams[job.Spec.Team]; team != nil {
-		team.Used = team.Used.Plus(team.Charge(t.Size))
+	if r.Task.Started <= v.Listed.UsageAt {
+		v.explained = v.explained.Plus(r.Charge)
 	}
+	v.measured = v.Listed.Busy.Minus(v.explained).Max(model.Resources{})
+	v.measured.Accelerators = 0
 }
 
-// addMeasured takes off what a VM was measured to use beyond the charges of
-// its tasks. Tasks that started after the measurement are not in it.
-func (ix *Index) addMeasured() {
-	for _, v := range ix.VMs {
-		if v.Listed == nil || v.Listed.UsageAt == 0 {
-			continue
-		}
-		var charged model.Resources
-		for _, t := range v.Tasks {
-			if t.Started <= v.Listed.UsageAt {
-				charged = charged.Plus(ix.Charge(t))
-			}
-		}
-		v.measured = v.Listed.Busy.Minus(charged).Max(model.Resources{})
-		v.measured.Accelerators = 0
+func (ix *Index) chargeTeam(r *Running) {
+	if r.Job == nil {
+		return
+	}
+	if team := ix.teams[r.Job.Spec.Team]; team != nil {
+		team.Used = team.Used.Plus(team.Charge(r.Task.Size))
 	}
 }
 
@@ -113,18 +125,28 @@
 	}
 }
 
+// queued is a job with its place in the queue, so that sorting does not have
+// to look at the jobs themselves.
+type queued struct {
+	submitted model.Instant
+	job       *model.Job
+}
+
 func (ix *Index) addJobs() {
+	var queue []queued
 	for _, j := range ix.Snap.View.Jobs {
 		if j.State == model.JobQueued {
-			ix.Queue = append(ix.Queue, j)
+			queue = append(queue, queued{j.Submitted, j})
 		}
 	}
-	slices.SortFunc(ix.Queue, compareJobs)
-}
-
-func compareJobs(a, b *model.Job) int {
-	if a.Submitted != b.Submitted {
-		return cmp.Compare(a.Submitted, b.Submitted)
+	slices.SortFunc(queue, func(a, b queued) int {
+		if a.submitted != b.submitted {
+			return cmp.Compare(a.submitted, b.submitted)
+		}
+		return cmp.Compare(a.job.Spec.ID, b.job.Spec.ID)
+	})
+	ix.Queue = make([]*model.Job, len(queue))
+	for i, q := range queue {
+		ix.Queue[i] = q.job
 	}
-	return cmp.Compare(a.Spec.ID, b.Spec.ID)
 }
--- a/internal/fleet/vm.go
+++ b/internal/fleet/vm.go
@@ -55,6 +55,8 @@
 	Quarantine *model.Quarantine
 	// Tasks are the tasks recorded on the VM, in no order; see SortedTasks.
 	Tasks []*model.Task
+	// Running says more about each of Tasks, in the same order.
+	Running []Running
 	// Used is what its tasks are taken to need, as estimate.Charge says.
 	Used model.Resources
 	// Block says why the VM takes no new work.
@@ -64,13 +66,29 @@
 	Zone, Rack int
 	// Maintained says that the VM went through the wave that is on in its pool.
 	Maintained bool
-	// measured is the part of the VM's measured use that its tasks' charges
-	// do not explain.
-	measured model.Resources
+	// measured is the part of the VM's measured use that its tasks' charges,
+	// which sum up to explained, do not explain.
+	measured, explained model.Resources
 	// placed counts the tasks that Plan added in this round.
 	placed int
 }
 
+// Running is a task with what decisions ask of it again and again.
+type Running struct {
+	Task *model.Task
+	// Job is nil for an instance, or when the job is no longer recorded.
+	Job *model.Job
+	// Charge is what the task is taken to need, as estimate.Charge says.
+	Charge model.Resources
+}
+
+// Cancelled reports whether the task's job was cancelled.
+func (r *Running) Cancelled() bool { return r.Job != nil && r.Job.Cancelled }
+
+// Yields reports whether the task is of a job that can make room without a
+// loss that can't be undone.
+func (r *Running) Yields() bool { return r.Job != nil && Yields(r.Job, r.Task) }
+
 // Capacity is what the VM offers; zero when it is not listed.
 func (v *VM) Capacity() model.Resources {
 	if v.Listed == nil {
--- a/internal/placement/evacuate.go
+++ b/internal/placement/evacuate.go
@@ -19,7 +19,7 @@
 	var wishes []Wish
 	margins := stopMargins(ix)
 	for _, v := range ix.VMs {
-		if v.Idle() {
+		if !mayEvacuate(ix, v) {
 			continue
 		}
 		for _, t := range v.SortedTasks() {
@@ -35,6 +35,26 @@
 	return append(wishes, spreadOut(ix, margins, held)...)
 }
 
+// mayEvacuate reports whether a task of the VM may have to end: the VM moves,
+// a job was cancelled, or an instance does not belong there.
+func mayEvacuate(ix *fleet.Index, v *fleet.VM) bool {
+	if v.Moving() {
+		return true
+	}
+	for i := range v.Running {
+		r := &v.Running[i]
+		if r.Cancelled() || r.Task.Job == "" && misplaced(ix, v, r.Task) {
+			return true
+		}
+	}
+	return false
+}
+
+func misplaced(ix *fleet.Index, v *fleet.VM, t *model.Task) bool {
+	s := ix.Service(t.Service)
+	return s == nil || t.Ordinal >= s.Spec.Instances || s.Spec.Pool != v.Pool()
+}
+
 // stopMargins is how many available instances each service can spare now.
 // Instances that were told to stop may still serve and are taken off.
 func stopMargins(ix *fleet.Index) map[model.ServiceID]int {
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -74,7 +74,7 @@
 		if failedOn(j, s.vm) || !size.Fits(s.vm.Capacity()) {
 			continue
 		}
-		h := &hold{job: j, vm: s.vm, size: size, left: s.vm.Capacity().Minus(instanceCharges(ix, s.vm))}
+		h := &hold{job: j, vm: s.vm, size: size, left: s.vm.Capacity().Minus(instanceCharges(s.vm))}
 		switch {
 		case size.Fits(s.vm.Free()):
 			fitting++
@@ -93,11 +93,11 @@
 
 func moreLeft(a, b model.Resources) bool { return a.MilliCPU+a.MemoryMB/4 > b.MilliCPU+b.MemoryMB/4 }
 
-func instanceCharges(ix *fleet.Index, v *fleet.VM) model.Resources {
+func instanceCharges(v *fleet.VM) model.Resources {
 	var sum model.Resources
-	for _, t := range v.Tasks {
-		if t.Job == "" {
-			sum = sum.Plus(ix.Charge(t))
+	for i := range v.Running {
+		if r := &v.Running[i]; r.Task.Job == "" {
+			sum = sum.Plus(r.Charge)
 		}
 	}
 	return sum
--- a/internal/placement/jobs.go
+++ b/internal/placement/jobs.go
@@ -16,43 +16,58 @@
 	held    holds
 	rooms   map[model.PoolID]*room
 	words   map[reasonKey]string
-	total   model.Resources
 	starts  int
 	reasons int
 	actions []state.Action
 	wishes  []Wish
 	// yielding are the tasks that were asked to yield in this round.
 	yielding map[model.TaskID]bool
+	// best is the least concession found so far, try the one being worked out.
+	best, try *concession
 }
 
-func decideJobs(ix *fleet.Index, o Options, held holds, shortages []Shortage) ([]state.Action, []Wish) {
-	p := &planner{
+func newPlanner(ix *fleet.Index, o Options, held holds) *planner {
+	return &planner{
 		ix:       ix,
 		o:        o,
 		w:        &weigher{ix: ix, o: o},
-		total:    totalCapacity(ix),
 		held:     held,
 		rooms:    make(map[model.PoolID]*room),
 		words:    make(map[reasonKey]string),
 		yielding: make(map[model.TaskID]bool),
+		best:     &concession{},
+		try:      &concession{},
 	}
+}
+
+func decideJobs(ix *fleet.Index, o Options, held holds, shortages []Shortage) ([]state.Action, []Wish) {
 	if ix.Snap.View.Site == nil {
 		return nil, nil
 	}
+	p := newPlanner(ix, o, held)
 	p.reserveInstances(shortages)
-	levels := byPriority(ix, o, p.total)
+	levels := byPriority(ix, o)
 	for level := range levels {
 		p.placeLevel(&levels[level], level == levelUrgent)
 	}
 	return p.actions, p.wishes
 }
 
-func totalCapacity(ix *fleet.Index) model.Resources {
-	var total model.Resources
-	for _, v := range ix.VMs {
-		total = total.Plus(v.Capacity())
+// Arrivals decides about jobs that were submitted after the index was built,
+// in their order, without a whole round: the state machine refuses what no
+// longer holds. It is for urgent jobs, which should not wait for a round.
+func Arrivals(ix *fleet.Index, o Options, jobs ...*model.Job) ([]state.Action, []Wish) {
+	if ix.Snap.View.Site == nil {
+		return nil, nil
+	}
+	ix.Arrive(jobs...)
+	p := newPlanner(ix, o.withDefaults(), nil)
+	for _, j := range jobs {
+		if !ix.Started(j.Spec.ID) {
+			p.place(j, j.Spec.Priority == model.Urgent)
+		}
 	}
-	return total
+	return p.actions, p.wishes
 }
 
 // placeLevel tries every job of the level. One that can't run now is passed
@@ -62,7 +77,7 @@
 	for l.Len() > 0 && p.starts < p.o.MaxStarts {
 		lane, j := l.next()
 		if p.place(j, urgent) {
-			lane.weigh(p.total)
+			lane.weigh(p.ix.Total)
 		}
 		l.settle()
 	}
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -22,35 +23,54 @@
 // attempt would run beside the first; the margin is for that.
 func Leases(ix *fleet.Index, o Options) []state.Action {
 	o = o.withDefaults()
-	var actions []state.Action
-	var renewed, lapsing []model.TaskID
-	due := false
-	for _, t := range ix.Snap.View.Tasks {
-		switch {
-		case ix.Now() > t.LeaseUntil.Add(o.DriftMargin):
-			actions = append(actions, lapse(ix, t))
-		case renewable(ix, t):
-			renewed = append(renewed, t.ID)
-			due = due || t.LeaseUntil.Sub(ix.Now()) < ix.Lease()/2
-		default:
-			lapsing = append(lapsing, t.ID)
+	l := &leases{ix: ix, margin: o.DriftMargin}
+	for _, v := range ix.VMs {
+		for i := range v.Running {
+			l.look(v, &v.Running[i])
 		}
 	}
-	slices.SortFunc(actions, func(a, b state.Action) int { return cmp.Compare(a.EndTask.Task, b.EndTask.Task) })
-	if due {
-		actions = append(actions, renew(ix, renewed, lapsing))
+	for _, t := range ix.Strays {
+		l.look(nil, &fleet.Running{Task: t})
+	}
+	slices.SortFunc(l.actions, func(a, b state.Action) int { return cmp.Compare(a.EndTask.Task, b.EndTask.Task) })
+	if l.due {
+		l.actions = append(l.actions, l.renew())
+	}
+	ix.Plan(l.actions...)
+	return l.actions
+}
+
+// leases sorts the tasks of one round by what becomes of their leases.
+type leases struct {
+	ix      *fleet.Index
+	margin  time.Duration
+	actions []state.Action
+	renewed []model.TaskID
+	lapsing []model.TaskID
+	// due says that a lease to be renewed is in its second half.
+	due bool
+}
+
+func (l *leases) look(v *fleet.VM, r *fleet.Running) {
+	t := r.Task
+	switch {
+	case l.ix.Now() > t.LeaseUntil.Add(l.margin):
+		l.actions = append(l.actions, lapse(l.ix, t))
+	case renewable(l.ix, v, r):
+		l.renewed = append(l.renewed, t.ID)
+		l.due = l.due || t.LeaseUntil.Sub(l.ix.Now()) < l.ix.Lease()/2
+	default:
+		l.lapsing = append(l.lapsing, t.ID)
 	}
-	ix.Plan(actions...)
-	return actions
 }
 
 // renew extends all leases that are to go on to one instant. It names the
 // tasks that lapse where they are fewer, which they are but for disasters, so
 // that a renewal does not grow with the site.
-func renew(ix *fleet.Index, renewed, lapsing []model.TaskID) state.Action {
-	r := &state.RenewTasks{Tasks: renewed, LeaseUntil: ix.LeaseUntil()}
-	if len(lapsing) < len(renewed) {
-		r.Tasks, r.AllBut = lapsing, true
+func (l *leases) renew() state.Action {
+	r := &state.RenewTasks{Tasks: l.renewed, LeaseUntil: l.ix.LeaseUntil()}
+	if len(l.lapsing) < len(l.renewed) {
+		r.Tasks, r.AllBut = l.lapsing, true
 	}
 	slices.Sort(r.Tasks)
 	return state.Action{RenewTasks: r}
@@ -69,11 +89,11 @@
 //
 // Nor is a lease renewed that ended already. Its worker stopped the task; a
 // renewal would keep the record alive for ever, and nothing would run.
-func renewable(ix *fleet.Index, t *model.Task) bool {
-	if ix.Now() >= t.LeaseUntil || t.State == model.TaskStopping || ix.Snap.Gone[t.ID] || cancelled(ix, t) {
+func renewable(ix *fleet.Index, v *fleet.VM, r *fleet.Running) bool {
+	t := r.Task
+	if ix.Now() >= t.LeaseUntil || t.State == model.TaskStopping || r.Cancelled() || ix.Snap.Gone[t.ID] {
 		return false
 	}
-	v := ix.VM(t.VM)
 	if v == nil || v.Listed == nil {
 		return false
 	}
@@ -82,8 +102,3 @@
 	}
 	return v.Listed.Health == model.VMUp
 }
-
-func cancelled(ix *fleet.Index, t *model.Task) bool {
-	job := ix.Job(t.Job)
-	return job != nil && job.Cancelled
-}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -19,6 +19,10 @@
 	// MaxReasons bounds the jobs whose reason to wait is rewritten in one
 	// round. Default 500.
 	MaxReasons int
+	// MaxYields bounds the tasks that yield to urgent work in one round, so
+	// that a flood of urgent jobs does not stop all batch work at once.
+	// Default 500.
+	MaxYields int
 	// BatchAge is how long a batch job waits before it counts as a normal
 	// one, so that it can't starve. Default 1 h.
 	BatchAge time.Duration
@@ -51,12 +55,14 @@
 const (
 	defaultMaxStarts  = 500
 	defaultMaxReasons = 500
+	defaultMaxYields  = 500
 	defaultBatchAge   = time.Hour
 )
 
 func (o Options) withDefaults() Options {
 	o.MaxStarts = cmp.Or(o.MaxStarts, defaultMaxStarts)
 	o.MaxReasons = cmp.Or(o.MaxReasons, defaultMaxReasons)
+	o.MaxYields = cmp.Or(o.MaxYields, defaultMaxYields)
 	o.BatchAge = cmp.Or(o.BatchAge, defaultBatchAge)
 	o.DriftMargin = max(o.DriftMargin, state.DriftMargin)
 	return o
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -51,7 +51,7 @@
 
 // byPriority splits the queue into the lanes of each level: urgent, normal
 // with the batch jobs that waited for long, and batch.
-func byPriority(ix *fleet.Index, o Options, total model.Resources) [levelCount]lanes {
+func byPriority(ix *fleet.Index, o Options) [levelCount]lanes {
 	var levels [levelCount]lanes
 	var byTeam [levelCount]map[model.TeamID]*lane
 	for i := range byTeam {
@@ -65,7 +65,7 @@
 		l := byTeam[level][j.Spec.Team]
 		if l == nil {
 			l = &lane{id: j.Spec.Team, team: ix.Team(j.Spec.Team)}
-			l.weigh(total)
+			l.weigh(ix.Total)
 			byTeam[level][j.Spec.Team] = l
 			levels[level] = append(levels[level], l)
 		}
--- a/internal/placement/relieve.go
+++ b/internal/placement/relieve.go
@@ -84,6 +84,9 @@
 func projected(ix *fleet.Index, v *fleet.VM) model.Resources {
 	busy := v.Listed.Busy
 	for _, t := range v.Tasks {
+		if t.State != model.TaskStopping && !t.Throttled {
+			continue
+		}
 		used := ix.Snap.Usage[t.ID].Used
 		kept := int64(float64(t.Size.MilliCPU) * estimate.ThrottledShare)
 		switch {
@@ -158,12 +161,12 @@
 // to use, the largest first.
 func largest(ix *fleet.Index, v *fleet.VM, priority model.Priority, amount func(model.Resources) int64) []yielder {
 	var found []yielder
-	for _, t := range v.Tasks {
-		job := ix.Job(t.Job)
-		if job == nil || t.Priority != priority || t.State == model.TaskStopping {
+	for i := range v.Running {
+		r := &v.Running[i]
+		if r.Job == nil || r.Task.Priority != priority || r.Task.State == model.TaskStopping {
 			continue
 		}
-		found = append(found, yielder{t, job, ix.Snap.Usage[t.ID].Used})
+		found = append(found, yielder{r.Task, r.Job, ix.Snap.Usage[r.Task.ID].Used})
 	}
 	slices.SortFunc(found, func(a, b yielder) int {
 		if x, y := amount(a.charge), amount(b.charge); x != y {
@@ -181,6 +184,9 @@
 // it by charge and by measurement.
 func unthrottle(v *fleet.VM, busy model.Resources) []Wish {
 	limit := int64(float64(v.Capacity().MilliCPU) * roomShare)
+	if !slices.ContainsFunc(v.Tasks, func(t *model.Task) bool { return t.Throttled }) {
+		return nil
+	}
 	for _, t := range v.SortedTasks() {
 		gain := t.Size.MilliCPU - int64(float64(t.Size.MilliCPU)*estimate.ThrottledShare)
 		if !t.Throttled || t.State == model.TaskStopping {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -29,6 +29,8 @@
 	// noFit are sizes for which no slot has room, none of them within
 	// another. What is left only shrinks in a round, so they stay true.
 	noFit []model.Resources
+	// noYield are sizes for which no slot can make room; it shrinks alike.
+	noYield []model.Resources
 	// caps are the capacities of the pool's VMs, up or not, without doubles.
 	caps []model.Resources
 	// partial says that the platform lists none, or not all, of the VMs.
@@ -43,8 +45,12 @@
 	held model.Resources
 	// coming is what tasks that stop, or were asked to yield, will free.
 	coming model.Resources
-	// counted says that coming covers the tasks that are stopping.
+	// counted says that coming, yielders and most were worked out.
 	counted bool
+	// yielders are the batch tasks that can still give up something, and most
+	// is what they, and what is coming, would free if all did.
+	yielders []yielder
+	most     model.Resources
 }
 
 func (s *slot) free() model.Resources { return s.vm.Free().Minus(s.held) }
@@ -122,23 +128,25 @@
 	}
 }
 
-func (r *room) knownNoFit(size model.Resources) bool {
-	for _, f := range r.noFit {
-		if f.Fits(size) {
+// covered reports whether one of the sizes is within size.
+func covered(sizes []model.Resources, size model.Resources) bool {
+	for _, s := range sizes {
+		if s.Fits(size) {
 			return true
 		}
 	}
 	return false
 }
 
-func (r *room) rememberNoFit(size model.Resources) {
-	kept := r.noFit[:0]
-	for _, f := range r.noFit {
-		if !size.Fits(f) {
-			kept = append(kept, f)
+// cover adds a size, and drops those that it is within.
+func cover(sizes []model.Resources, size model.Resources) []model.Resources {
+	kept := sizes[:0]
+	for _, s := range sizes {
+		if !size.Fits(s) {
+			kept = append(kept, s)
 		}
 	}
-	r.noFit = append(kept, size)
+	return append(kept, size)
 }
 
 // find returns the best slot for a job, or why there is none.
@@ -146,7 +154,7 @@
 	if len(r.slots) == 0 {
 		return nil, NoOpenVM
 	}
-	if r.knownNoFit(size) {
+	if covered(r.noFit, size) {
 		return nil, NoRoom
 	}
 	found := r.scan(w, j, size)
@@ -158,7 +166,7 @@
 	case found.again != nil:
 		return nil, FailedHere
 	}
-	r.rememberNoFit(size)
+	r.noFit = cover(r.noFit, size)
 	return nil, NoRoom
 }
 
--- a/internal/placement/yield.go
+++ b/internal/placement/yield.go
@@ -6,22 +6,46 @@
 	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/estimate"
-	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
 // concession is what batch work on one VM gives up to make room.
 type concession struct {
-	wishes []Wish
-	// throttles, checkpoints and stops count the wishes.
-	throttles, checkpoints, stops int
-	// gain is what the wishes free.
+	yields []yield
+	// gain is what the yields free.
 	gain model.Resources
+	cost int
 }
 
-// cost orders concessions: a stop loses work, a checkpoint moves a job, a
+// yield is what one task gives up.
+type yield struct {
+	task *model.Task
+	kind WishKind
+}
+
+// Costs order concessions: a stop loses work, a checkpoint moves a job, a
 // throttle only slows one down.
-func (c *concession) cost() int { return 100*c.stops + 10*c.checkpoints + c.throttles }
+const (
+	throttleCost   = 1
+	checkpointCost = 10
+	stopCost       = 100
+)
+
+func (c *concession) add(y yielder, kind WishKind, gain model.Resources) {
+	c.yields = append(c.yields, yield{y.task, kind})
+	c.gain = c.gain.Plus(gain)
+	switch kind {
+	case Throttle:
+		c.cost += throttleCost
+	case Checkpoint:
+		c.cost += checkpointCost
+	default:
+		c.cost += stopCost
+	}
+}
+
+// reset empties the concession and keeps its memory.
+func (c *concession) reset() { *c = concession{yields: c.yields[:0]} }
 
 // reserveInstances makes room for instances that found no VM. They come
 // before all jobs: without them the services miss their budgets.
@@ -45,75 +69,104 @@
 }
 
 func (p *planner) reserveRoom(r *room, j *model.Job, size model.Resources, why string) bool {
-	var best *slot
-	var bestGain *concession
+	if covered(r.noYield, size) || len(p.wishes) >= p.o.MaxYields {
+		return false
+	}
+	best, avoided := p.leastYield(r, j, size)
+	switch {
+	case best != nil:
+		p.take(best, size, why)
+	case !avoided:
+		r.noYield = cover(r.noYield, size)
+	}
+	return best != nil
+}
+
+// leastYield finds the slot where the least has to yield for the size, and
+// leaves in p.best what does. Avoided says that a slot was passed over because
+// the job failed there.
+func (p *planner) leastYield(r *room, j *model.Job, size model.Resources) (best *slot, avoided bool) {
 	scanned := 0
 	for _, s := range r.slots {
-		if j != nil && failedOn(j, s.vm) || !size.Fits(s.vm.Capacity()) {
+		p.countYield(s)
+		free := s.free()
+		if !size.Fits(free.Plus(s.most)) {
+			continue
+		}
+		if j != nil && failedOn(j, s.vm) {
+			avoided = true
 			continue
 		}
-		c := p.concede(s, size, why)
-		if c == nil {
+		if !p.concede(s, size.Minus(free.Plus(s.coming))) {
 			continue
 		}
-		if best == nil || c.cost() < bestGain.cost() {
-			best, bestGain = s, c
+		if best == nil || p.try.cost < p.best.cost {
+			best = s
+			p.try, p.best = p.best, p.try
 		}
-		if scanned++; scanned == scanLimit || c.cost() == 0 {
+		if scanned++; scanned == scanLimit || p.best.cost <= throttleCost {
 			break
 		}
 	}
-	if best == nil {
-		return false
-	}
-	best.held = best.held.Plus(size)
-	best.coming = best.coming.Plus(bestGain.gain)
-	for _, w := range bestGain.wishes {
-		p.yielding[w.Task.ID] = true
+	return best, avoided
+}
+
+// take holds the room and enters what yields for it, as p.best says.
+func (p *planner) take(s *slot, size model.Resources, why string) {
+	s.held = s.held.Plus(size)
+	s.coming = s.coming.Plus(p.best.gain)
+	for _, y := range p.best.yields {
+		p.yielding[y.task.ID] = true
+		p.wishes = append(p.wishes, Wish{y.kind, ForUrgent, y.task, why})
 	}
-	p.wishes = append(p.wishes, bestGain.wishes...)
-	return true
+	s.yielders = slices.DeleteFunc(s.yielders, func(y yielder) bool { return p.yielding[y.task.ID] })
+	s.sumMost()
 }
 
-// concede works out the least that batch work on the VM must give up for the
-// size to fit; nil when that is not enough.
-func (p *planner) concede(s *slot, size model.Resources, why string) *concession {
-	p.countComing(s)
-	c := &concession{}
-	missing := size.Minus(s.free().Plus(s.coming))
+// concede works out the least that batch work on the VM must give up for what
+// is missing, into p.try. It reports whether that is enough.
+func (p *planner) concede(s *slot, missing model.Resources) bool {
+	p.try.reset()
 	if missing.Fits(model.Resources{}) {
-		return c
+		return true
 	}
-	yielders := p.yielders(s.vm)
 	if missing.MemoryMB <= 0 && missing.Accelerators <= 0 {
-		missing = p.throttle(c, yielders, missing, why)
-		if missing.Fits(model.Resources{}) {
-			return c
+		if p.throttle(s.yielders, missing) {
+			return true
 		}
 		// Throttling alone is not enough: leave it, what stops frees more.
-		c = &concession{}
-		missing = size.Minus(s.free().Plus(s.coming))
+		p.try.reset()
 	}
-	for _, kind := range []WishKind{Checkpoint, Stop} {
-		missing = p.release(c, yielders, kind, missing, why)
-		if missing.Fits(model.Resources{}) {
-			return c
-		}
-	}
-	return nil
+	missing = p.release(s.yielders, Checkpoint, missing)
+	return p.release(s.yielders, Stop, missing).Fits(model.Resources{})
 }
 
-// countComing adds what tasks that were told to stop before will free.
-func (p *planner) countComing(s *slot) {
+// countYield works out what tasks that were told to stop will free, and which
+// batch tasks can yield, the latest first: they lose the least work.
+func (p *planner) countYield(s *slot) {
 	if s.counted {
 		return
 	}
 	s.counted = true
-	for _, t := range s.vm.Tasks {
-		if t.State == model.TaskStopping {
-			s.coming = s.coming.Plus(p.ix.Charge(t))
+	for i := range s.vm.Running {
+		switch t := &s.vm.Running[i]; {
+		case t.Task.State == model.TaskStopping:
+			s.coming = s.coming.Plus(t.Charge)
+		case t.Yields():
+			s.yielders = append(s.yielders, yielder{t.Task, t.Job, t.Charge})
 		}
 	}
+	slices.SortFunc(s.yielders, func(a, b yielder) int {
+		return cmp.Or(cmp.Compare(b.task.Started, a.task.Started), cmp.Compare(a.task.ID, b.task.ID))
+	})
+	s.sumMost()
+}
+
+func (s *slot) sumMost() {
+	s.most = s.coming
+	for _, y := range s.yielders {
+		s.most = s.most.Plus(y.charge)
+	}
 }
 
 // yielder is a batch task that can give up something.
@@ -123,42 +176,25 @@
 	charge model.Resources
 }
 
-// yielders lists the batch tasks of a VM that can yield, the latest first:
-// they lose the least work.
-func (p *planner) yielders(v *fleet.VM) []yielder {
-	var found []yielder
-	for _, t := range v.Tasks {
-		job := p.ix.Job(t.Job)
-		if job == nil || t.State == model.TaskStopping || p.yielding[t.ID] || !fleet.Yields(job, t) {
-			continue
-		}
-		found = append(found, yielder{t, job, p.ix.Charge(t)})
-	}
-	slices.SortFunc(found, func(a, b yielder) int {
-		if a.task.Started != b.task.Started {
-			return cmp.Compare(b.task.Started, a.task.Started)
-		}
-		return cmp.Compare(a.task.ID, b.task.ID)
-	})
-	return found
-}
-
-func (p *planner) throttle(c *concession, yielders []yielder, missing model.Resources, why string) model.Resources {
+// throttle reduces tasks to their throttled share until no processors are
+// missing. It reports whether that is enough.
+func (p *planner) throttle(yielders []yielder, missing model.Resources) bool {
 	for _, y := range yielders {
 		gain := estimate.ThrottleGain(y.charge.MilliCPU, y.task.Size.MilliCPU)
-		if missing.MilliCPU <= 0 || y.task.Throttled || !y.job.Spec.Throttleable || gain <= 0 {
+		if y.task.Throttled || !y.job.Spec.Throttleable || gain <= 0 {
 			continue
 		}
-		c.wishes = append(c.wishes, Wish{Throttle, ForUrgent, y.task, why})
-		c.throttles++
-		c.gain.MilliCPU += gain
+		p.try.add(y, Throttle, model.Resources{MilliCPU: gain})
 		missing.MilliCPU -= gain
+		if missing.MilliCPU <= 0 {
+			return true
+		}
 	}
-	return missing
+	return false
 }
 
 // release stops tasks, with or without a checkpoint, until nothing is missing.
-func (p *planner) release(c *concession, yielders []yielder, kind WishKind, missing model.Resources, why string) model.Resources {
+func (p *planner) release(yielders []yielder, kind WishKind, missing model.Resources) model.Resources {
 	for _, y := range yielders {
 		if missing.Fits(model.Resources{}) {
 			break
@@ -166,13 +202,7 @@
 		if !p.mayRelease(y.job, kind) || !helps(y.charge, missing) {
 			continue
 		}
-		c.wishes = append(c.wishes, Wish{kind, ForUrgent, y.task, why})
-		if kind == Stop {
-			c.stops++
-		} else {
-			c.checkpoints++
-		}
-		c.gain = c.gain.Plus(y.charge)
+		p.try.add(y, kind, y.charge)
 		missing = missing.Minus(y.charge)
 	}
 	return missing
