slots: entry VMs lend each other the slots of their static shares

Cause: static shares leave slots idle at one entry VM while requests wait at another; an owner per service needs an election to be safe in a partition. A restarted process asks the others what they hold of its share; a planned stop leaves the share to heirs; the share of a lost entry VM is used by others after a while, in contact with a majority only.

--- /dev/null
+++ b/internal/slots/lend_test.go
@@ -0,0 +1,182 @@
+package slots
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+)
+
+// loopback carries encoded messages between dispatchers of one process.
+type loopback struct {
+	mu   sync.Mutex
+	all  map[model.NodeID]*Dispatcher
+	down map[model.NodeID]bool
+}
+
+func (l *loopback) from(self model.NodeID) Peer {
+	return NewPeer(func(ctx context.Context, to model.NodeID, body []byte) ([]byte, error) {
+		l.mu.Lock()
+		d := l.all[to]
+		down := l.down[to] || l.down[self]
+		l.mu.Unlock()
+		if down || d == nil {
+			return nil, fmt.Errorf("%s is not reached", to)
+		}
+		return d.Lend(ctx, self, body)
+	})
+}
+
+// newSite starts dispatchers that lend to each other, each over its own registry.
+func newSite(tb testing.TB, nodes int, service model.Service) ([]*Dispatcher, *loopback) {
+	tb.Helper()
+	l := &loopback{all: map[model.NodeID]*Dispatcher{}, down: map[model.NodeID]bool{}}
+	var names []model.NodeID
+	for n := range nodes {
+		names = append(names, model.NodeID(fmt.Sprintf("n%d", n)))
+	}
+	var all []*Dispatcher
+	ctx, cancel := context.WithCancel(context.Background())
+	var duties sync.WaitGroup
+	for _, name := range names {
+		r := registry.New(registry.Options{})
+		for i := range 2 {
+			_, err := r.Announce(model.Upstream{
+				Service: "drafts", Instance: model.InstanceID(fmt.Sprintf("i%d", i)), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i),
+				Incarnation: 1, Sequence: 1, Slots: 8, Connections: 64,
+			}, model.InstantOf(time.Now()))
+			if err != nil {
+				tb.Fatal(err)
+			}
+		}
+		d := New(Config{Self: name, Nodes: names, Registry: r, Services: siteOf{service}, Peer: l.from(name)})
+		l.mu.Lock()
+		l.all[name] = d
+		l.mu.Unlock()
+		all = append(all, d)
+		duties.Go(func() { _ = d.Run(ctx) })
+	}
+	tb.Cleanup(func() {
+		cancel()
+		duties.Wait()
+	})
+	return all, l
+}
+
+// TestOneEntryVMBorrowsAll: a caller that the balancer sends to one entry VM
+// alone can use all slots of the service, no more; and what is released is
+// there for another entry VM.
+func TestOneEntryVMBorrowsAll(t *testing.T) {
+	is := is.New(t)
+	service := model.Service{ID: "drafts", Slots: 4, Connections: 64, QueueLimit: 100, Timeout: 20 * time.Second}
+	site, _ := newSite(t, 3, service)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	ask := func(p model.Priority) Ask {
+		return Ask{Service: "drafts", Priority: p, Deadline: model.InstantOf(time.Now().Add(20 * time.Second))}
+	}
+	var grants []*Grant
+	for range 8 {
+		grant, err := site[0].Acquire(ctx, ask(model.Batch))
+		is.NoErr(err)
+		grants = append(grants, grant)
+	}
+	short, stop := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer stop()
+	_, err := site[1].Acquire(short, ask(model.Normal))
+	is.Equal(err, context.DeadlineExceeded) // All 2 x 4 slots are in use at the first.
+	waiting := make(chan result, 1)
+	go func() {
+		grant, err := site[1].Acquire(ctx, ask(model.Urgent))
+		waiting <- result{grant, err}
+	}()
+	for site[1].counters.queued.Count() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	grants[0].Release(Answered)
+	got := <-waiting
+	is.NoErr(got.err)
+	got.grant.Release(Answered)
+	got.grant.Release(Answered)
+	is.Equal(site[1].counters.twice.Count(), int64(1))
+	for _, g := range grants[1:] {
+		g.Release(Answered)
+	}
+	for _, d := range site {
+		is.Equal(d.counters.broken.Count(), int64(0))
+	}
+}
+
+// TestLeavingInstanceGetsNoNewWork: an instance that announced its leaving is
+// passed over at once where that is known, and its slots on loan with it.
+func TestLeavingInstanceGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	d, _, r := newAlone(t, 8, 10)
+	announce(t, r, 1, false, 1, 2)
+	announce(t, r, 2, true, 1)
+	for range 8 {
+		grant, err := d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: 1000})
+		is.NoErr(err)
+		is.Equal(grant.Upstream.Instance, model.InstanceID("i2"))
+	}
+	short, stop := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer stop()
+	_, err := d.Acquire(short, Ask{Service: "drafts", Deadline: 1000})
+	is.Equal(err, context.DeadlineExceeded)
+}
+
+// Symptom: a caller waits to its deadline for an answer that was clear at once.
+// Sequence: the queue is long, the measured rate low, the deadline near.
+// Cause: a queue that only notices when the deadline has come.
+func TestHopelessRequestIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	d, clock, r := newAlone(t, 1, 100)
+	announce(t, r, 1, false, 1)
+	for range 3 { // The instance is seen to take a second for a request.
+		grant, err := d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: clock.Now() + 5000})
+		is.NoErr(err)
+		clock.Advance(time.Second)
+		grant.Release(Answered)
+	}
+	running, err := d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: clock.Now() + 60_000})
+	is.NoErr(err)
+	patient := asking(d, Ask{Service: "drafts", Deadline: clock.Now() + 1800})
+	_, err = d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: clock.Now() + 1500})
+	rejection, ok := err.(*Rejection)
+	is.True(ok)
+	is.Equal(rejection.RetryAfter, 2*time.Second) // What waits and what runs takes so long.
+	clock.Advance(1300 * time.Millisecond)        // The running one takes longer than expected.
+	d.Tick()
+	got := <-patient
+	_, ok = got.err.(*Rejection)
+	is.True(ok) // Given up 500 ms before its deadline, and told so at once.
+	running.Release(Answered)
+	is.Equal(d.counters.granted.Count(), int64(4))
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	for _, mode := range []string{"alone", "site"} {
+		b.Run(mode, func(b *testing.B) {
+			service := model.Service{ID: "drafts", Slots: 8, Connections: 64, QueueLimit: 100, Timeout: 10 * time.Second}
+			site, _ := newSite(b, map[string]int{"alone": 1, "site": 3}[mode], service)
+			ask := Ask{Service: "drafts", Deadline: model.InstantOf(time.Now().Add(time.Hour))}
+			for len(site[0].desk("drafts").core.unrecovered) > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				grant, err := site[0].Acquire(context.Background(), ask)
+				if err != nil {
+					b.Fatal(err)
+				}
+				grant.Release(Answered)
+			}
+		})
+	}
+}
