--- a/internal/agent/duties.go
+++ b/internal/agent/duties.go
@@ -47,7 +47,7 @@
 		a.servePeer(a.operatorHandler(), a.listeners.Operators),
 	}
 	if a.replica != nil {
-		all = append(all, a.replica.Run, quiet(a.controller.Run))
+		all = append(all, a.replica.Run, quiet(a.controller.Run), quiet(a.retain))
 	} else {
 		all = append(all, a.follower.Run)
 	}
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -97,7 +97,7 @@
 	a.transport = upstream.NewTransport(upstream.Options{EntryVMs: len(a.settings.Nodes), Metrics: a.metrics})
 	a.callers = caller.New(caller.Config{
 		Self: a.settings.Node.Name,
-		Log:  a.log, Broker: a.dispatcher, Sender: a.transport,
+		Log:  a.log, Broker: staticCount{a.dispatcher, a.heartbeats}, Sender: a.transport,
 		Limits: caller.Limits{
 			BodyBytes:   a.settings.Limits.RequestBody,
 			Connections: int64(a.settings.Limits.CallerConnections),
