controller, budget: instances leave quarantined workers; unknown VMs do not soak

Change: an instance on a quarantined worker stops when enough others are available; only VMs that are up can soak.

--- a/internal/budget/loss.go
+++ b/internal/budget/loss.go
@@ -104,7 +104,7 @@
 }
 
 func (l *Ledger) soaking(v *fleet.VM) bool {
-	if l.options.Rules.SkipSoak || v.Listed.HealthSince == 0 {
+	if l.options.Rules.SkipSoak || v.Listed.Health != model.VMUp || v.Listed.HealthSince == 0 {
 		return false
 	}
 	return l.now.Sub(v.Listed.HealthSince) < l.options.Soak
--- a/internal/controller/spread.go
+++ b/internal/controller/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -100,11 +101,12 @@
 // leaveQuarantined stops one instance on a quarantined worker, where it does
 // not count, when there is room elsewhere and enough others are available.
 func (d *decided) leaveQuarantined(s *fleet.Service) bool {
-	if d.ledger.Available(s.Spec.ID) < s.Spec.MinAvailable || d.emptiest(s, nil) == nil {
+	if d.ledger.Available(s.Spec.ID) < s.Spec.MinAvailable {
 		return false
 	}
-	for _, t := range s.Tasks {
-		if t == nil || t.State == model.TaskStopping {
+	room := d.emptiest(s, nil) != nil
+	for _, t := range append(slices.Clone(s.Extra), s.Tasks...) {
+		if t == nil || t.State == model.TaskStopping || !room && t.Ordinal < s.Spec.Instances {
 			continue
 		}
 		if v := d.ix.VM(t.VM); v != nil && v.Quarantine != nil {
