--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -13,6 +14,7 @@
 // newPipe returns a connection of a pool and its other end.
 func newPipe(t *testing.T) (*conn, net.Conn) {
 	near, far := net.Pipe()
+	_ = near.SetDeadline(time.Now().Add(10 * time.Second))
 	t.Cleanup(func() { _, _ = near.Close(), far.Close() })
 	o := Options{}.withDefaults()
 	return newConn(near, newPool(poolKey{}, &o, metrics.NewCounter())), far
@@ -58,3 +60,23 @@
 	is.Equal(n, 0)
 	is.True(errors.Is(err, errUnsolicited))
 }
+
+// Symptom: as above.
+// Sequence: the earlier answer's copy already lies in the reader's buffer when
+// the next request is about to be written.
+// Cause: a writer that does not wait for its reader can't know.
+func TestWriterWaitsForItsReader(t *testing.T) {
+	is := is.New(t)
+	c, _ := newPipe(t)
+	x := newExchange()
+	c.bind(x, true)
+	written := make(chan error)
+	go func() {
+		_, err := c.Write([]byte("POST /plan"))
+		written <- err
+	}()
+	time.Sleep(10 * time.Millisecond) // lets a writer that does not wait go on
+	is.NoErr(c.Close())
+	is.True(errors.Is(<-written, net.ErrClosed))
+	is.True(!x.begun())
+}
