wave: room is counted in VMs, as fleet's demand does

Cause: fleet.Demand counts the VMs that instances fill; the wave summed resources by itself. Change: a wave leaves each pool the VMs that its demand calls hard; takes are counted before the permit changes the VM's state.

--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -121,7 +121,10 @@
 			return c.soft.runtimes.remaining(&j.Spec, d.at.Sub(t.Started))
 		},
 	}
-	d.wave = wave.Decide(d.ix, d.ledger, facts, c.config.Wave)
+	options := c.config.Wave
+	options.Fleet = c.config.Fleet
+	options.Fleet.Sizes = c.soft.sizes
+	d.wave = wave.Decide(d.ix, d.ledger, facts, options)
 	d.add(d.wave.Actions...)
 	c.soft.undrain = map[model.VMID]bool{}
 	for _, id := range d.wave.Undrain {
--- a/internal/wave/grant.go
+++ b/internal/wave/grant.go
@@ -123,9 +123,9 @@
 
 func (d *decider) grant(r *run, v *fleet.VM, rooms *rooms) {
 	reason := fmt.Sprintf("wave %s: no budget forbids it; %d of %d done, %d under way", r.wave.ID, r.done, r.total, len(r.active))
-	d.add(state.Action{Reason: reason, Grant: &state.Grant{VM: v.ID, Wave: r.wave.ID, BootID: v.Listed.BootID}})
-	d.ledger.Take(v)
 	rooms.take(v)
+	d.ledger.Take(v)
+	d.add(state.Action{Reason: reason, Grant: &state.Grant{VM: v.ID, Wave: r.wave.ID, BootID: v.Listed.BootID}})
 	r.active = append(r.active, v)
 	r.zone = v.Zone
 }
--- a/internal/wave/options.go
+++ b/internal/wave/options.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -66,6 +67,8 @@
 	// Cycle is how long the maintenance of one VM is taken to last before
 	// any was measured. Default 5 min.
 	Cycle time.Duration
+	// Fleet are the options by which the demand of pools is worked out.
+	Fleet fleet.Options
 }
 
 const (
--- a/internal/wave/room.go
+++ b/internal/wave/room.go
@@ -10,12 +10,8 @@
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
-// fillLimit is the share of the remaining VMs that work may be planned to
-// fill: tasks do not pack without gaps.
-const fillLimit = 0.9
-
-// rooms keeps account of what each pool's VMs can carry, so that a wave
-// leaves room for the work that it displaces.
+// rooms keeps account of how many VMs each pool needs, so that a wave leaves
+// room for the work that it displaces.
 type rooms struct {
 	d     *decider
 	pools map[model.PoolID]*room
@@ -23,20 +19,19 @@
 
 // room is the account of one pool.
 type room struct {
-	members, out int
-	open, need   model.Resources
+	// members counts the VMs, out those under a permit, ready those that take
+	// work; hard is how many instances and work that can't yield need.
+	members, out, ready, hard int
 }
 
 func (d *decider) newRooms() *rooms {
 	r := &rooms{d: d, pools: map[model.PoolID]*room{}}
-	demands := fleet.Demands(d.ix, fleet.Options{})
-	for _, demand := range demands {
-		p := demand.Pool
-		account := &room{need: demand.Instances.Plus(demand.Running).Plus(demand.Urgent)}
-		for _, v := range p.VMs {
+	for _, demand := range fleet.Demands(d.ix, d.o.Fleet) {
+		account := &room{ready: demand.Ready, hard: demand.Hard}
+		for _, v := range demand.Pool.VMs {
 			account.add(v)
 		}
-		r.pools[p.Spec.ID] = account
+		r.pools[demand.Pool.Spec.ID] = account
 	}
 	return r
 }
@@ -46,11 +41,8 @@
 		return
 	}
 	r.members++
-	switch {
-	case v.Permit != nil:
+	if v.Permit != nil {
 		r.out++
-	case v.Block == fleet.Open:
-		r.open = r.open.Plus(v.Capacity())
 	}
 }
 
@@ -65,9 +57,8 @@
 	if account.out >= most {
 		return fmt.Sprintf("%d of %d VMs of pool %s are under maintenance", account.out, account.members, v.Pool())
 	}
-	after := account.open.Minus(v.Capacity())
-	if !account.need.Scale(1 / fillLimit).Fits(after) {
-		return fmt.Sprintf("pool %s needs VM %s for the work that runs", v.Pool(), v.ID)
+	if v.Block == fleet.Open && account.ready <= account.hard {
+		return fmt.Sprintf("pool %s needs %d VMs for the work that runs and has %d", v.Pool(), account.hard, account.ready)
 	}
 	return ""
 }
@@ -78,7 +69,9 @@
 		return
 	}
 	account.out++
-	account.open = account.open.Minus(v.Capacity())
+	if v.Block == fleet.Open {
+		account.ready--
+	}
 }
 
 // wantSurge asks for instances beyond the number of their service where only
