--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,161 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// TestBatchIsNotStarved: under a steady stream of normal requests batch work
+// gets its part once it is old; urgent requests go before it all the same.
+func TestBatchIsNotStarved(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](Options{})
+	now := model.Instant(0)
+	add := func(p model.Priority, n int) {
+		for range n {
+			refusal, _ := q.Offer(&Ticket[int]{Priority: p, Deadline: 1_000_000}, 1, 1000, now)
+			is.Equal(refusal, nil)
+		}
+	}
+	taken := map[model.Priority]int{}
+	take := func() {
+		t := q.First(now)
+		q.Take(t)
+		taken[t.Priority]++
+	}
+	add(model.Batch, 20)
+	add(model.Normal, 200)
+	for range 50 {
+		take()
+	}
+	is.Equal(taken[model.Batch], 0) // Not old yet.
+	now = now.Add(DefaultAgeingAfter)
+	for range 80 {
+		take()
+	}
+	is.Equal(taken[model.Batch], 80/DefaultAgeingEvery)
+	add(model.Urgent, 30)
+	for range 30 {
+		take()
+	}
+	is.Equal(taken[model.Urgent], 30)
+}
+
+// TestRandomQueue: any mix of requests gets exactly one answer each, the order
+// is by priority, expired work is never taken, and when the queue is full the
+// newest of the lowest priority goes.
+func TestRandomQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if broken := randomQueue(t, Options{}); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+func randomQueue(t *rapid.T, o Options) (broken string) {
+	q := NewQueue[*int](o)
+	now := model.Instant(0)
+	var waiting []*Ticket[*int]
+	answer := func(d *Dropped[*int]) {
+		*d.Ticket.Value++
+		if d.Refusal.RetryAfter < MinRetryAfter {
+			broken = "no time to come back"
+		}
+	}
+	var all []*int
+	inQueue := func(p model.Priority) int {
+		n := 0
+		for _, ticket := range waiting {
+			if ticket.place != nil && ticket.Priority == p {
+				n++
+			}
+		}
+		return n
+	}
+	for range rapid.IntRange(20, 100).Draw(t, "steps") {
+		switch rapid.SampledFrom([]int{0, 0, 0, 2, 3, 4}).Draw(t, "step") {
+		case 0:
+			answers := 0
+			all = append(all, &answers)
+			ticket := &Ticket[*int]{
+				Value:    &answers,
+				Priority: model.Priority(rapid.IntRange(-1, 1).Draw(t, "priority")),
+				Deadline: now.Add(time.Duration(rapid.SampledFrom([]int{0, 200, 1000, 60000}).Draw(t, "patience")) * time.Millisecond),
+			}
+			lower := 0
+			for p := model.Batch; p < ticket.Priority; p++ {
+				lower += inQueue(p)
+			}
+			refusal, shed := q.Offer(ticket, 2, 5, now)
+			if refusal != nil {
+				answers++
+				if q.Len() >= 5 && lower > 0 && ticket.Deadline > now && q.Rate().Wait(q.ahead(ticket.Priority), 2) <= ticket.Deadline.Sub(now) {
+					broken = "refused for requests of lower priority"
+				}
+			}
+			if shed != nil {
+				answer(shed)
+				if shed.Ticket.Priority >= ticket.Priority {
+					broken = "shed for a request of no higher priority"
+				}
+			}
+			waiting = append(waiting, ticket)
+		case 2:
+			first := q.First(now)
+			if first == nil || q.Expired(first, now) {
+				break
+			}
+			if now >= first.Deadline {
+				broken = "ran after its deadline"
+			}
+			for p := first.Priority + 1; p <= model.Urgent; p++ {
+				if inQueue(p) > 0 && (p == model.Urgent || first.Priority == model.Normal) {
+					broken = "a lower priority went first"
+				}
+			}
+			q.Take(first)
+			*first.Value++
+			q.Rate().Observe(time.Duration(rapid.IntRange(1, 900).Draw(t, "held")) * time.Millisecond)
+		case 3:
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+		case 4:
+			for _, dropped := range q.Sweep(2, now) {
+				answer(&dropped)
+			}
+			for _, ticket := range waiting {
+				if *ticket.Value == 0 && now >= ticket.Deadline && ticket.place != nil {
+					broken = "left waiting after its deadline"
+				}
+			}
+		}
+		if found := q.Check(); found != nil {
+			return found[0]
+		}
+	}
+	for _, dropped := range q.Sweep(2, now+1_000_000) {
+		answer(&dropped)
+	}
+	for _, answers := range all {
+		if *answers != 1 {
+			return "a request got none or two answers"
+		}
+	}
+	return broken
+}
+
+func TestQuota(t *testing.T) {
+	is := is.New(t)
+	q := NewQuota()
+	is.True(q.Take("tides", 2))
+	is.True(q.Take("tides", 2))
+	is.True(!q.Take("tides", 2))
+	is.True(q.Take("cargo", 2))
+	q.Give("tides")
+	is.True(q.Take("tides", 2))
+	is.Equal(q.InProgress("tides"), 2)
+}
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,199 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// rotating is a random source that is the same in every run.
+func rotating() func(n int) int {
+	state := uint32(1)
+	return func(n int) int {
+		state = state*1664525 + 1013904223
+		return int(state>>8) % n
+	}
+}
+
+func setOf(n, slots int, o Options) *Set {
+	s := New(o, "a", rotating())
+	s.Update(upstreams(n), 0)
+	for _, i := range s.Listed() {
+		i.Allowed, i.Own = slots, slots
+	}
+	return s
+}
+
+func upstreams(n int) []model.Upstream {
+	var list []model.Upstream
+	for k := range n {
+		list = append(list, model.Upstream{Instance: model.InstanceID(fmt.Sprintf("i%02d", k)), Incarnation: 1, Zone: model.ZoneID(fmt.Sprint(k % 2))})
+	}
+	return list
+}
+
+// serve sends requests one by one; outcome says how each ends.
+func serve(s *Set, requests int, now *model.Instant, outcome func(id model.InstanceID) Outcome) map[model.InstanceID]int {
+	got := map[model.InstanceID]int{}
+	for range requests {
+		*now = now.Add(10 * time.Millisecond)
+		use, ok := s.Pick(Wish{}, *now)
+		if !ok {
+			continue
+		}
+		id := use.Instance.Upstream.Instance
+		got[id]++
+		s.Done(use, outcome(id), *now)
+	}
+	return got
+}
+
+// Symptom: a third of the requests fail although the other instances are well.
+// Sequence: one instance fails everything, then recovers.
+// Cause: a choice that forgets how earlier attempts ended.
+func TestFailingInstanceIsEjectedAndProbed(t *testing.T) {
+	is := is.New(t)
+	s := setOf(4, 8, Options{})
+	now := model.Instant(0)
+	bad := func(id model.InstanceID) Outcome {
+		if id == "i01" {
+			return Failed
+		}
+		return Answered
+	}
+	is.True(serve(s, 400, &now, bad)["i01"] <= 2*DefaultEjectFailures) // It needs some answers of the others to compare with.
+	is.Equal(s.Ejected(), []model.InstanceID{"i01"})
+	probes := serve(s, 6000, &now, bad)["i01"] // A minute: each time out is twice the last.
+	is.True(probes >= 1 && probes <= 4)
+	now = now.Add(DefaultEjectMax)
+	serve(s, 100, &now, func(model.InstanceID) Outcome { return Answered })
+	is.Equal(len(s.Ejected()), 0)
+	is.Equal(s.Check(), nil)
+}
+
+// Symptom: one caller's bad requests take a whole service out.
+// Sequence: a caller sends requests that fail at whatever instance they reach,
+// among good ones, or alone. Cause: failures counted without regard to how the
+// other instances fare, and without a bound. With both rules off (EjectBlind,
+// EjectEverything) every instance is ejected.
+func TestBadCallerEjectsNone(t *testing.T) {
+	is := is.New(t)
+	worst := func(o Options, share int) int {
+		s := setOf(9, 8, o)
+		now, n, most := model.Instant(0), 0, 0
+		random := rotating()
+		for range 4000 {
+			serve(s, 1, &now, func(model.InstanceID) Outcome {
+				n++
+				if random(100) < share {
+					return Failed
+				}
+				return Answered
+			})
+			most = max(most, len(s.Ejected()))
+		}
+		return most
+	}
+	is.Equal(worst(Options{}, 100), 0)
+	is.Equal(worst(Options{}, 70), 0)
+	is.True(worst(Options{EjectBlind: true}, 90) <= 3) // The cap holds by itself.
+	is.Equal(worst(Options{EjectBlind: true, EjectEverything: true}, 100), 9)
+}
+
+// TestRandomUse runs any mix of requests, outcomes and changes of the list.
+func TestRandomUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		s := setOf(size, 3, Options{})
+		var uses []Use
+		now := model.Instant(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				avoid := model.InstanceID(fmt.Sprintf("i%02d", rapid.IntRange(0, 7).Draw(t, "avoid")))
+				use, ok := s.Pick(Wish{Avoid: avoid, OwnOnly: rapid.Bool().Draw(t, "own")}, now)
+				if !ok {
+					return
+				}
+				i := use.Instance
+				if i.InUse > i.Allowed || (i.Upstream.Instance == avoid && len(s.Listed()) > 1) {
+					t.Fatalf("picked %+v", i)
+				}
+				uses = append(uses, use)
+			},
+			"done": func(t *rapid.T) {
+				if len(uses) == 0 {
+					return
+				}
+				n := rapid.IntRange(0, len(uses)-1).Draw(t, "use")
+				s.Done(uses[n], rapid.SampledFrom([]Outcome{Answered, Busy, Failed, Failed, Abandoned}).Draw(t, "outcome"), now)
+				uses = append(uses[:n], uses[n+1:]...)
+			},
+			"pass": func(t *rapid.T) { now += model.Instant(rapid.IntRange(0, 20_000).Draw(t, "ms")) },
+			"list": func(t *rapid.T) {
+				list := upstreams(rapid.IntRange(0, 8).Draw(t, "listed"))
+				if len(list) > 0 && rapid.Bool().Draw(t, "restart") {
+					list[0].Incarnation = uint64(now) + 2
+				}
+				s.Update(list, now)
+				for _, i := range s.Listed() {
+					i.Allowed = rapid.IntRange(0, 4).Draw(t, "allowed")
+					i.Own = rapid.IntRange(0, i.Allowed).Draw(t, "own")
+				}
+			},
+			"": func(t *rapid.T) {
+				if broken := s.Check(); len(broken) > 0 || s.InUse() != len(uses) {
+					t.Fatalf("%v, %d in use of %d", broken, s.InUse(), len(uses))
+				}
+			},
+		})
+	})
+}
+
+// TestSharesAddUp: the static shares of all entry VMs are the limit exactly.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var nodes []model.NodeID
+		for n := range rapid.IntRange(1, 20).Draw(t, "nodes") {
+			nodes = append(nodes, model.NodeID(fmt.Sprint("n", n)))
+		}
+		limit := rapid.IntRange(0, 100).Draw(t, "limit")
+		key := rapid.String().Draw(t, "key")
+		sum := 0
+		for _, n := range nodes {
+			share := Share(limit, nodes, n, key)
+			if share < limit/len(nodes) || share > limit/len(nodes)+1 {
+				t.Fatalf("share %d of %d over %d", share, limit, len(nodes))
+			}
+			sum += share
+		}
+		if sum != limit {
+			t.Fatalf("shares add up to %d, not %d", sum, limit)
+		}
+	})
+}
+
+func TestZoneAndSlowStart(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{}, "1", rotating())
+	s.Update(upstreams(2), 0)
+	for _, i := range s.Listed() {
+		i.Allowed = 8
+	}
+	later := model.Instant(0).Add(DefaultSlowStart)
+	first, _ := s.Pick(Wish{}, later)
+	is.Equal(first.Instance.Upstream.Zone, model.ZoneID("1")) // Equal load: the near one.
+	s.Done(first, Answered, later)
+	s.Update(upstreams(3), later) // i02 is new.
+	s.Get("i02").Allowed = 8
+	counts := map[model.InstanceID]int{}
+	for range 8 {
+		use, _ := s.Pick(Wish{}, later.Add(time.Second))
+		counts[use.Instance.Upstream.Instance]++
+	}
+	is.True(counts["i02"] <= 1)
+}
