quorum: randomised runs with invariants, and the four faults they found

A small world in the test files crashes, cuts, freezes, loses disks, changes voters and drifts clocks. Also a silent empty voter's answer in term 0 was refused.

--- a/internal/quorum/config.go
+++ b/internal/quorum/config.go
@@ -58,8 +58,6 @@
 	SkipVoteSync bool
 	// SkipAppendSync acknowledges entries before they are stored.
 	SkipAppendSync bool
-	// CountUnsynced counts the leader's own entries before they are stored.
-	CountUnsynced bool
 	// SkipVotedFor votes for every candidate of a term.
 	SkipVotedFor bool
 	// SkipLogUpToDate votes for a candidate whose log is behind.
@@ -86,12 +84,12 @@
 	VotersBeforeOwnTerm bool
 	// ReplaceVoters lets two members differ at a time.
 	ReplaceVoters bool
+	// SkipVotersAnswer changes to a set of which no quorum answers.
+	SkipVotersAnswer bool
 	// SkipTermCheck takes messages of earlier terms.
 	SkipTermCheck bool
 	// SkipPreviousCheck appends without comparing the entry before.
 	SkipPreviousCheck bool
-	// SkipAddressee answers messages that are for the ID of a lost disk.
-	SkipAddressee bool
 }
 
 func (c *Config) complete() error {
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -196,7 +196,7 @@
 }
 
 func (r *Raft) handleCampaignNow() {
-	if r.role != RoleLeader && r.isVoter() {
+	if r.role != RoleLeader && r.mayCampaign() {
 		r.elect(true)
 	}
 }
--- a/internal/quorum/errors.go
+++ b/internal/quorum/errors.go
@@ -15,6 +15,8 @@
 	ErrVotersDiffer = errors.New("quorum: exactly one voter may be added or removed at a time")
 	// ErrNoOwnTerm says that the leader has not committed an entry of its own term yet.
 	ErrNoOwnTerm = errors.New("quorum: no entry of this term is committed yet")
+	// ErrVotersSilent says that too few voters of the new set answer the leader.
+	ErrVotersSilent = errors.New("quorum: no quorum of the new voters answers")
 	// ErrUnknownVoter says that an ID is not in the set of voters.
 	ErrUnknownVoter = errors.New("quorum: not a voter")
 	// ErrWrongAddressee says that a message is for another ID, such as the one
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -211,14 +211,10 @@
 }
 
 func (r *Raft) stored(id ID) uint64 {
-	switch {
-	case id != r.cfg.Self:
-		return r.peers[id].match
-	case r.cfg.Rules.CountUnsynced:
-		return r.log.last()
-	default:
+	if id == r.cfg.Self {
 		return r.log.stable
 	}
+	return r.peers[id].match
 }
 
 func (r *Raft) commitTo(index uint64) {
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -16,6 +16,7 @@
 	commit    uint64
 	handed    uint64 // last index handed out to be applied
 	applied   uint64
+	dropped   bool       // entries that were recovered do not go on from the snapshot
 	sets      []voterSet // ascending; the first is in force at baseIndex
 }
 
@@ -31,39 +32,40 @@
 func newLog(meta SnapshotMeta, entries []Entry, commit uint64) (*entryLog, error) {
 	l := &entryLog{}
 	l.reset(meta)
-	tail, err := afterSnapshot(meta, entries)
+	tail, dropped, err := afterSnapshot(meta, entries)
 	if err != nil {
 		return nil, err
 	}
+	l.dropped = dropped
 	if err := l.append(tail); err != nil {
 		return nil, err
 	}
 	l.stable = l.last()
-	// A torn tail may have cut entries that were never acknowledged, while a
-	// commit index written together with them survived.
 	l.commit = max(l.commit, min(commit, l.last()))
 	return l, nil
 }
 
-func afterSnapshot(meta SnapshotMeta, entries []Entry) ([]Entry, error) {
+// afterSnapshot returns the entries that go on from the snapshot, and whether
+// there were others that do not.
+func afterSnapshot(meta SnapshotMeta, entries []Entry) (tail []Entry, dropped bool, err error) {
 	if len(entries) == 0 {
-		return nil, nil
+		return nil, false, nil
 	}
 	first := entries[0]
 	if err := checkEntries(first.Index-1, first.Term, entries[len(entries)-1].Term, entries); err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+		return nil, false, fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
 	if first.Index > meta.Index+1 {
-		return nil, fmt.Errorf("%w: entries start at %d after a snapshot at %d", ErrCorrupt, first.Index, meta.Index)
+		return nil, false, fmt.Errorf("%w: entries start at %d after a snapshot at %d", ErrCorrupt, first.Index, meta.Index)
 	}
 	skip := meta.Index + 1 - first.Index
 	if skip == 0 {
-		return entries, nil
+		return entries, false, nil
 	}
 	if skip > uint64(len(entries)) || entries[skip-1].Term != meta.Term {
-		return nil, nil
+		return nil, true, nil
 	}
-	return entries[skip:], nil
+	return entries[skip:], false, nil
 }
 
 // reset makes the log empty after a snapshot.
--- a/internal/quorum/message.go
+++ b/internal/quorum/message.go
@@ -92,7 +92,9 @@
 
 // check refuses messages that no correct voter sends.
 func (m *Message) check() error {
-	if m.Kind == 0 || m.Kind >= kindEnd || m.From == "" || m.From == m.To || m.Term == 0 {
+	// An empty voter refuses a pre-vote in term 0; nothing else is ever sent there.
+	noTerm := m.Term == 0 && m.Kind != KindPreVoteReply
+	if m.Kind == 0 || m.Kind >= kindEnd || m.From == "" || m.From == m.To || noTerm {
 		return fmt.Errorf("%w: kind %d from %q to %q term %d", ErrBadMessage, m.Kind, m.From, m.To, m.Term)
 	}
 	if m.Kind == KindSnapshot && !m.Chunk.valid() {
--- a/internal/quorum/raft.go
+++ b/internal/quorum/raft.go
@@ -105,6 +105,16 @@
 	return r, nil
 }
 
+// LogDropped says that New dropped entries which the snapshot replaces: a
+// crash came after a received snapshot was saved and before the stored log
+// was restarted behind it. The caller must do that, at the snapshot's index,
+// before it stores anything else. Otherwise new entries would stand behind
+// the old ones, and the next restart would find them contradict the snapshot
+// and drop the new ones too, although they were acknowledged.
+func (r *Raft) LogDropped() bool {
+	return r.log.dropped
+}
+
 // Tick lets one interval pass. The caller ticks by a monotonic clock that
 // also counts while the process is suspended, and lets all missed ticks pass
 // before it steps messages or uses Status.
@@ -118,7 +128,7 @@
 		r.tickLeader()
 		return
 	}
-	if r.elapsed >= r.timeout && r.isVoter() {
+	if r.elapsed >= r.timeout && r.mayCampaign() {
 		r.campaign()
 	}
 }
@@ -149,10 +159,17 @@
 	return r.log.voters().Has(r.cfg.Self)
 }
 
+// mayCampaign is also true for a voter whose removal is not committed: it may
+// be the only one that holds the removal, the others then need its vote but
+// cannot get it because their logs are behind, and nobody could lead.
+func (r *Raft) mayCampaign() bool {
+	return r.isVoter() || r.votersPending() && r.log.votersAt(r.log.votersIndex()-1).Has(r.cfg.Self)
+}
+
 // Step takes a message from another voter. ErrWrongAddressee and
 // ErrBadMessage mean that it was dropped; on ErrDiverged the caller must stop.
 func (r *Raft) Step(m Message) error {
-	if m.To != r.cfg.Self && !r.cfg.Rules.SkipAddressee {
+	if m.To != r.cfg.Self {
 		return ErrWrongAddressee
 	}
 	if err := m.check(); err != nil {
--- a/internal/quorum/ready.go
+++ b/internal/quorum/ready.go
@@ -67,7 +67,10 @@
 		return
 	}
 	r.saved = r.hard
-	rd.Hard = &HardState{Term: r.hard.Term, VotedFor: r.hard.VotedFor, Commit: r.log.commit}
+	// The commit index must not count entries of this Ready: should the hard
+	// state become durable and the entries not, a restart would take older
+	// entries at the same indexes for committed.
+	rd.Hard = &HardState{Term: r.hard.Term, VotedFor: r.hard.VotedFor, Commit: min(r.log.commit, r.log.stable)}
 }
 
 // withholdUnsynced is the faulty rule SkipAppendSync: messages leave one
--- a/internal/quorum/voters.go
+++ b/internal/quorum/voters.go
@@ -91,7 +91,7 @@
 // set is in force once it is appended.
 //
 // Errors: ErrNotLeader, ErrTransferring, ErrVotersDiffer, ErrVotersPending,
-// ErrNoOwnTerm.
+// ErrNoOwnTerm, ErrVotersSilent.
 func (r *Raft) ProposeVoters(v Voters) (index, term uint64, err error) {
 	if r.role != RoleLeader {
 		return 0, 0, ErrNotLeader
@@ -123,9 +123,27 @@
 	if !r.ownTermCommitted() && !r.cfg.Rules.VotersBeforeOwnTerm {
 		return ErrNoOwnTerm
 	}
+	if !r.answers(v) && !r.cfg.Rules.SkipVotersAnswer {
+		return ErrVotersSilent
+	}
 	return nil
 }
 
+// answers says whether a quorum of a new set is at work; a member to be added
+// counts, as the caller has just heard from it. Without this rule a healthy
+// voter could be removed while another one is lost, and the site would stay
+// without a quorum for good once the removal is stored at one voter.
+func (r *Raft) answers(v Voters) bool {
+	n := 0
+	for _, id := range v.Members {
+		p := r.peers[id]
+		if p == nil || p.heard+uint64(r.cfg.ElectionTicks) > r.now {
+			n++
+		}
+	}
+	return n >= v.Quorum()
+}
+
 func (r *Raft) votersPending() bool {
 	return r.log.votersIndex() > r.log.commit
 }
--- /dev/null
+++ b/internal/quorum/world_test.go
@@ -0,0 +1,425 @@
+package quorum
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Units of the world's time; a tick takes between tickMin and tickMax, which
+// keeps the drift of two clocks within the bound of Config.LeaseTicks.
+const (
+	tickMin       = 100
+	tickMax       = 128
+	electionTicks = 10
+)
+
+// event is a tick, a message or the end of a write at one VM.
+type event struct {
+	at, seq uint64
+	vm      *vm
+	life    int
+	message *Message
+	stored  bool
+}
+
+type events []*event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// disk holds what survives a crash.
+type disk struct {
+	hard     HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+// store writes what a Ready asks for, up to a number of records, in the order
+// snapshot, cut of the log, hard state, entries.
+func (d *disk) store(rd *Ready, records int) {
+	write := func() bool { records--; return records >= 0 }
+	if rd.Snapshot != nil && write() {
+		d.snapshot = *rd.Snapshot
+	}
+	if rd.Snapshot != nil && write() {
+		d.entries = nil
+	}
+	if rd.Hard != nil && write() {
+		d.hard = *rd.Hard
+	}
+	for _, e := range rd.Entries {
+		if write() {
+			at := slices.IndexFunc(d.entries, func(o Entry) bool { return o.Index >= e.Index })
+			if at >= 0 {
+				d.entries = d.entries[:at:at]
+			}
+			d.entries = append(d.entries, e)
+		}
+	}
+}
+
+// vm is a place for a voter; it comes back under a new ID when its disk is lost.
+type vm struct {
+	index, generation, life int
+	id                      ID
+	disk                    disk
+	raft                    *Raft  // nil while it is down
+	ready                   *Ready // being stored
+	period, due, frozen     uint64
+	applied, sum            uint64 // the state machine: a digest of all commands
+}
+
+// world is a site with a faulty network, faulty disks and drifting clocks.
+type world struct {
+	rules   Rules
+	sameID  bool   // faulty: a lost disk comes back under the old ID
+	without uint32 // kinds of actions that this run goes without
+	random  *rand.Rand
+	now     uint64
+	seq     uint64
+	queue   events
+	vms     []*vm
+	cut     [5][5]bool
+	loss    int // percent, as are doubled and late
+	doubled int
+	late    int
+	slow    uint64 // longest write
+	keep    int
+	witness *Witness
+	sums    map[uint64]uint64 // state by index
+	reads   map[uint64]uint64 // committed when the read was asked for
+	top     uint64            // highest index applied anywhere
+	voters  Voters            // as of top
+	count   counts
+	err     error
+}
+
+// counts says what a run exercised.
+type counts struct{ ticks, messages, commands, elections, crashes, reads, voters, disks, snapshots int }
+
+func (c *counts) add(o counts) {
+	c.ticks += o.ticks
+	c.messages += o.messages
+	c.commands += o.commands
+	c.elections += o.elections
+	c.crashes += o.crashes
+	c.reads += o.reads
+	c.voters += o.voters
+	c.disks += o.disks
+	c.snapshots += o.snapshots
+}
+
+func newWorld(rules Rules, shape uint32) *world {
+	voters := 3 + int(shape%3)
+	w := &world{
+		rules: rules, slow: 50, keep: 8, witness: NewWitness(),
+		without: shape / 3, sums: map[uint64]uint64{}, reads: map[uint64]uint64{}, random: rand.New(rand.NewPCG(0, 0)),
+	}
+	for i := range w.cut {
+		w.vms = append(w.vms, &vm{index: i, id: ID(fmt.Sprintf("%d#0", i))})
+	}
+	for _, v := range w.vms[:voters] {
+		w.voters = w.voters.With(v.id)
+	}
+	w.vms[0].disk.snapshot = Snapshot{Meta: FoundingMeta(w.voters), Data: snapshotData(0)}
+	w.top = foundingIndex
+	for _, v := range w.vms {
+		w.start(v)
+	}
+	return w
+}
+
+// snapshotData is long enough for several chunks.
+func snapshotData(sum uint64) []byte {
+	return fmt.Appendf(nil, "%020d%020d", sum, sum)
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (w *world) start(v *vm) {
+	cfg := Config{
+		Self: v.id, ElectionTicks: electionTicks, HeartbeatTicks: 2, Random: func(n int) int { return w.random.IntN(n) },
+		MaxBatchBytes: entryOverhead, MaxInflight: 3, SnapshotChunk: 16, KeepEntries: w.keep, Rules: w.rules,
+	}
+	raft, err := New(cfg, v.disk.hard, v.disk.snapshot.Meta, slices.Clone(v.disk.entries))
+	if err != nil {
+		w.fail("%s restarts: %w", v.id, err)
+		return
+	}
+	if raft.LogDropped() {
+		v.disk.entries = nil
+	}
+	v.raft, v.ready, v.frozen = raft, nil, 0
+	v.life++
+	v.period = tickMin + w.random.Uint64N(tickMax-tickMin)
+	v.due = w.now + w.random.Uint64N(v.period)
+	w.restoreMachine(v)
+	if v.disk.snapshot.Meta.Index > 0 {
+		raft.SetSnapshot(v.disk.snapshot)
+	}
+	w.witness.Restarted(v.id)
+	w.push(&event{at: v.due, vm: v})
+}
+
+func (w *world) restoreMachine(v *vm) {
+	v.applied, v.sum = v.disk.snapshot.Meta.Index, 0
+	if v.applied == 0 {
+		return
+	}
+	_, _ = fmt.Sscanf(string(v.disk.snapshot.Data[:20]), "%d", &v.sum)
+	w.checkState(v)
+}
+
+func (w *world) checkState(v *vm) {
+	if known, ok := w.sums[v.applied]; ok && known != v.sum {
+		w.fail("%s has another state at %d", v.id, v.applied)
+	}
+	w.sums[v.applied] = v.sum
+}
+
+// crash loses what was not synced; of a write under way some records survive.
+func (w *world) crash(v *vm) {
+	if v.raft == nil {
+		return
+	}
+	if v.ready != nil {
+		v.disk.store(v.ready, w.random.IntN(4+len(v.ready.Entries)))
+	}
+	v.raft, v.ready = nil, nil
+	w.count.crashes++
+}
+
+// loseDisk is allowed while the voters that keep their disks are a quorum of
+// every set of voters that may be in force, including one lost before.
+func (w *world) loseDisk(v *vm) {
+	lost := 1
+	for _, id := range w.voters.Members {
+		if id != v.id && !w.alive(id) {
+			lost++
+		}
+	}
+	member, size := w.voters.Has(v.id), len(w.voters.Members)
+	founded := w.top > foundingIndex
+	if member && (!founded || lost > size-w.voters.Quorum()) {
+		return
+	}
+	if w.votersInDoubt() && (member || size < 2 || lost > 1) {
+		return
+	}
+	w.crash(v)
+	v.generation++
+	if !w.sameID {
+		v.id = ID(fmt.Sprintf("%d#%d", v.index, v.generation))
+	}
+	v.disk = disk{}
+	w.count.disks++
+	w.start(v)
+}
+
+func (w *world) alive(id ID) bool {
+	return slices.ContainsFunc(w.vms, func(v *vm) bool { return v.id == id })
+}
+
+// votersInDoubt says whether an uncommitted change of the voters is anywhere.
+func (w *world) votersInDoubt() bool {
+	doubt := func(entries []Entry) bool {
+		return slices.ContainsFunc(entries, func(e Entry) bool { return e.Kind == EntryVoters && e.Index > w.top })
+	}
+	for _, v := range w.vms {
+		if doubt(v.disk.entries) || v.raft != nil && doubt(v.raft.log.entries) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(w.queue, func(e *event) bool { return e.message != nil && doubt(e.message.Entries) })
+}
+
+func (w *world) push(e *event) {
+	w.seq++
+	e.seq, e.life = w.seq, e.vm.life
+	heap.Push(&w.queue, e)
+}
+
+// run lets time pass.
+func (w *world) run(duration uint64) {
+	end := w.now + duration
+	for w.err == nil && len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(*event)
+		w.now = max(w.now, e.at)
+		w.happen(e)
+	}
+	w.now = end
+}
+
+func (w *world) happen(e *event) {
+	v := e.vm
+	if v.raft == nil || e.life != v.life && e.message == nil {
+		return
+	}
+	if v.frozen > w.now {
+		// Ticks that were missed come before messages that waited.
+		at := v.frozen
+		if e.message != nil || e.stored {
+			at++
+		}
+		again := *e
+		again.at = at
+		w.push(&again)
+		return
+	}
+	switch {
+	case e.message != nil:
+		w.count.messages++
+		w.witness.Message(e.message)
+		if err := v.raft.Step(*e.message); err != nil && !errors.Is(err, ErrWrongAddressee) {
+			w.fail("%s: %w", v.id, err)
+		}
+	case e.stored:
+		w.stored(v)
+	default:
+		w.tick(v)
+	}
+	w.work(v)
+}
+
+func (w *world) tick(v *vm) {
+	for v.due <= w.now {
+		w.count.ticks++
+		v.raft.Tick()
+		v.due += v.period
+	}
+	w.push(&event{at: v.due, vm: v})
+}
+
+// work hands out what came up; messages that promise nothing leave at once.
+func (w *world) work(v *vm) {
+	for w.err == nil {
+		w.check(v)
+		if v.ready != nil || !v.raft.HasReady() {
+			return
+		}
+		rd := v.raft.Ready()
+		v.ready = &rd
+		w.send(v, false)
+		if rd.Hard != nil || rd.Snapshot != nil || len(rd.Entries) > 0 {
+			w.push(&event{at: w.now + w.random.Uint64N(w.slow), vm: v, stored: true})
+			return
+		}
+		w.stored(v)
+	}
+}
+
+func (w *world) stored(v *vm) {
+	rd := v.ready
+	v.disk.store(rd, 4+len(rd.Entries))
+	w.send(v, true)
+	w.witness.Ready(v.id, rd)
+	if rd.Snapshot != nil {
+		w.count.snapshots++
+		w.restoreMachine(v)
+	}
+	for i := range rd.Committed {
+		w.apply(v, &rd.Committed[i])
+	}
+	for _, read := range rd.Reads {
+		w.count.reads++
+		w.witness.Read(v.id, w.reads[read.Token], read.Index)
+		delete(w.reads, read.Token)
+	}
+	v.ready = nil
+	v.raft.Advance(*rd)
+	w.takeSnapshot(v)
+}
+
+func (w *world) apply(v *vm, e *Entry) {
+	if e.Index != v.applied+1 {
+		w.fail("%s applies %d after %d", v.id, e.Index, v.applied)
+	}
+	v.applied = e.Index
+	v.sum = xxhash.Sum64(fmt.Appendf(nil, "%d %s", v.sum, e.Data))
+	w.checkState(v)
+	if e.Index <= w.top {
+		return
+	}
+	w.top = e.Index
+	if e.Kind == EntryCommand {
+		w.count.commands++
+	}
+	if e.Kind == EntryVoters {
+		w.count.voters++
+		w.voters, _ = DecodeVoters(e.Data)
+	}
+}
+
+func (w *world) takeSnapshot(v *vm) {
+	if v.applied < v.disk.snapshot.Meta.Index+20 {
+		return
+	}
+	meta, err := v.raft.SnapshotMeta(v.applied)
+	if err != nil {
+		return // a received snapshot, not installed yet, replaced the log meanwhile
+	}
+	v.disk.snapshot = Snapshot{Meta: meta, Data: snapshotData(v.sum)}
+	v.disk.entries = slices.DeleteFunc(slices.Clone(v.disk.entries), func(e Entry) bool { return e.Index+uint64(w.keep) < meta.Index })
+	v.raft.SetSnapshot(v.disk.snapshot)
+}
+
+func (w *world) send(v *vm, promises bool) {
+	for _, m := range v.ready.Messages {
+		if m.Promises() != promises {
+			continue
+		}
+		w.transmit(v, m)
+		if w.random.IntN(100) < w.doubled {
+			w.transmit(v, m)
+		}
+	}
+}
+
+func (w *world) transmit(v *vm, m Message) {
+	to := w.vms[m.To[0]-'0']
+	if w.cut[v.index][to.index] || w.random.IntN(100) < w.loss {
+		return
+	}
+	delay := 1 + w.random.Uint64N(30)
+	if w.random.IntN(100) < w.late {
+		delay = w.random.Uint64N(6000)
+	}
+	w.push(&event{at: w.now + delay, vm: to, message: &m})
+}
+
+// check runs the invariants after a voter did something.
+func (w *world) check(v *vm) {
+	term := w.witness.topTerm
+	w.witness.Voter(v.raft)
+	if w.witness.topTerm != term {
+		w.count.elections++
+		for _, other := range w.vms {
+			// A frozen process cannot use its lease; missed ticks come first.
+			if other.raft != nil && other.due > w.now {
+				s := other.raft.Status()
+				w.witness.Confirmed(&s)
+			}
+		}
+	}
+	if n, broken := w.witness.Broken(); n > 0 {
+		w.fail("%s", broken[0])
+	}
+}
