controller: status is worked out when asked for; commands need no second index

Cause: a round built two indexes and a status that nobody read. Change: the last round is kept and status worked out on demand; commands are derived from the state and the platform's list alone.

--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -1,10 +1,11 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 
-	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/platform"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -19,77 +20,83 @@
 	view *state.View
 	w    *world
 	now  model.Instant
-	ix   *fleet.Index
 	out  []platform.Command
 	asks []model.TaskID
 }
 
 // command sends what follows from the committed state.
 func (c *Controller) command(ctx context.Context) {
-	snap := c.snapshot()
-	m := &commander{c: c, view: snap.View, w: c.soft.world, now: snap.Now, ix: fleet.NewIndex(snap)}
-	for _, v := range m.ix.VMs {
-		if v.Permit != nil && v.Listed != nil {
-			m.forPermit(v)
+	m := &commander{c: c, view: c.config.Log.View(), w: c.soft.world, now: c.config.Clock()}
+	for _, p := range sortedPermits(m.view) {
+		if v := m.w.listed[p.VM]; v != nil {
+			m.forPermit(p, v)
 		}
 	}
 	m.ungranted()
-	for _, t := range sortedTasks(m.view) {
+	tasks := sortedTasks(m.view)
+	for _, t := range tasks {
 		m.forTask(t)
 	}
-	m.renew()
+	m.renew(tasks)
 	c.ask(ctx, m.asks)
 	c.send(ctx, m)
 }
 
-func (m *commander) forPermit(v *fleet.VM) {
-	p := v.Permit
+func sortedPermits(view *state.View) []*model.Permit {
+	permits := make([]*model.Permit, 0, len(view.Permits))
+	for _, p := range view.Permits {
+		permits = append(permits, p)
+	}
+	slices.SortFunc(permits, func(a, b *model.Permit) int { return cmp.Compare(a.VM, b.VM) })
+	return permits
+}
+
+func (m *commander) forPermit(p *model.Permit, v *model.VM) {
 	switch p.Phase {
 	case model.PhaseDraining:
-		m.drain(v)
+		m.drain(p, v)
 	case model.PhaseRebooting:
-		m.reboot(v)
+		m.reboot(p, v)
 	case model.PhaseSoaking:
-		if v.Listed.Drained && wave.Soaked(m.ix, v, m.c.config.Wave) {
-			m.vm(platform.Return, v, "")
+		if v.Drained && wave.Soaked(m.now, m.view.Site, v, p, m.c.config.Wave) {
+			m.vm(platform.Return, p, "")
 		}
 	}
 }
 
-func (m *commander) drain(v *fleet.VM) {
+func (m *commander) drain(p *model.Permit, v *model.VM) {
 	switch {
 	case m.c.soft.undrain[v.ID]:
-		if f := m.w.vms[v.ID].Fence; f.Generation == v.Permit.Generation && f.Step < platform.Undrain.Step() || v.Listed.Drained {
-			m.vm(platform.Undrain, v, "")
+		if f := m.w.vms[v.ID].Fence; f.Generation == p.Generation && f.Step < platform.Undrain.Step() || v.Drained {
+			m.vm(platform.Undrain, p, "")
 		}
-	case !v.Listed.Drained:
-		m.vm(platform.Drain, v, "")
+	case !v.Drained:
+		m.vm(platform.Drain, p, "")
 	}
 }
 
 // reboot commands a reboot while the VM still shows the boot that the permit
 // names. A VM that shows another boot was rebooted, by whoever.
-func (m *commander) reboot(v *fleet.VM) {
-	if !v.Healthy() {
+func (m *commander) reboot(p *model.Permit, v *model.VM) {
+	if v.Health != model.VMUp {
 		return
 	}
-	if v.Listed.BootID != v.Permit.BootID && !m.c.config.Rules.Wave.IgnoreBoot {
+	if v.BootID != p.BootID && !m.c.config.Rules.Wave.IgnoreBoot {
 		return
 	}
-	m.vm(platform.Reboot, v, v.Listed.BootID)
+	m.vm(platform.Reboot, p, v.BootID)
 }
 
 // vm adds a command for a VM. Its ID names the observation that it answers
 // to, so that a resend has the same ID until the platform shows a change.
-func (m *commander) vm(kind platform.Kind, v *fleet.VM, bootID string) {
-	generation := v.Permit.Generation
-	id := fmt.Sprintf("%s/%s/%d/%d", kind, v.ID, generation, m.w.vms[v.ID].Revision)
+func (m *commander) vm(kind platform.Kind, p *model.Permit, bootID string) {
+	id := fmt.Sprintf("%s/%s/%d/%d", kind, p.VM, p.Generation, m.w.vms[p.VM].Revision)
 	if kind == platform.Reboot {
-		id = fmt.Sprintf("%s/%s/%d/%s/%d", kind, v.ID, generation, bootID, m.c.soft.attempts[v.ID])
+		id = fmt.Sprintf("%s/%s/%d/%s/%d", kind, p.VM, p.Generation, bootID, m.c.soft.attempts[p.VM])
 	}
 	m.add(platform.Command{
-		ID: model.CommandID(id), Kind: kind, VM: v.ID, BootID: bootID,
-		Fence: platform.Fence{Term: m.c.term, Generation: generation, Step: kind.Step()},
+		ID: model.CommandID(id), Kind: kind, VM: p.VM, BootID: bootID,
+		Fence: platform.Fence{Term: m.c.term, Generation: p.Generation, Step: kind.Step()},
 	})
 }
 
@@ -97,8 +104,7 @@
 // switches this on.
 func (m *commander) ungranted() {
 	for _, id := range m.c.soft.ungranted {
-		v := m.ix.VM(id)
-		if v == nil || v.Permit != nil {
+		if m.w.listed[id] == nil || m.view.Permits[id] != nil {
 			continue
 		}
 		fence := m.w.vms[id].Fence
@@ -141,8 +147,8 @@
 	spec := platform.TaskSpec{Worker: t.Worker, Service: t.Service, Ordinal: t.Ordinal, Job: t.Job, Size: t.Size, Priority: t.Priority.String()}
 	if job := m.view.Jobs[t.Job]; job != nil {
 		spec.Pool, spec.Kind, spec.Payload = job.Spec.Pool, job.Spec.Kind, job.Spec.Payload
-	} else if s := m.ix.Service(t.Service); s != nil {
-		spec.Pool = s.Spec.Pool
+	} else if owner := m.view.Owners[t.VM]; owner != nil {
+		spec.Pool = owner.Pool
 	}
 	c := m.task(platform.Start, t, "start/"+string(t.ID))
 	c.Spec = &spec
@@ -176,10 +182,10 @@
 }
 
 // renew tells the platform the committed leases that it has not confirmed.
-func (m *commander) renew() {
+func (m *commander) renew(tasks []*model.Task) {
 	byLease := map[model.Instant][]model.TaskID{}
 	var leases []model.Instant
-	for _, t := range sortedTasks(m.view) {
+	for _, t := range tasks {
 		report, known := m.w.tasks[t.ID]
 		if !known || report.Ended != "" || t.State == model.TaskStopping || m.w.missing[t.ID] {
 			continue
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -112,8 +112,9 @@
 	soft  *soft
 	plans uint64
 
-	mu     sync.Mutex
-	status Status
+	mu sync.Mutex
+	// last is the last round, nil before the first.
+	last   *decided
 	broken []Broken
 }
 
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -16,6 +16,8 @@
 // decided is the outcome of one round of decisions.
 type decided struct {
 	at      model.Instant
+	term    uint64
+	stale   bool
 	ix      *fleet.Index
 	ledger  *budget.Ledger
 	wave    wave.Decision
@@ -61,10 +63,10 @@
 // ones before it decided.
 func (c *Controller) decide() *decided {
 	snap := c.snapshot()
-	d := &decided{at: snap.Now, ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}}
+	d := &decided{at: snap.Now, term: c.term, stale: c.stale(snap.Now), ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}}
 	d.add(c.settle(d.ix)...)
 	d.ledger = budget.NewLedger(d.ix, c.budgetOptions(snap.Now))
-	if c.stale(snap.Now) {
+	if d.stale {
 		// Nothing is known for sure: only leases that lapsed are ended.
 		d.add(c.leases(d.ix)...)
 		return d
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"github.com/comfreyloom/comfreyloom/internal/budget"
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/health"
@@ -30,27 +32,29 @@
 	Words string       `json:"words"`
 }
 
-// Status returns what the last round found.
+// Status returns what the last round found; zero before the first.
 func (c *Controller) Status() Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.status
-	s.Broken = append([]Broken(nil), c.broken...)
-	return s
-}
-
-func (c *Controller) publish(d *decided) {
-	s := Status{
-		At: d.at, Term: c.term, Stale: c.stale(d.at),
-		Budgets: d.ledger.Report(),
-		Waves:   wave.ProgressOf(d.ix, d.wave.Waiting, c.config.Wave),
-		Spares:  fleet.SparesNeeded(d.ix, c.config.Fleet).Words(),
-		Spared:  d.spared,
+	s := Status{Broken: slices.Clone(c.broken)}
+	if c.last == nil {
+		return s
 	}
+	d := c.last
+	s.At, s.Term, s.Stale = d.at, d.term, d.stale
+	s.Budgets = d.ledger.Report()
+	s.Waves = wave.ProgressOf(d.ix, d.wave.Waiting, c.config.Wave)
+	s.Spares = fleet.SparesNeeded(d.ix, c.config.Fleet).Words()
+	s.Spared = d.spared
 	for _, demand := range fleet.Demands(d.ix, c.config.Fleet) {
 		s.Pools = append(s.Pools, PoolStatus{demand.Pool.Spec.ID, len(demand.Pool.VMs), demand.Words()})
 	}
+	return s
+}
+
+// publish keeps the round for Status; the next round builds its own.
+func (c *Controller) publish(d *decided) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.status = s
+	c.last = d
 }
--- a/internal/wave/phase.go
+++ b/internal/wave/phase.go
@@ -82,7 +82,7 @@
 // advanceSoaking ends the permit once the VM was up for the whole soak time
 // without a break and the platform starts tasks on it again.
 func (d *decider) advanceSoaking(v *fleet.VM) {
-	if !d.Soaked(v) || v.Listed.Drained {
+	if !d.soaked(v) || v.Listed.Drained {
 		return
 	}
 	d.release(v, true, "the VM soaked and takes work again")
@@ -95,26 +95,24 @@
 	return v.Healthy() && v.Listed.BootID != v.Permit.BootID
 }
 
-// Soaked reports whether a VM under permit was up for the soak time.
-func (d *decider) Soaked(v *fleet.VM) bool {
-	return Soaked(d.ix, v, d.o)
+func (d *decider) soaked(v *fleet.VM) bool {
+	return Soaked(d.ix.Now(), d.ix.Snap.View.Site, v.Listed, v.Permit, d.o)
 }
 
 // Soaked reports whether a soaking VM was up, and under its permit's phase,
 // for the soak time of its wave.
-func Soaked(ix *fleet.Index, v *fleet.VM, o Options) bool {
-	if !v.Healthy() || v.Permit == nil {
+func Soaked(now model.Instant, site *model.Site, vm *model.VM, permit *model.Permit, o Options) bool {
+	if vm == nil || vm.Health != model.VMUp {
 		return false
 	}
 	if o.Rules.IgnoreSoak {
 		return true
 	}
 	soak := o.withDefaults().Soak
-	if w := waveOf(ix, v.Permit.Wave); w != nil && w.Soak > 0 {
+	if w := waveOf(site, permit.Wave); w != nil && w.Soak > 0 {
 		soak = w.Soak
 	}
-	up := ix.Now().Sub(v.Listed.HealthSince)
-	return min(up, ix.Now().Sub(v.Permit.Since)) >= soak
+	return min(now.Sub(vm.HealthSince), now.Sub(permit.Since)) >= soak
 }
 
 func (d *decider) phase(v *fleet.VM, to model.MaintenancePhase, reason string) {
@@ -125,10 +123,11 @@
 	d.add(state.Action{Reason: reason, Release: &state.Release{VM: v.ID, Generation: v.Permit.Generation, Done: done}})
 }
 
-func (d *decider) wave(v *fleet.VM) *model.Wave { return waveOf(d.ix, v.Permit.Wave) }
+func (d *decider) wave(v *fleet.VM) *model.Wave {
+	return waveOf(d.ix.Snap.View.Site, v.Permit.Wave)
+}
 
-func waveOf(ix *fleet.Index, id model.WaveID) *model.Wave {
-	site := ix.Snap.View.Site
+func waveOf(site *model.Site, id model.WaveID) *model.Wave {
 	if site == nil {
 		return nil
 	}
