caller: crash tests at each gap of a claimed request, and true verdicts under faults

Cause: the run at an upstream and the record of it are in two systems; a crash between any two steps must neither double the request nor tell a lie. Change: tests that lose the entry VM before the claim, after it, after the upstream accepted, after the answer, before and after the answer is kept, with a resend through another entry VM; a run of many callers over faulty upstreams and a lossy control log that compares each verdict with the runs.

--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -58,6 +58,17 @@
 	return nil
 }
 
+// onCommand sets a hook for the commands that match.
+func (l *sharedLog) onCommand(h *atomic.Pointer[func(state.Command) error], match func(state.Command) bool, f func() error) {
+	matching := func(c state.Command) error {
+		if match(c) {
+			return f()
+		}
+		return nil
+	}
+	h.Store(&matching)
+}
+
 func (l *sharedLog) View() *state.View                               { return l.machine.View() }
 func (l *sharedLog) Claim(key model.RequestKey) *model.Claim         { return l.machine.Claim(key) }
 func (l *sharedLog) Audit(from uint64, n int) []model.AuditRecord    { return l.machine.Audit(from, n) }
@@ -115,11 +126,18 @@
 
 // world is a site of stand-ins and entry VMs on loopback.
 type world struct {
-	t         *testing.T
 	log       *sharedLog
 	broker    *listBroker
 	instances []*standin.Upstream
 	entries   []*entry
+	// over ends what hangs for good in a process that was killed.
+	over chan struct{}
+}
+
+func newTransport(t testing.TB) *upstream.Transport {
+	transport := upstream.NewTransport(upstream.Options{Metrics: metrics.NewRegistry()})
+	t.Cleanup(transport.Close)
+	return transport
 }
 
 // entry is one entry VM.
@@ -131,7 +149,7 @@
 }
 
 func newWorld(t testing.TB, instances, entries int, l Limits) *world {
-	w := &world{log: &sharedLog{machine: state.NewMachine(state.Options{})}, broker: &listBroker{}}
+	w := &world{log: &sharedLog{machine: state.NewMachine(state.Options{})}, broker: &listBroker{}, over: make(chan struct{})}
 	digest := sha256.Sum256([]byte("t"))
 	result, err := w.log.Propose(context.Background(), state.Command{
 		ID: "manifest", ApplyManifest: &state.ApplyManifest{Revision: 1, Digest: hex.EncodeToString(digest[:]), Text: []byte("t"), Site: testSite()},
@@ -146,6 +164,17 @@
 	for range entries {
 		w.addEntry(t, Config{Limits: l})
 	}
+	t.Cleanup(func() {
+		close(w.over)
+		for _, e := range w.entries {
+			_ = e.server.Close()
+			e.stop()
+			<-e.stopped
+			if broken := e.server.Broken(); len(broken) > 0 {
+				t.Error("broken invariants: ", broken)
+			}
+		}
+	})
 	return w
 }
 
@@ -167,9 +196,7 @@
 		c.Broker = w.broker
 	}
 	if c.Sender == nil {
-		transport := upstream.NewTransport(upstream.Options{Metrics: c.Metrics})
-		t.Cleanup(transport.Close)
-		c.Sender = transport
+		c.Sender = newTransport(t)
 	}
 	e := &entry{server: New(c), stopped: make(chan struct{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -182,15 +209,27 @@
 		e.server.Run(ctx)
 	}()
 	go func() { _ = e.server.Serve(l) }()
-	t.Cleanup(func() {
-		_ = e.server.Close()
-		cancel()
-		<-e.stopped
-	})
 	w.entries = append(w.entries, e)
 	return e
 }
 
+// kill ends an entry VM in the middle of whatever the calling goroutine does:
+// its callers' connections break, and the goroutine goes no further.
+func (w *world) kill(e *entry) error {
+	_ = e.server.Close()
+	e.stop()
+	<-w.over
+	return state.ErrNotProposed
+}
+
+func (w *world) runs(key string) int {
+	n := 0
+	for _, u := range w.instances {
+		n += u.Runs(key)
+	}
+	return n
+}
+
 // reply is a whole answer as a caller sees it.
 type reply struct {
 	status  int
