--- a/internal/slots/chaos_test.go
+++ b/internal/slots/chaos_test.go
@@ -226,15 +226,21 @@
 	return kinds
 }
 
-func drawFaults(t *rapid.T, reclaim bool) []fault {
+// drawMS draws a time about one of some: plain ranges yield mostly short ones.
+func drawMS(t *rapid.T, label string, about ...int) time.Duration {
+	ms := rapid.SampledFrom(about).Draw(t, label) + rapid.IntRange(0, 250).Draw(t, label+"+")
+	return time.Duration(ms) * time.Millisecond
+}
+
+func faultsFor(reclaim bool) *rapid.Generator[[]fault] {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
 		return fault{
-			at:     time.Duration(rapid.IntRange(0, 4000).Draw(t, "at")) * time.Millisecond,
-			length: time.Duration(rapid.IntRange(20, 4500).Draw(t, "length")) * time.Millisecond,
+			at:     drawMS(t, "at", 0, 300, 700, 1500, 2500, 3500),
+			length: drawMS(t, "length", 20, 200, 1000, 2500, 4000, 4500),
 			kind:   rapid.SampledFrom(kindsFor(reclaim)).Draw(t, "kind"),
 			vm:     rapid.IntRange(0, chaosVMs-1).Draw(t, "vm"),
 		}
-	}), 0, 6).Draw(t, "faults")
+	}), 1, 6)
 }
 
 // Symptom: an instance gets more requests than it has slots, or a request gets
@@ -247,7 +253,7 @@
 		reclaim := rapid.Bool().Draw(t, "reclaim")
 		lossy := rapid.SampledFrom([]int{0, 3, 20}).Draw(t, "lossy")
 		c := newChaos(rapid.Uint64().Draw(t, "seed"), lossy, reclaim, lending.Rules{}, admission.Rules{})
-		if broken := c.run(drawFaults(t, reclaim)); broken != "" {
+		if broken := c.run(faultsFor(reclaim).Draw(t, "faults")); broken != "" {
 			t.Fatal(broken)
 		}
 	})
@@ -260,7 +266,7 @@
 	for seed := uint64(1); done < steps; seed++ {
 		reclaim := seed%4 == 0
 		c := newChaos(seed, int(seed%3)*10, reclaim, lending.Rules{}, admission.Rules{})
-		if broken := c.run(randomFaults(c, reclaim)); broken != "" {
+		if broken := c.run(faultsFor(reclaim).Example(int(seed))); broken != "" {
 			t.Fatalf("seed %d: %s", seed, broken)
 		}
 		done += c.order
@@ -268,19 +274,6 @@
 	t.Logf("%d steps", done)
 }
 
-func randomFaults(c *chaos, reclaim bool) []fault {
-	kinds := kindsFor(reclaim)
-	var faults []fault
-	for range 1 + c.random.IntN(6) {
-		faults = append(faults, fault{
-			at:     time.Duration(c.random.IntN(4000)) * time.Millisecond,
-			length: time.Duration(20+c.random.IntN(4500)) * time.Millisecond,
-			kind:   kinds[c.random.IntN(len(kinds))], vm: c.random.IntN(chaosVMs),
-		})
-	}
-	return faults
-}
-
 // TestSwitchedOffRulesAreFound shows that the randomised runs would notice each
 // rule's absence.
 func TestSwitchedOffRulesAreFound(t *testing.T) {
@@ -303,7 +296,7 @@
 		found, steps := "", 0
 		for seed := uint64(1); seed <= 100 && found == ""; seed++ {
 			c := newChaos(seed, 10*int(seed%3), false, rules.lending, rules.queue)
-			found = c.run(randomFaults(c, false))
+			found = c.run(faultsFor(false).Example(int(seed)))
 			steps += c.order
 		}
 		t.Logf("%-40s %8d steps: %s", name, steps, found)
--- a/internal/slots/inherit.go
+++ b/internal/slots/inherit.go
@@ -86,8 +86,7 @@
 	if after < 0 || len(k.lost.gone) == 0 || !k.majority() {
 		return k.config.nodes
 	}
-	// What the lost one had lent, and what ran there, must have ended.
-	after = max(after, 2*k.config.lending.Lease+k.maxRun())
+	after = max(after, k.waitOut())
 	var heirs []model.NodeID
 	for _, n := range k.config.nodes {
 		if !k.lost.since(n, after, now) {
@@ -97,6 +96,10 @@
 	return heirs
 }
 
+// waitOut is when the loans that an entry VM gave or took have lapsed and the
+// requests on them have ended, whoever lost contact first.
+func (k *core) waitOut() time.Duration { return 2*k.config.lending.Lease + k.maxRun() }
+
 // estate is the part of a lost entry VM's share that falls to this one.
 func (k *core) estate(heirs []model.NodeID, lost model.NodeID) []lending.Count {
 	var out []lending.Count
@@ -133,7 +136,7 @@
 	k.recountAll()
 	for _, n := range heirs {
 		if len(left[n]) > 0 {
-			r := lending.Request{Service: k.service.ID, Borrower: k.config.self, Incarnation: k.config.incarnation, Bequest: left[n]}
+			r := lending.Request{Service: k.service.ID, Borrower: k.config.self, Incarnation: k.config.incarnation, Bequest: left[n], Heir: k.processes[n]}
 			k.out.sends = append(k.out.sends, send{n, r})
 		}
 	}
@@ -141,7 +144,7 @@
 
 // inheritFrom takes in what an entry VM left that stops.
 func (k *core) inheritFrom(r lending.Request, now model.Instant) {
-	if !k.known(r) {
+	if r.Heir != k.config.incarnation || !k.known(r) {
 		return
 	}
 	k.bequests[r.Borrower] = bequest{r.Incarnation, r.Bequest}
@@ -186,7 +189,7 @@
 	age := now.Sub(k.started)
 	old := age >= recoverGrace*k.config.lending.Lease
 	if !k.majority() {
-		old = k.config.reclaimAfter > 0 && age >= k.config.reclaimAfter
+		old = k.config.reclaimAfter > 0 && age >= max(k.config.reclaimAfter, k.waitOut())
 	}
 	for _, n := range k.config.nodes {
 		if !k.unrecovered[n] {
@@ -209,6 +212,7 @@
 	}
 	if r.Debt != nil {
 		k.ledger.Adopt(from, *r.Debt, now)
+		k.processes[from] = max(k.processes[from], r.Debt.Incarnation)
 	}
 	delete(k.unrecovered, from)
 	k.recountAll()
--- a/internal/slots/lending/message.go
+++ b/internal/slots/lending/message.go
@@ -63,6 +63,10 @@
 	Recover bool `cbor:"11,keyasint,omitempty"`
 	// Bequest leaves slots to the receiver; the sender stops and uses none.
 	Bequest []Count `cbor:"12,keyasint,omitempty"`
+	// Heir is the incarnation of the receiver that the bequest is for: a copy
+	// that comes late must not reach its successor, which knows nothing of
+	// what the sender did since.
+	Heir uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Reply is what a lender answers.
