slots: gauges and log lines for changes of state

Change: slots.waiting, in_use, lent, borrowed and ejected_instances; a line when an instance is ejected or taken back, and when the share of an entry VM that is gone is used here or left to it again.

--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -30,6 +30,8 @@
 	// processes the latest incarnation heard of each.
 	bequests  map[model.NodeID]bequest
 	processes map[model.NodeID]uint64
+	// inheriting are the entry VMs whose share is used here.
+	inheriting []model.NodeID
 	// unrecovered are the entry VMs that have not said yet what they hold of
 	// an earlier process of this one; until then no share is used.
 	unrecovered map[model.NodeID]bool
@@ -279,8 +281,8 @@
 // slots is how many requests run at once here when all slots are in use.
 func (k *core) slots() int { return max(k.set.InUse(), 1) }
 
-// take returns what is to be done and forgets it.
-func (k *core) take() effects {
+// effects returns what is to be done and forgets it.
+func (k *core) effects() effects {
 	out := k.out
 	k.out = effects{}
 	return out
--- a/internal/slots/desk.go
+++ b/internal/slots/desk.go
@@ -23,6 +23,8 @@
 	core     *core
 	revision uint64
 	parked   map[model.NodeID]parked
+	// seen is the status that the last log lines told of.
+	seen status
 }
 
 // parked is a borrower's call that waits for its reply.
@@ -68,7 +70,7 @@
 		k.load(now)
 	}
 	f(now)
-	out := k.core.take()
+	out := k.core.effects()
 	again := k.core.again
 	k.deliver(out.answers)
 	k.mu.Unlock()
@@ -175,26 +177,35 @@
 	return k.core.idle()
 }
 
-// tick takes in the manifest and the members, and moves time on. Whole says
-// whether to look for broken invariants as well.
-func (k *desk) tick(members []model.NodeID, whole bool) {
+// tick takes in the manifest and the members, and moves time on.
+func (k *desk) tick(members []model.NodeID) {
 	service, known := k.dispatcher.config.Services.Service(k.id)
 	k.dropped.Store(!known)
-	var broken []string
 	k.step(func(now model.Instant) {
 		if known && changed(service, k.core.service) {
 			k.core.update(service, k.dispatcher.config.Registry.Serving(k.id), now)
 		}
 		k.core.members(members, now)
 		k.core.tick(now)
-		if whole {
-			broken = k.core.check()
-		}
 	})
+}
+
+// inspect counts and logs broken invariants, logs changes of state, and returns
+// the status.
+func (k *desk) inspect() status {
+	k.mu.Lock()
+	broken := k.core.check()
+	before := k.seen
+	k.seen = k.core.status()
+	after := k.seen
+	k.mu.Unlock()
+	log := k.dispatcher.config.Log.WithField("service", string(k.id))
 	for _, what := range broken {
 		k.dispatcher.counters.broken.Inc(1)
-		k.dispatcher.config.Log.WithField("service", string(k.id)).Error("invariant broken: " + what)
+		log.Error("invariant broken: " + what)
 	}
+	logChanges(log, before, after)
+	return after
 }
 
 // changed compares what the core uses of a service.
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -30,6 +30,7 @@
 type Dispatcher struct {
 	config   Config
 	counters *counters
+	gauges   *gauges
 
 	mu    sync.RWMutex
 	desks map[model.ServiceID]*desk
@@ -63,6 +64,7 @@
 		soon:     make(chan struct{}, 1),
 		started:  c.Now(),
 		counters: newCounters(c.Metrics),
+		gauges:   newGauges(c.Metrics),
 		desks:    map[model.ServiceID]*desk{},
 		quota:    admission.NewQuota(),
 	}
@@ -132,10 +134,17 @@
 	d.ticks++
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	var all status
 	for _, desk := range d.desks {
 		if whole || !desk.idle() {
-			desk.tick(members, whole)
+			desk.tick(members)
 		}
+		if whole {
+			all.add(desk.inspect())
+		}
+	}
+	if whole {
+		d.gauges.set(all)
 	}
 }
 
--- a/internal/slots/inherit.go
+++ b/internal/slots/inherit.go
@@ -64,18 +64,25 @@
 		return
 	}
 	k.inherited = now
+	k.inheriting = nil
 	heirs := k.heirs(now)
 	for _, n := range k.config.nodes {
 		left, stopped := k.bequests[n]
 		switch {
 		case !slices.Contains(heirs, n):
-			k.book.Inherit(n, k.estate(heirs, n), k.run(), now)
+			k.take(n, k.estate(heirs, n), now)
 		case stopped && k.majority():
-			k.book.Inherit(n, left.slots, k.run(), now)
+			k.take(n, left.slots, now)
 		}
 	}
 }
 
+// take uses slots of an entry VM that is gone.
+func (k *core) take(from model.NodeID, slots []lending.Count, now model.Instant) {
+	k.book.Inherit(from, slots, k.run(), now)
+	k.inheriting = append(k.inheriting, from)
+}
+
 // majority reports whether this entry VM is in contact with more than half of
 // all. One that is cut off leaves alone what others may use meanwhile.
 func (k *core) majority() bool { return 2*len(k.live) > len(k.config.nodes) }
--- a/internal/slots/sim_test.go
+++ b/internal/slots/sim_test.go
@@ -215,7 +215,7 @@
 // step runs f on a core and carries out its effects.
 func (s *sim) step(vm *simVM, f func()) {
 	f()
-	out := vm.core.take()
+	out := vm.core.effects()
 	for _, a := range out.answers {
 		if reply := vm.parked[a.Node]; reply != nil {
 			delete(vm.parked, a.Node)
