--- a/internal/slots/config.go
+++ b/internal/slots/config.go
@@ -28,9 +28,13 @@
 	// taken over them, so that every entry VM computes the same shares.
 	Nodes []model.NodeID
 	// Members returns the entry VMs that are live as this one sees it.
-	Members  func() []model.NodeID
-	Registry *registry.Registry
-	Services Services
+	Members func() []model.NodeID
+	// Confirmed reports whether a quorum confirmed this entry VM's view lately.
+	// One that is cut off keeps an old list of members; without this it would
+	// go on to use what others may use meanwhile. Nil means always.
+	Confirmed func() bool
+	Registry  *registry.Registry
+	Services  Services
 	// Peer reaches the other entry VMs; nil keeps to static shares.
 	Peer Peer
 	// Incarnation grows with each process of this entry VM; 0 takes the clock.
@@ -85,5 +89,8 @@
 		nodes := c.Nodes
 		c.Members = func() []model.NodeID { return nodes }
 	}
+	if c.Confirmed == nil {
+		c.Confirmed = func() bool { return true }
+	}
 	return c
 }
--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -25,7 +25,9 @@
 	shares map[model.InstanceID]int
 	rooms  map[model.InstanceID]int
 	live   []model.NodeID
-	lost   lossTracker
+	// confirmed says that live is what a quorum confirmed lately.
+	confirmed bool
+	lost      lossTracker
 	// bequests are what others left to this entry VM when they stopped,
 	// processes the latest incarnation heard of each.
 	bequests  map[model.NodeID]bequest
--- a/internal/slots/desk.go
+++ b/internal/slots/desk.go
@@ -50,7 +50,7 @@
 		lend: c.Peer != nil && len(c.Nodes) > 1, reclaimAfter: c.ReclaimAfter,
 	}, service, now)
 	k.core.started = d.started
-	k.core.members(c.Members(), now)
+	k.core.members(c.Members(), c.Confirmed(), now)
 	k.load(now)
 	return k
 }
@@ -178,14 +178,14 @@
 }
 
 // tick takes in the manifest and the members, and moves time on.
-func (k *desk) tick(members []model.NodeID) {
+func (k *desk) tick(members []model.NodeID, confirmed bool) {
 	service, known := k.dispatcher.config.Services.Service(k.id)
 	k.dropped.Store(!known)
 	k.step(func(now model.Instant) {
 		if known && changed(service, k.core.service) {
 			k.core.update(service, k.dispatcher.config.Registry.Serving(k.id), now)
 		}
-		k.core.members(members, now)
+		k.core.members(members, confirmed, now)
 		k.core.tick(now)
 	})
 }
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -130,6 +130,7 @@
 // moves the queues and loans on. Run calls it from one goroutine.
 func (d *Dispatcher) Tick() {
 	members := d.config.Members()
+	confirmed := d.config.Confirmed()
 	whole := d.ticks%idleTicks == 0
 	d.ticks++
 	d.mu.RLock()
@@ -137,7 +138,7 @@
 	var all status
 	for _, desk := range d.desks {
 		if whole || !desk.idle() {
-			desk.tick(members)
+			desk.tick(members, confirmed)
 		}
 		if whole {
 			all.add(desk.inspect())
--- a/internal/slots/inherit.go
+++ b/internal/slots/inherit.go
@@ -12,9 +12,10 @@
 // DefaultReclaimAfter is when the share of a lost entry VM is used by others.
 const DefaultReclaimAfter = 15 * time.Second
 
-// members takes in which entry VMs are live.
-func (k *core) members(live []model.NodeID, now model.Instant) {
+// members takes in which entry VMs are live, and whether a quorum confirmed it.
+func (k *core) members(live []model.NodeID, confirmed bool, now model.Instant) {
 	k.live = live
+	k.confirmed = confirmed
 	k.lost.update(k.config.nodes, live, now)
 }
 
@@ -85,7 +86,7 @@
 
 // majority reports whether this entry VM is in contact with more than half of
 // all. One that is cut off leaves alone what others may use meanwhile.
-func (k *core) majority() bool { return 2*len(k.live) > len(k.config.nodes) }
+func (k *core) majority() bool { return k.confirmed && 2*len(k.live) > len(k.config.nodes) }
 
 // heirs are the entry VMs that are not lost for long.
 func (k *core) heirs(now model.Instant) []model.NodeID {
--- a/internal/slots/sim_test.go
+++ b/internal/slots/sim_test.go
@@ -207,7 +207,7 @@
 		}
 	}
 	s.step(vm, func() {
-		vm.core.members(live, s.now)
+		vm.core.members(live, true, s.now)
 		vm.core.tick(s.now)
 	})
 }
