--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -238,6 +238,8 @@
 	_, ok = nextVoters(next, known["a"], members, known)
 	is.True(!ok) // nor one of another founding
 	delete(known, "c")
+	_, ok = nextVoters(next, known["a"], []model.NodeID{"a", "b", "x"}, known)
+	is.True(!ok) // a node that never comes takes nobody's place
 	next, ok = nextVoters(next, known["a"], []model.NodeID{"a", "b"}, known)
 	is.True(ok)
 	is.Equal(next.Members, []quorum.ID{"a#1", "b#2"}) // a node that left the settings leaves
--- a/internal/replica/review.go
+++ b/internal/replica/review.go
@@ -21,28 +21,36 @@
 // gone, all three others would have to answer. Removing first costs nothing,
 // as the old disk can't answer any more, and the loss of another voter right
 // after the addition is survived even before the newcomer has caught up.
+//
+// A voter that left the settings goes last, once every configured node votes:
+// a misspelt name in the settings of the leader then changes nothing.
 func nextVoters(current quorum.Voters, self Identity, members []model.NodeID, known answers) (quorum.Voters, bool) {
 	for _, id := range current.Members {
-		if id != self.Voter() && outdated(id, self, members, known) {
+		if hasNewDisk(id, self, known) {
 			return current.Without(id), true
 		}
 	}
+	all := true
 	for _, node := range slices.Sorted(slices.Values(members)) {
-		identity, ok := known[node]
-		if ok && mayVote(identity, self) && !hasNode(current, node) {
+		if hasNode(current, node) {
+			continue
+		}
+		if identity, ok := known[node]; ok && mayVote(identity, self) {
 			return current.With(identity.Voter()), true
 		}
+		all = false
+	}
+	for _, id := range current.Members {
+		if all && !slices.Contains(members, datafolder.NodeOf(id)) {
+			return current.Without(id), true
+		}
 	}
 	return quorum.Voters{}, false
 }
 
-// outdated says whether a voter left the configuration or has another disk.
-func outdated(id quorum.ID, self Identity, members []model.NodeID, known answers) bool {
-	node := datafolder.NodeOf(id)
-	if !slices.Contains(members, node) {
-		return true
-	}
-	identity, ok := known[node]
+// hasNewDisk says whether the node of a voter came back with another disk.
+func hasNewDisk(id quorum.ID, self Identity, known answers) bool {
+	identity, ok := known[datafolder.NodeOf(id)]
 	return ok && mayVote(identity, self) && identity.Voter() != id
 }
 
