slots: an overtaken request is no failed call

Cause: each request that was overtaken by a later one ended in an error and so counted in node.call.failed, which an operator takes for a bad link. Change: it gets an empty reply, which the borrower ignores by its number.

--- a/internal/slots/peer.go
+++ b/internal/slots/peer.go
@@ -42,13 +42,8 @@
 	return lending.DecodeReply(answer)
 }
 
-// Errors of ServeLend.
-var (
-	// ErrNotMember says that the borrower is no entry VM of the settings.
-	ErrNotMember = errors.New("slots: the borrower is not in the settings")
-	// ErrOvertaken says that a later request of the borrower came.
-	ErrOvertaken = errors.New("slots: overtaken by a later request")
-)
+// ErrNotMember says that the borrower is no entry VM of the settings.
+var ErrNotMember = errors.New("slots: the borrower is not in the settings")
 
 // callTimeout bounds a call to a lender beyond the time that it may hold the reply.
 const callTimeout = time.Second
@@ -124,10 +119,9 @@
 		return lending.Reply{}, err
 	}
 	select {
-	case reply, ok := <-call.reply:
-		if !ok {
-			return lending.Reply{}, ErrOvertaken
-		}
+	case reply := <-call.reply:
+		// Empty when a later request overtook this one; the borrower ignores
+		// the reply then, and it is no failure of the link.
 		return reply, nil
 	case <-ctx.Done():
 		k.unpark(r)
