node: silent connections no longer cost readiness

Symptom: TestSilentConnections failed once under load: the learner had become unready for an instant. Cause, found by a trial that prints ages: beats recovered after 1.1 s, but the learner's feed hung on its silent connection until the probe ended it at 3.0 s, which is also the limit of readiness. Change: a call without an answer starts a new session of its link; small quorum deliveries may take 0.4 s; a feed that does not bring an index known for 1 s is left for the next voter.

--- a/internal/membership/confirm.go
+++ b/internal/membership/confirm.go
@@ -59,6 +59,9 @@
 	if c.ever {
 		s.Age = now.Sub(c.at)
 	}
+	if len(c.pending) > 0 {
+		s.Behind = now.Sub(c.pending[0].at)
+	}
 	turn := c.interval*time.Duration(len(c.members)) + c.interval
 	for _, name := range c.members {
 		p := c.peers[name]
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -152,6 +152,9 @@
 	Reason string
 	// Age is how old the last confirmation is; 0 when there was none.
 	Age time.Duration
+	// Behind is for how long this process has known of an index that it has
+	// not applied; 0 when it is caught up.
+	Behind time.Duration
 	// Heard and Unheard divide the other processes by whether they were heard
 	// directly within the last turn of beats.
 	Heard   int
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -30,8 +30,10 @@
 	// Addresses holds IP:port of every process of the site; Self is skipped.
 	Addresses map[model.NodeID]string
 	Metrics   metrics.Registry
-	// Dial is nil in the product.
-	Dial DialFunc
+	// Dial and ProbeAfter, the time after which a silent connection is probed,
+	// are zero in the product.
+	Dial       DialFunc
+	ProbeAfter time.Duration
 }
 
 // Client calls the other processes of the site. It is safe for concurrent use.
@@ -46,6 +48,9 @@
 	if c.Dial == nil {
 		c.Dial = defaultDial()
 	}
+	if c.ProbeAfter == 0 {
+		c.ProbeAfter = pingAfter
+	}
 	if c.Token == nil {
 		c.Token = func() string { return "" }
 	}
@@ -103,7 +108,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, smallCallTimeout)
 	defer cancel()
-	reply, err := p.small.node.Identify(ctx, &nodepb.IdentifyRequest{Node: string(c.self)})
+	reply, err := p.small.node().Identify(ctx, &nodepb.IdentifyRequest{Node: string(c.self)})
 	if err != nil {
 		p.failed(p.small, err)
 		return datafolder.Identity{}, oops.In("node").With("peer", to).Wrapf(err, "identify")
@@ -121,7 +126,7 @@
 	}
 	ctx, cancel := limited(ctx)
 	defer cancel()
-	reply, err := p.work.node.Lend(ctx, &nodepb.LendRequest{Node: string(c.self), Body: body})
+	reply, err := p.work.node().Lend(ctx, &nodepb.LendRequest{Node: string(c.self), Body: body})
 	if err != nil {
 		p.failed(p.work, err)
 		return nil, oops.In("node").With("peer", owner).Wrapf(err, "lend")
@@ -132,9 +137,9 @@
 // Close closes idle connections.
 func (c *Client) Close() {
 	for _, p := range c.peers {
-		p.small.renew()
-		p.work.renew()
-		p.bulk.renew()
+		p.small.close()
+		p.work.close()
+		p.bulk.close()
 	}
 }
 
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -94,9 +94,10 @@
 	return ctx.Err()
 }
 
-// Rotate ends the poll in progress and goes on at another voter. It is called
-// when this process is no longer confirmed although its voter answers: the
-// voter may be on the wrong side of a partition, and its polls just wait.
+// Rotate ends the poll in progress, unless it is young, and goes on at another
+// voter. It is called when this process is no longer confirmed, or hears of
+// changes that do not come: the voter may be on the wrong side of a partition,
+// or the connection to it silent, and either way the poll just waits.
 func (f *Follower) Rotate() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -167,7 +168,7 @@
 	if f.fetch != nil {
 		request.SnapshotIndex, request.SnapshotOffset = f.fetch.meta.Index, uint64(len(f.fetch.data))
 	}
-	return p.bulk.node.Follow(ctx, request)
+	return p.bulk.node().Follow(ctx, request)
 }
 
 func (f *Follower) setCancel(cancel context.CancelFunc) {
--- a/internal/node/heartbeats.go
+++ b/internal/node/heartbeats.go
@@ -19,6 +19,10 @@
 	// inForcePoll is the time between two questions to a process that has not
 	// yet applied a change somebody waits for.
 	inForcePoll = 25 * time.Millisecond
+	// stuckAfter is how long a process may know of an index that it has not
+	// applied before its feed counts as stuck. It leaves the time to get the
+	// index elsewhere before membership.ConfirmLimit is over.
+	stuckAfter = time.Second
 	// urgentPause is the least time between two rounds.
 	urgentPause = 20 * time.Millisecond
 )
@@ -35,8 +39,8 @@
 	Leader   *LeaderHint
 	// Spreader is nil in a process that keeps no registry.
 	Spreader *Spreader
-	// Unconfirmed is called in each round of a process that was confirmed and
-	// no longer is; it may be nil.
+	// Unconfirmed is called again and again while this process is not ready
+	// though it was, or has been behind for stuckAfter; it may be nil.
 	Unconfirmed func()
 	Metrics     metrics.Registry
 	Logger      log.Interface
@@ -173,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, smallCallTimeout)
 	defer cancel()
 	h.sent.Inc(1)
-	reply, err := p.small.node.Heartbeat(ctx, h.toWire(beat))
+	reply, err := p.small.node().Heartbeat(ctx, h.toWire(beat))
 	if err != nil {
 		p.failed(p.small, err)
 		return err
@@ -244,7 +248,8 @@
 	if standing.Ready != h.wasReady {
 		h.logReady(standing)
 	}
-	if !standing.Ready && standing.Age > 0 && h.config.Unconfirmed != nil {
+	lost := !standing.Ready && standing.Age > 0
+	if (lost || standing.Behind > stuckAfter) && h.config.Unconfirmed != nil {
 		h.config.Unconfirmed()
 	}
 	if view := h.core.View(); view.Newer(h.lastView) {
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
@@ -21,6 +22,10 @@
 	// pingTimeout how long the probe may take.
 	pingAfter   = 2 * time.Second
 	pingTimeout = time.Second
+	// renewEvery is the least time between two new connections of a link, and
+	// retireAfter how long an old one is kept for calls in progress.
+	renewEvery  = 500 * time.Millisecond
+	retireAfter = 3 * time.Second
 	// writeTimeout closes a connection that takes no byte for so long.
 	writeTimeout = 2 * time.Second
 	// idleTimeout closes a connection that carries no call.
@@ -33,31 +38,83 @@
 // DialFunc opens a connection; tests and meters replace it.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// link is one HTTP/2 connection pool to one peer.
+// link is the way to one peer for one kind of calls: one HTTP/2 connection,
+// and for a short while the one before it.
 type link struct {
+	address     string
+	credentials credentials
+	dial        DialFunc
+	probeAfter  time.Duration
+
+	mu        sync.Mutex
+	session   *session
+	renewedAt time.Time
+}
+
+// session is one generation of a link.
+type session struct {
 	node      nodepb.Node
 	transport *http.Transport
 }
 
-func newLink(address string, credentials credentials, dial DialFunc) *link {
+func newLink(address string, c ClientConfig) *link {
+	l := &link{
+		address:     address,
+		credentials: credentials{site: c.Site, token: c.Token},
+		dial:        c.Dial,
+		probeAfter:  c.ProbeAfter,
+	}
+	l.session = l.newSession()
+	return l
+}
+
+// node returns the client for the next call.
+func (l *link) node() nodepb.Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session.node
+}
+
+// renew makes further calls open a new connection. It is used after a call
+// got no answer: the connection may be the reason, and the probe notices only
+// later. Calls in progress go on; the old connection is closed soon after.
+func (l *link) renew() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.renewedAt) < renewEvery {
+		return
+	}
+	old := l.session.transport
+	l.session, l.renewedAt = l.newSession(), time.Now()
+	old.CloseIdleConnections()
+	time.AfterFunc(retireAfter, old.CloseIdleConnections)
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.session.transport.CloseIdleConnections()
+}
+
+func (l *link) newSession() *session {
 	transport := &http.Transport{
 		Protocols:          unencryptedHTTP2(),
-		DialContext:        dial,
+		DialContext:        l.dial,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		// A connection can go silent for good while new ones work, because
 		// something between the two ends lost track of it. Without the
 		// probe a call would wait for the whole long poll.
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingAfter,
+			SendPingTimeout:  l.probeAfter,
 			PingTimeout:      pingTimeout,
 			WriteByteTimeout: writeTimeout,
-			// One connection a link: further calls wait for a stream.
+			// One connection a session: further calls wait for a stream.
 			StrictMaxConcurrentRequests: true,
 		},
 	}
-	caller := &authorizedCaller{credentials: credentials, client: &http.Client{Transport: transport}}
-	return &link{node: nodepb.NewNodeProtobufClient("http://"+address, caller), transport: transport}
+	caller := &authorizedCaller{credentials: l.credentials, client: &http.Client{Transport: transport}}
+	return &session{node: nodepb.NewNodeProtobufClient("http://"+l.address, caller), transport: transport}
 }
 
 // unencryptedHTTP2 makes peers speak HTTP/2 from the first byte.
@@ -67,10 +124,6 @@
 	return protocols
 }
 
-// renew makes the next call open a new connection. It is used after a call
-// timed out: the connection may be the reason, and the probe notices later.
-func (l *link) renew() { l.transport.CloseIdleConnections() }
-
 // credentials are what every call carries.
 type credentials struct {
 	site  string
@@ -112,6 +165,13 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// unanswered reports whether a call failed without the peer's answer. Errors
+// that the peer sent wrap nothing; those of a call that was given up here say
+// nothing about the connection.
+func unanswered(err error) bool {
+	return errors.Unwrap(err) != nil && !neverSent(err) && !errors.Is(err, context.Canceled)
+}
+
 func defaultDial() DialFunc {
 	return (&net.Dialer{Timeout: dialTimeout, KeepAlive: pingAfter}).DialContext
 }
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return state.Result{}, errors.Join(state.ErrNotProposed, err)
 	}
-	reply, err := p.work.node.Propose(ctx, &nodepb.ProposeRequest{Node: string(l.config.Self), Command: data})
+	reply, err := p.work.node().Propose(ctx, &nodepb.ProposeRequest{Node: string(l.config.Self), Command: data})
 	if err != nil {
 		l.config.Leader.Doubt(target)
 		p.failed(p.work, err)
@@ -204,7 +204,7 @@
 	if err != nil {
 		return 0, err
 	}
-	reply, err := p.small.node.ReadIndex(ctx, &nodepb.ReadIndexRequest{Node: string(l.config.Self)})
+	reply, err := p.small.node().ReadIndex(ctx, &nodepb.ReadIndexRequest{Node: string(l.config.Self)})
 	if err != nil {
 		l.config.Leader.Doubt(target)
 		p.failed(p.small, err)
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -20,8 +20,12 @@
 	messageOverhead = 64
 	// bulkBytes is the size from which quorum messages use the bulk link.
 	bulkBytes = 64 << 10
-	// exchangeTimeout bounds one delivery of quorum messages.
-	exchangeTimeout = 2 * time.Second
+	// exchangeTimeout bounds a small delivery of quorum messages. It lies well
+	// below the election time: the messages behind one that is stuck on a
+	// silent connection must go out before the followers give the leader up.
+	exchangeTimeout = 400 * time.Millisecond
+	// bulkTimeout bounds a delivery on the bulk link.
+	bulkTimeout = 5 * time.Second
 	// failurePause is the least time between a failed delivery and the next,
 	// so that a peer that refuses connections costs little.
 	failurePause = 50 * time.Millisecond
@@ -42,13 +46,12 @@
 }
 
 func newPeer(name model.NodeID, address string, c ClientConfig) *peer {
-	credentials := credentials{site: c.Site, token: c.Token}
 	return &peer{
 		name:     name,
 		self:     c.Self,
-		small:    newLink(address, credentials, c.Dial),
-		work:     newLink(address, credentials, c.Dial),
-		bulk:     newLink(address, credentials, c.Dial),
+		small:    newLink(address, c),
+		work:     newLink(address, c),
+		bulk:     newLink(address, c),
 		outgoing: ring.New[[]quorum.Message](sendQueue),
 		receive:  func([]quorum.Message) {},
 		dropped:  metrics.GetOrRegisterCounter("node.exchange.dropped", c.Metrics),
@@ -114,17 +117,17 @@
 		p.dropped.Inc(int64(len(messages)))
 		return err
 	}
-	link := p.small
+	link, limit := p.small, exchangeTimeout
 	if len(data) >= bulkBytes {
-		link = p.bulk
+		link, limit = p.bulk, bulkTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	ctx, err = envelope.attach(ctx)
 	if err != nil {
 		return err
 	}
-	reply, err := link.node.Exchange(ctx, &nodepb.ExchangeRequest{Node: string(p.self), Messages: data})
+	reply, err := link.node().Exchange(ctx, &nodepb.ExchangeRequest{Node: string(p.self), Messages: data})
 	if err != nil {
 		p.dropped.Inc(int64(len(messages)))
 		p.failed(link, err)
@@ -137,10 +140,11 @@
 	return err
 }
 
-// failed counts a failed call and makes the next one use a new connection.
+// failed counts a failed call, and makes the next one use a new connection if
+// there was no answer.
 func (p *peer) failed(l *link, err error) {
 	p.failures.Inc(1)
-	if !neverSent(err) {
+	if unanswered(err) {
 		l.renew()
 	}
 }
--- a/internal/node/server_log.go
+++ b/internal/node/server_log.go
@@ -17,8 +17,9 @@
 	maxFollowWait = 25 * time.Second
 	// feedBytes bounds the entries of one reply; one entry is always sent.
 	feedBytes = 512 << 10
-	// chunkBytes bounds the part of a snapshot in one reply.
-	chunkBytes = 512 << 10
+	// chunkBytes bounds the part of a snapshot in one reply, so that it
+	// arrives within rotateAfter on a slow link too.
+	chunkBytes = 256 << 10
 )
 
 // Propose commits a command if this process leads.
--- a/internal/node/spreader.go
+++ b/internal/node/spreader.go
@@ -168,7 +168,7 @@
 func (s *Spreader) announce(ctx context.Context, r *route, request *nodepb.AnnounceRequest) (*nodepb.AnnounceReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
 	defer cancel()
-	reply, err := r.peer.small.node.Announce(ctx, request)
+	reply, err := r.peer.small.node().Announce(ctx, request)
 	if err != nil {
 		s.failed.Inc(1)
 		r.peer.failed(r.peer.small, err)
