agent: heirs of a lost share need a confirmed view

Cause: slots.Config.Confirmed was not set, so an entry VM that is cut off would use the share of one it can't see. Change: it is the readiness by heartbeats. Measured result: demo exits 0. Conclusion: kept; the rule itself is tested in package slots.

--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -97,7 +97,7 @@
 
 func (a *Agent) wireRequests() {
 	a.dispatcher = slots.New(slots.Config{
-		Self: a.settings.Node.Name, Zone: a.settings.Node.Zone, Nodes: a.members(), Members: a.live,
+		Self: a.settings.Node.Name, Zone: a.settings.Node.Zone, Nodes: a.members(), Members: a.live, Confirmed: a.heartbeats.Ready,
 		Registry: a.registry, Services: catalog{a.log}, Peer: slots.NewPeer(a.client.Lend), Metrics: a.metrics, Log: a.logger,
 	})
 	a.transport = upstream.NewTransport(upstream.Options{EntryVMs: len(a.settings.Nodes), Metrics: a.metrics})
