wave, controller: waves measured under load, and what that changed

Cause: the first measured waves took 45 to 65 minutes where the budgets allow 5 to 51, and moved one job up to four times. A drain waits for a task only as long as the wave goes on in any case, or as the weight of moves says, and stops it at once otherwise; VMs go in the order of how long their drains would wait; pools keep a VM beyond what runs; shared spares join pools that could spare no VM; batch jobs, and jobs that must not be cut, wait for VMs that are done; spares are maintained too.

--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -26,6 +26,8 @@
 	stopped map[model.TaskID]bool
 	// uneven are the services of which an instance has to move.
 	uneven map[model.ServiceID]bool
+	// unhelped are the surges for which no VM of the pool helps.
+	unhelped map[model.PoolID]wave.Surge
 }
 
 func (d *decided) add(actions ...state.Action) { d.actions = append(d.actions, actions...) }
@@ -63,7 +65,7 @@
 // ones before it decided.
 func (c *Controller) decide() *decided {
 	snap := c.snapshot()
-	d := &decided{at: snap.Now, term: c.term, stale: c.stale(snap.Now), ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}}
+	d := &decided{at: snap.Now, term: c.term, stale: c.stale(snap.Now), ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}, unhelped: map[model.PoolID]wave.Surge{}}
 	d.add(c.settle(d.ix)...)
 	d.ledger = budget.NewLedger(d.ix, c.budgetOptions(snap.Now))
 	if d.stale {
@@ -136,6 +138,7 @@
 		d.stop(s.Task, s.Reason)
 	}
 	c.decideSurge(d)
+	c.decideBorrow(d)
 }
 
 func (d *decided) stop(t *model.Task, reason string) {
@@ -172,23 +175,44 @@
 	d.add(a)
 }
 
-// mayStart keeps displaced jobs off VMs that the wave has still to drain: they
-// would move a second time.
+// mayStart keeps jobs off VMs that the wave has still to drain, where they
+// would be moved, or would hold up the drain because they must not be cut.
+// They wait for a VM that is done, for a while; urgent jobs never wait.
 func (c *Controller) mayStart(d *decided, t *model.Task) bool {
 	job := d.ix.Job(t.Job)
-	if job == nil || job.Moves == 0 || !c.config.Wave.Ideas.DisplaceToDone {
+	if job == nil || t.Priority == model.Urgent {
 		return true
 	}
 	v := d.ix.VM(t.VM)
 	p := d.ix.Pool(v.Pool())
-	if p == nil || p.Wave == nil || v.Maintained || t.Priority == model.Urgent {
+	if p == nil || p.Wave == nil || v.Maintained || !waveGoesOn(d.ix, p) {
 		return true
 	}
-	return d.at.Sub(job.Changed) > displacedWait || !waveGoesOn(d.ix, p)
+	if d.at.Sub(job.Changed) > steerWait(t.Priority) {
+		return true
+	}
+	ideas := c.config.Wave.Ideas
+	displaced := ideas.DisplaceToDone && job.Moves > 0
+	return !displaced && !(ideas.SteerNew && c.outlasts(d, t, job))
+}
+
+// outlasts reports whether a batch job, or one that must not be cut, would
+// still run when its VM is drained.
+func (c *Controller) outlasts(d *decided, t *model.Task, job *model.Job) bool {
+	if t.Priority != model.Batch && job.Spec.Idempotent {
+		return false
+	}
+	drain, known := d.wave.SoonDrained[t.VM]
+	return !known || d.at.Add(c.soft.runtimes.expected(&job.Spec)) > drain
 }
 
-// displacedWait bounds how long a displaced job waits for a VM that is done.
-const displacedWait = 10 * time.Minute
+// steerWait bounds how long a job waits for a VM that is done.
+func steerWait(p model.Priority) time.Duration {
+	if p == model.Batch {
+		return time.Hour
+	}
+	return 5 * time.Minute
+}
 
 // waveGoesOn reports whether VMs of the pool are under maintenance now, so
 // that some will soon be done.
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -105,6 +105,7 @@
 	// startup is how long an instance takes until it serves.
 	startup time.Duration
 	started map[model.TaskID]model.Instant
+	onStart func(standin.Running)
 }
 
 const simStart = model.Instant(1_800_000_000_000)
@@ -122,7 +123,12 @@
 	s := &sim{log: newMemLog(o.state, o.seed), nodes: map[model.NodeID]*Controller{}, startup: 3 * time.Second, started: map[model.TaskID]model.Instant{}}
 	p := o.platform
 	p.Seed, p.Start = o.seed, simStart
-	p.OnStart = func(r standin.Running) { s.started[r.Task] = s.platform.Now() }
+	p.OnStart = func(r standin.Running) {
+		s.started[r.Task] = s.platform.Now()
+		if s.onStart != nil {
+			s.onStart(r)
+		}
+	}
 	s.platform = standin.New(p)
 	s.client = s.platform.Unreliable(o.seed, o.faults)
 	s.config = o.config
--- a/internal/controller/surge.go
+++ b/internal/controller/surge.go
@@ -26,6 +26,8 @@
 		}
 		if missing > 0 && len(s.Extra) >= s.Spec.MaxSurge() {
 			c.dropUseless(d, s, target)
+		} else if missing > 0 {
+			d.unhelped[s.Spec.Pool] = need
 		}
 	}
 }
--- a/internal/wave/decide.go
+++ b/internal/wave/decide.go
@@ -1,6 +1,8 @@
 package wave
 
 import (
+	"time"
+
 	"github.com/comfreyloom/comfreyloom/internal/budget"
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -27,6 +29,9 @@
 	// KeepSurge are the pools in which VMs are yet to be drained: instances
 	// beyond the number stay there, they will be needed again.
 	KeepSurge map[model.PoolID]bool
+	// Borrow are the pools of which no VM can be spared now, so that a shared
+	// spare should join them for the wave.
+	Borrow map[model.PoolID]bool
 	// SoonDrained says when VMs are expected to be drained.
 	SoonDrained map[model.VMID]model.Instant
 	// Waiting says, by wave, why no further VM is granted; empty when one was.
@@ -53,8 +58,11 @@
 	givenBack map[model.VMID]bool
 	surge     map[model.ServiceID]Surge
 	keepSurge map[model.PoolID]bool
+	borrow    map[model.PoolID]bool
 	soon      map[model.VMID]model.Instant
-	waiting   map[model.WaveID]string
+	// rest is how long each wave still needs.
+	rest    map[model.WaveID]time.Duration
+	waiting map[model.WaveID]string
 }
 
 // Decide takes one round of decisions about all waves. Grants are planned in
@@ -65,15 +73,21 @@
 		givenBack: map[model.VMID]bool{},
 		surge:     map[model.ServiceID]Surge{},
 		keepSurge: map[model.PoolID]bool{},
+		borrow:    map[model.PoolID]bool{},
 		soon:      map[model.VMID]model.Instant{},
+		rest:      map[model.WaveID]time.Duration{},
 		waiting:   map[model.WaveID]string{},
 	}
+	if ix.Snap.View.Site == nil {
+		return Decision{}
+	}
+	d.planRest()
 	d.giveBack()
 	d.advance()
 	d.grantAll()
 	return Decision{
 		Actions: d.actions, Stops: d.stops, Undrain: d.undrain,
-		Surge: d.surges(), KeepSurge: d.keepSurge, SoonDrained: d.soon, Waiting: d.waiting,
+		Surge: d.surges(), KeepSurge: d.keepSurge, Borrow: d.borrow, SoonDrained: d.soon, Waiting: d.waiting,
 	}
 }
 
--- a/internal/wave/grant.go
+++ b/internal/wave/grant.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -65,6 +66,10 @@
 			d.surveyVM(r, v)
 		}
 	}
+	// Shared spares belong to no pool; every wave goes through them.
+	for _, v := range d.ix.Spares {
+		d.surveyVM(r, v)
+	}
 	return r
 }
 
@@ -108,9 +113,8 @@
 	if r.wave.MaxParallel > 0 && len(r.active) >= r.wave.MaxParallel {
 		return fmt.Sprintf("%d VMs are under maintenance, which is the wave's most", len(r.active))
 	}
-	p := d.ix.Pool(v.Pool())
-	if d.o.Ideas.RespectBusy && d.busy(p) {
-		return fmt.Sprintf("pool %s is in its busy window", p.Spec.ID)
+	if d.poolBusy(v) {
+		return fmt.Sprintf("pool %s is in its busy window", v.Pool())
 	}
 	if d.o.Rules.IgnoreBudget {
 		return ""
@@ -132,16 +136,17 @@
 
 // order sorts the VMs that are yet to be drained.
 func (d *decider) order(r *run) {
-	cost := d.costs(r.next)
+	cost := d.costs(r)
 	zones := d.zoneRanks(r)
 	slices.SortStableFunc(r.next, func(a, b *fleet.VM) int {
 		return cmp.Or(
-			cmp.Compare(d.urgentRank(a), d.urgentRank(b)),
+			cmp.Compare(d.rank(a), d.rank(b)),
+			cmp.Compare(cost.wait[a], cost.wait[b]),
 			cmp.Compare(zones[a.Zone], zones[b.Zone]),
-			cmp.Compare(cost.rack(a), cost.rack(b)),
+			cmp.Compare(cost.rack[a.Rack], cost.rack[b.Rack]),
 			cmp.Compare(a.Zone, b.Zone),
 			cmp.Compare(a.Rack, b.Rack),
-			cmp.Compare(cost.vm(a), cost.vm(b)),
+			cmp.Compare(cost.move[a], cost.move[b]),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
@@ -164,78 +169,77 @@
 	return ranks
 }
 
-func (d *decider) urgentRank(v *fleet.VM) int {
+// rank puts spares first, because they carry nothing and are then ready to
+// take the work of others, and the VMs of pools with urgent services last.
+func (d *decider) rank(v *fleet.VM) int {
 	p := d.ix.Pool(v.Pool())
-	if !d.o.Ideas.RespectBusy || p == nil {
+	switch {
+	case p == nil && d.o.Ideas.OrderByCost:
 		return 0
+	case p == nil || !d.o.Ideas.RespectBusy:
+		return 1
 	}
-	for _, s := range p.Services {
-		if s.Spec.Priority == model.Urgent {
-			return 1
-		}
+	if urgent(p) {
+		return 2
 	}
-	return 0
+	return 1
 }
 
-// costs weighs the work that draining VMs would displace.
+// costs weighs what draining VMs would take.
 type costs struct {
-	vms   map[*fleet.VM]float64
-	racks map[int]float64
+	// wait is how long a drain would wait for tasks that must not be cut, in
+	// steps of NearEnd.
+	wait map[*fleet.VM]int
+	// move is the work that would be displaced, in seconds; rack is its mean
+	// by rack, so that whole racks go first.
+	move map[*fleet.VM]float64
+	rack map[int]float64
 }
 
-func (c costs) vm(v *fleet.VM) float64   { return c.vms[v] }
-func (c costs) rack(v *fleet.VM) float64 { return c.racks[v.Rack] }
-
-// costs are all 0 without the idea, which leaves the fixed order. The cost of
-// a rack is the mean of its VMs, so that whole racks go first.
-func (d *decider) costs(vms []*fleet.VM) costs {
-	c := costs{vms: map[*fleet.VM]float64{}, racks: map[int]float64{}}
+// costs are all 0 without the idea, which leaves the fixed order.
+func (d *decider) costs(r *run) costs {
+	c := costs{wait: map[*fleet.VM]int{}, move: map[*fleet.VM]float64{}, rack: map[int]float64{}}
 	if !d.o.Ideas.OrderByCost {
 		return c
 	}
 	count := map[int]float64{}
-	for _, v := range vms {
-		c.vms[v] = d.cost(v)
-		c.racks[v.Rack] += c.vms[v]
+	patience := d.patience(r.wave.ID)
+	for _, v := range r.next {
+		for _, t := range v.Tasks {
+			wait, move := d.taskCost(t, patience)
+			c.wait[v] = max(c.wait[v], int(wait/d.o.NearEnd))
+			c.move[v] += move
+		}
+		c.rack[v.Rack] += c.move[v]
 		count[v.Rack]++
 	}
-	for rack := range c.racks {
-		c.racks[rack] /= count[rack]
+	for rack := range c.rack {
+		c.rack[rack] /= count[rack]
 	}
 	return c
 }
 
-// cost is the work left on a VM in seconds, weighed by how much it matters
-// that it moves.
-func (d *decider) cost(v *fleet.VM) float64 {
-	total := 0.0
-	for _, t := range v.Tasks {
-		total += d.taskCost(t)
-	}
-	return total
-}
-
 const (
-	// instanceCost stands for the restart of an instance.
-	instanceCost = 30
-	urgentCost   = 4
-	normalCost   = 2
-	// maxCountedSeconds bounds the work left of one task: estimates are far off.
-	maxCountedSeconds = 3600
+	// instanceCost and checkpointCost stand, in seconds, for the restart of an
+	// instance and for going on from a checkpoint.
+	instanceCost   = 30
+	checkpointCost = 30
 )
 
-func (d *decider) taskCost(t *model.Task) float64 {
+// taskCost is how long a drain would wait for a task, and the work in seconds
+// that would be lost if it were stopped.
+func (d *decider) taskCost(t *model.Task, patience time.Duration) (wait time.Duration, move float64) {
 	job := d.ix.Job(t.Job)
 	if job == nil {
-		return instanceCost
+		return 0, instanceCost
 	}
-	left := min(d.remaining(job, t).Seconds(), maxCountedSeconds)
+	left := d.remaining(job, t)
 	switch {
-	case t.Priority == model.Urgent || !job.Spec.Idempotent:
-		return left * urgentCost
+	case t.Priority == model.Urgent || !job.Spec.Idempotent || left <= patience:
+		return left, 0
 	case job.Spec.Checkpoints:
-		return min(left, instanceCost)
+		return 0, checkpointCost
 	default:
-		return left * normalCost
+		return 0, d.ix.Now().Sub(t.Started).Seconds()
 	}
 }
--- a/internal/wave/phase.go
+++ b/internal/wave/phase.go
@@ -175,25 +175,64 @@
 	return d.worthStopping(v, t, job)
 }
 
-// worthStopping weighs what stopping loses against what waiting costs.
+// worthStopping reports whether to stop a task that can go on elsewhere. A
+// drain waits for it only while that does not hold up the wave by much:
+// waiting first and stopping then would cost both time and a move.
 func (d *decider) worthStopping(v *fleet.VM, t *model.Task, job *model.Job) (bool, string) {
-	left := d.remaining(job, t)
 	waited := d.ix.Now().Sub(v.Permit.Since)
-	switch {
-	case left <= d.o.NearEnd && waited < d.o.MaxWait:
+	left := d.remaining(job, t)
+	wave := v.Permit.Wave
+	if left <= d.patience(wave) && waited < max(d.o.MaxWait, d.rest[wave]) {
 		return false, ""
-	case job.Spec.Checkpoints:
+	}
+	if job.Spec.Checkpoints {
 		return true, "its job goes on from a checkpoint"
-	case waited >= d.o.MaxWait:
-		return true, "the drain waited long enough"
 	}
-	// Without a checkpoint the work so far is lost.
-	lost := d.ix.Now().Sub(t.Started)
-	weight := d.moveWeight()
-	if float64(left)*(1-weight) > float64(lost+d.o.NearEnd)*weight {
-		return true, "more is left to run than is lost"
+	return true, fmt.Sprintf("its job, with %s left, is queued again", left.Round(time.Second))
+}
+
+// patience is how much run time may be left of a task that a drain waits for:
+// NearEnd at equal weights, more when moves weigh more; and as long as the
+// wave goes on without it in any case.
+func (d *decider) patience(id model.WaveID) time.Duration {
+	w := min(d.moveWeight(), mostWeight)
+	patience := time.Duration(float64(d.o.NearEnd) * w / (1 - w))
+	return max(patience, d.rest[id]-d.o.Cycle)
+}
+
+// mostWeight bounds the weight of moves: at 1 a drain would wait for ever.
+const mostWeight = 0.9
+
+// planRest works out how long each wave goes on: for the VMs that no permit
+// covers yet, at the number that is under maintenance now, and until the tasks
+// that must not be cut have ended and their VMs went through.
+func (d *decider) planRest() {
+	site := d.ix.Snap.View.Site
+	for i := range site.Waves {
+		w := &site.Waves[i]
+		if w.Start > d.ix.Now() {
+			continue
+		}
+		r := d.survey(w)
+		rounds := (len(r.next) + len(r.active)) / max(len(r.active), 1)
+		rest := time.Duration(rounds) * d.o.Cycle
+		for _, v := range append(r.next, r.active...) {
+			rest = max(rest, d.uncuttable(v)+d.o.Cycle)
+		}
+		d.rest[w.ID] = rest
+	}
+}
+
+// uncuttable is how long the tasks of a VM that must not be cut still run.
+func (d *decider) uncuttable(v *fleet.VM) time.Duration {
+	longest := time.Duration(0)
+	for _, t := range v.Tasks {
+		job := d.ix.Job(t.Job)
+		if job != nil && (t.Priority == model.Urgent || !job.Spec.Idempotent) {
+			longest = max(longest, d.remaining(job, t))
+		}
 	}
-	return false, ""
+	return longest
 }
 
 func (d *decider) remaining(job *model.Job, t *model.Task) time.Duration {
--- a/internal/wave/room.go
+++ b/internal/wave/room.go
@@ -19,20 +19,37 @@
 
 // room is the account of one pool.
 type room struct {
-	// members counts the VMs, out those under a permit, ready those that take
-	// work; hard is how many instances and work that can't yield need.
-	members, out, ready, hard int
+	// members counts the VMs, out those under a permit that run no job any
+	// more, ready those that take work; keep is how many have to stay.
+	members, out, ready, keep int
 }
 
+const (
+	// keepSpare is how many VMs each pool keeps beyond what its running work
+	// needs, and keepUrgent how many more a pool with an urgent service does:
+	// work that comes while VMs are away must not wait for one.
+	keepSpare  = 1
+	keepUrgent = 1
+)
+
 func (d *decider) newRooms() *rooms {
 	r := &rooms{d: d, pools: map[model.PoolID]*room{}}
 	for _, demand := range fleet.Demands(d.ix, d.o.Fleet) {
-		account := &room{ready: demand.Ready, hard: demand.Hard}
+		account := &room{ready: demand.Ready, keep: demand.Hard + keepSpare}
+		if urgent(demand.Pool) {
+			account.keep += keepUrgent
+		}
 		for _, v := range demand.Pool.VMs {
 			account.add(v)
 		}
 		r.pools[demand.Pool.Spec.ID] = account
 	}
+	// Spares need no work to be carried; some of them stay ready for failures.
+	spares := &room{}
+	for _, v := range d.ix.Spares {
+		spares.add(v)
+	}
+	r.pools[""] = spares
 	return r
 }
 
@@ -41,11 +58,15 @@
 		return
 	}
 	r.members++
-	if v.Permit != nil {
+	if v.Permit != nil && !runsJob(v) {
 		r.out++
 	}
 }
 
+func runsJob(v *fleet.VM) bool {
+	return slices.ContainsFunc(v.Tasks, func(t *model.Task) bool { return t.Job != "" })
+}
+
 // mayTake says why the pool can't do without the VM now; empty when it can.
 // Batch work that yields needs no room: it waits, which is what it is for.
 func (r *rooms) mayTake(v *fleet.VM) string {
@@ -55,20 +76,27 @@
 	}
 	most := max(1, int(float64(account.members)*r.d.o.MaxShare))
 	if account.out >= most {
-		return fmt.Sprintf("%d of %d VMs of pool %s are under maintenance", account.out, account.members, v.Pool())
+		return fmt.Sprintf("%d of %d VMs of pool %q are under maintenance", account.out, account.members, v.Pool())
 	}
-	if v.Block == fleet.Open && account.ready <= account.hard {
-		return fmt.Sprintf("pool %s needs %d VMs for the work that runs and has %d", v.Pool(), account.hard, account.ready)
+	if v.Block == fleet.Open && account.ready <= account.keep {
+		r.d.borrow[v.Pool()] = true
+		return fmt.Sprintf("pool %s keeps %d VMs for its work and has %d", v.Pool(), account.keep, account.ready)
 	}
 	return ""
 }
 
+func urgent(p *fleet.Pool) bool {
+	return slices.ContainsFunc(p.Services, func(s *fleet.Service) bool { return s.Spec.Priority == model.Urgent })
+}
+
 func (r *rooms) take(v *fleet.VM) {
 	account := r.pools[v.Pool()]
 	if account == nil {
 		return
 	}
-	account.out++
+	if !runsJob(v) {
+		account.out++
+	}
 	if v.Block == fleet.Open {
 		account.ready--
 	}
