controller: quiet rounds, less sorting, and spreading when a service is short

Change: a round that would find what the last one found is left out, for 3 s at most; tasks of which nothing new is known are neither sorted nor looked at again; instances are spread during a wave too when their service is short.

--- a/internal/controller/command.go
+++ b/internal/controller/command.go
@@ -24,8 +24,9 @@
 	asks []model.TaskID
 }
 
-// command sends what follows from the committed state.
-func (c *Controller) command(ctx context.Context) {
+// command sends what follows from the committed state. It reports whether
+// anything is under way.
+func (c *Controller) command(ctx context.Context) bool {
 	m := &commander{c: c, view: c.config.Log.View(), w: c.soft.world, now: c.config.Clock()}
 	for _, p := range sortedPermits(m.view) {
 		if v := m.w.listed[p.VM]; v != nil {
@@ -33,13 +34,13 @@
 		}
 	}
 	m.ungranted()
-	tasks := sortedTasks(m.view)
-	for _, t := range tasks {
+	for _, t := range sortedTasks(m.view, m.unsettled) {
 		m.forTask(t)
 	}
-	m.renew(tasks)
+	m.renew(sortedTasks(m.view, m.toRenew))
 	c.ask(ctx, m.asks)
 	c.send(ctx, m)
+	return len(m.out)+len(m.asks) > 0
 }
 
 func sortedPermits(view *state.View) []*model.Permit {
@@ -116,6 +117,23 @@
 	m.c.soft.ungranted = nil
 }
 
+// unsettled reports whether a task is not as the state wants it, or nothing is
+// known of it.
+func (m *commander) unsettled(t *model.Task) bool {
+	report, known := m.w.tasks[t.ID]
+	return !known || t.State != model.TaskRunning || report.Throttled != t.Throttled || m.w.missing[t.ID]
+}
+
+// toRenew reports whether the platform has not confirmed the committed lease
+// of a running task.
+func (m *commander) toRenew(t *model.Task) bool {
+	if m.w.renewed[t.ID] >= t.LeaseUntil || t.LeaseUntil <= m.now || t.State == model.TaskStopping {
+		return false
+	}
+	report, known := m.w.tasks[t.ID]
+	return known && report.Ended == "" && !m.w.missing[t.ID]
+}
+
 func (m *commander) forTask(t *model.Task) {
 	report, known := m.w.tasks[t.ID]
 	if known && report.Ended != "" {
@@ -186,13 +204,6 @@
 	byLease := map[model.Instant][]model.TaskID{}
 	var leases []model.Instant
 	for _, t := range tasks {
-		report, known := m.w.tasks[t.ID]
-		if !known || report.Ended != "" || t.State == model.TaskStopping || m.w.missing[t.ID] {
-			continue
-		}
-		if t.LeaseUntil <= m.now || m.w.renewed[t.ID] >= t.LeaseUntil {
-			continue
-		}
 		if byLease[t.LeaseUntil] == nil {
 			leases = append(leases, t.LeaseUntil)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -129,6 +129,10 @@
 	ungranted []model.VMID
 	attempts  map[model.VMID]int
 	renews    uint64
+	// settled says that the last round found nothing to do; seen is what it
+	// looked at.
+	settled bool
+	seen    lastSeen
 }
 
 func newSoft() *soft {
--- a/internal/controller/counts.go
+++ b/internal/controller/counts.go
@@ -5,7 +5,7 @@
 // counts are the controller's counters.
 type counts struct {
 	registry metrics.Registry
-	failedRounds, actions, refused, heldMoves,
+	failedRounds, quiet, actions, refused, heldMoves,
 	commands, refusedCommands, notRun, unknown, unobserved metrics.Counter
 }
 
@@ -14,6 +14,7 @@
 	return counts{
 		registry:        r,
 		failedRounds:    counter("rounds.failed"),
+		quiet:           counter("rounds.quiet"),
 		actions:         counter("actions"),
 		refused:         counter("actions.refused"),
 		heldMoves:       counter("moves.held"),
--- a/internal/controller/settle.go
+++ b/internal/controller/settle.go
@@ -14,7 +14,7 @@
 // settle turns what the platform reported about tasks into actions.
 func (c *Controller) settle(ix *fleet.Index) []state.Action {
 	var actions []state.Action
-	for _, t := range sortedTasks(ix.Snap.View) {
+	for _, t := range sortedTasks(ix.Snap.View, c.toSettle) {
 		report, known := c.soft.world.tasks[t.ID]
 		switch {
 		case known && report.Ended != "":
@@ -30,6 +30,12 @@
 	return actions
 }
 
+// toSettle leaves out the tasks of which nothing new is known: nearly all.
+func (c *Controller) toSettle(t *model.Task) bool {
+	report, known := c.soft.world.tasks[t.ID]
+	return known && (report.Ended != "" || t.State == model.TaskStarting) || c.config.Rules.SkipLeaseWait
+}
+
 func gone(v *fleet.VM) bool { return v != nil && v.Listed != nil && v.Listed.Health != model.VMUp }
 
 func endAction(ix *fleet.Index, t *model.Task, ended platform.Ended) state.Action {
@@ -78,10 +84,14 @@
 	})
 }
 
-func sortedTasks(view *state.View) []*model.Task {
-	tasks := make([]*model.Task, 0, len(view.Tasks))
+// sortedTasks lists the tasks to look at, by ID, so that equal states yield
+// equal decisions.
+func sortedTasks(view *state.View, which func(*model.Task) bool) []*model.Task {
+	var tasks []*model.Task
 	for _, t := range view.Tasks {
-		tasks = append(tasks, t)
+		if which(t) {
+			tasks = append(tasks, t)
+		}
 	}
 	slices.SortFunc(tasks, func(a, b *model.Task) int { return cmp.Compare(a.ID, b.ID) })
 	return tasks
--- a/internal/controller/spread.go
+++ b/internal/controller/spread.go
@@ -76,15 +76,21 @@
 
 // respread moves one instance of each service that lies too unevenly, as
 // failures leave it: what is left of its budget would stay low for good. It
-// waits until all instances are available and no wave goes on in the pool.
+// waits until all instances are available, and for a wave that goes on in the
+// pool, unless the service is short, so that the wave can't go on either.
 func (c *Controller) respread(d *decided) {
 	for _, s := range d.ix.Services {
-		if d.leaveQuarantined(s) || d.wave.KeepSurge[s.Spec.Pool] {
+		goesOn := d.wave.KeepSurge[s.Spec.Pool] && d.ledger.Left(s.Spec.ID) >= 0
+		if d.leaveQuarantined(s) || goesOn {
 			continue
 		}
 		counts := d.byDomain(s)
-		t, place := d.fullest(s, counts), d.emptiest(s, counts)
-		if t == nil || place == nil {
+		t := d.fullest(s, counts)
+		if t == nil || !d.mayBeUneven(s, t, counts) {
+			continue
+		}
+		place := d.emptiest(s, counts)
+		if place == nil {
 			continue
 		}
 		from, to := d.ledger.Domain(s.Spec.ID, d.ix.VM(t.VM)), d.ledger.Domain(s.Spec.ID, place)
@@ -98,10 +104,23 @@
 	}
 }
 
+// mayBeUneven reports whether a failure domain of the pool has two instances
+// less than the fullest; whether there is room in it is another question.
+func (d *decided) mayBeUneven(s *fleet.Service, fullest *model.Task, counts map[string]int) bool {
+	most := counts[d.ledger.Domain(s.Spec.ID, d.ix.VM(fullest.VM))]
+	if most < 2 {
+		return false
+	}
+	p := d.ix.Pool(s.Spec.Pool)
+	return p != nil && slices.ContainsFunc(p.VMs, func(v *fleet.VM) bool {
+		return v.Block == fleet.Open && counts[d.ledger.Domain(s.Spec.ID, v)]+2 <= most
+	})
+}
+
 // leaveQuarantined stops one instance on a quarantined worker, where it does
 // not count, when there is room elsewhere and enough others are available.
 func (d *decided) leaveQuarantined(s *fleet.Service) bool {
-	if d.ledger.Available(s.Spec.ID) < s.Spec.MinAvailable {
+	if len(d.ix.Snap.View.Quarantines) == 0 || d.ledger.Available(s.Spec.ID) < s.Spec.MinAvailable {
 		return false
 	}
 	room := d.emptiest(s, nil) != nil
--- a/internal/controller/step.go
+++ b/internal/controller/step.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -22,6 +24,10 @@
 		return err
 	}
 	c.observe(ctx)
+	if c.quiet() {
+		c.counts.quiet.Inc(1)
+		return nil
+	}
 	decided := c.decide()
 	if c.config.Rules.SkipCommit {
 		c.soft.ungranted = decided.granted()
@@ -30,11 +36,41 @@
 	if c.superseded() {
 		return errSuperseded
 	}
-	c.command(ctx)
+	sent := c.command(ctx)
 	c.publish(decided)
+	c.soft.settled = err == nil && len(decided.actions) == 0 && !sent
 	return err
 }
 
+// quiet reports whether a round would find the same as the last one, which
+// found nothing to do: neither the state nor the platform nor the announced
+// instances changed since, and the last round is not long ago. Leases, soaks
+// and other times pass without a change, so rounds are left out for a short
+// while only.
+func (c *Controller) quiet() bool {
+	s := c.soft
+	seen := lastSeen{index: c.config.Log.View().Index, changes: s.world.changes, serving: c.config.Serving()}
+	now := c.config.Clock()
+	same := s.settled && s.seen.index == seen.index && s.seen.changes == seen.changes && maps.Equal(s.seen.serving, seen.serving)
+	if same && now.Sub(s.seen.at) < quietFor && !c.stale(now) {
+		return true
+	}
+	seen.at = now
+	s.seen = seen
+	return false
+}
+
+// quietFor bounds how long rounds are left out.
+const quietFor = 3 * time.Second
+
+// lastSeen is what the last full round looked at.
+type lastSeen struct {
+	at      model.Instant
+	index   uint64
+	changes uint64
+	serving map[model.TaskID]bool
+}
+
 // errSuperseded says that the platform took commands of a later term.
 var errSuperseded = errors.New("controller: a later controller commands the platform")
 
--- a/internal/controller/world.go
+++ b/internal/controller/world.go
@@ -30,6 +30,10 @@
 	usage       map[model.TaskID]fleet.Usage
 	usageCursor platform.Cursor
 
+	// changes counts what the platform reported as changed; measuredAt and
+	// cleanedAt say for which changes, and which state, the rest was worked out.
+	changes, measuredAt, cleanedAt uint64
+
 	absence fleet.Absence
 	absent  map[model.VMID]model.Instant
 }
@@ -75,8 +79,14 @@
 		c.takeUsage(list)
 	}
 	view := c.config.Log.View()
-	w.forget(view)
-	w.measure(view)
+	if view.Index != w.cleanedAt {
+		w.cleanedAt = view.Index
+		w.forget(view)
+	}
+	if w.changes != w.measuredAt || len(w.listed) != len(w.vms) {
+		w.measuredAt = w.changes
+		w.measure(view)
+	}
 	if w.vmsFullAt > 0 {
 		w.absent = w.absence.Observe(now, w.listed, view.Owners)
 	}
@@ -104,6 +114,7 @@
 	for _, id := range list.Removed {
 		delete(w.vms, id)
 	}
+	w.changes += uint64(len(list.VMs) + len(list.Removed))
 	for _, report := range list.VMs {
 		if known, ok := w.vms[report.VM]; !ok || report.Revision >= known.Revision {
 			w.vms[report.VM] = report
@@ -123,6 +134,7 @@
 	for _, report := range list.Tasks {
 		w.takeTask(report)
 	}
+	w.changes += uint64(len(list.Tasks))
 	w.tasksAt = list.At
 	w.tasksCursor = list.Next
 }
@@ -167,7 +179,11 @@
 		}
 	}
 	for id, u := range w.usage {
-		if vm := w.listed[view.Tasks[id].VM]; vm != nil {
+		t := view.Tasks[id]
+		if t == nil {
+			continue
+		}
+		if vm := w.listed[t.VM]; vm != nil {
 			vm.Busy = vm.Busy.Plus(u.Used)
 			vm.UsageAt = max(vm.UsageAt, u.At)
 		}
@@ -188,6 +204,7 @@
 			c.soft.sizes.Observe(&job.Spec, t, seen(u))
 		}
 	}
+	w.changes += uint64(len(list.Usage))
 	if list.Next != "" {
 		w.usageCursor = list.Next
 	}
