caller: tests of headers, truncation, retries, hostile input, jobs and the stop under load

Change: Drain lets no new connection in by a socket filter, accepts what was made already, then closes; Listen opens a plain TCP listener, since Go's default, multipath TCP, refuses the filter.

--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -199,7 +198,7 @@
 		c.Sender = newTransport(t)
 	}
 	e := &entry{server: New(c), stopped: make(chan struct{})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen(context.Background(), "127.0.0.1:0")
 	must(t, err)
 	e.url = "http://" + l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/oops"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/upstream"
@@ -68,6 +69,16 @@
 	return o.total
 }
 
+// Listen opens the listener of callers on IP:port. It is plain TCP: Go's
+// default, multipath TCP, supports no socket filter, which Drain needs (see
+// refuseNew).
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	l, err := c.Listen(ctx, "tcp", address)
+	return l, oops.In("caller").Wrapf(err, "listen on %s", address)
+}
+
 // listener accepts within the bounds of open.
 type listener struct {
 	net.Listener
--- a/internal/caller/path_test.go
+++ b/internal/caller/path_test.go
@@ -1,10 +1,22 @@
 package caller
 
 import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/upstream/standin"
 )
 
 func TestRequestIsAnsweredWhole(t *testing.T) {
@@ -12,21 +24,23 @@
 	w := newWorld(t, 2, 1, Limits{})
 	e := w.entries[0]
 
-	got, err := e.call("POST", "/s/drafts/search?q=1", "grain")
+	got, err := e.call("POST", "/s/drafts/search%2Fa?q=1", "grain")
 	is.NoErr(err)
 	is.Equal(got.status, 200)
 	is.Equal(got.verdict, "ran")
-	is.True(strings.HasSuffix(got.body, " POST /search?q=1 grain"))
+	is.True(strings.HasSuffix(got.body, " POST /search%2Fa?q=1 grain")) // escapes stay
 	is.True(got.header.Get("Comfreyloom-Request-Id") != "")
 
-	large, err := e.call("GET", "/s/drafts/big?bytes=300000", "")
+	body := strings.Repeat("k", 300_000)
+	large, err := e.call("POST", "/s/drafts/big", body)
 	is.NoErr(err)
-	is.Equal(len(large.body), 300000)
+	is.True(strings.HasSuffix(large.body, body)) // streamed both ways
 	eventually(t, "slots are given back", func() bool {
 		w.broker.mu.Lock()
 		defer w.broker.mu.Unlock()
 		return w.broker.held == 0
 	})
+	is.Equal(e.server.buffers.used.Load(), int64(0))
 }
 
 func TestKeyedRequestRunsOnce(t *testing.T) {
@@ -50,5 +64,283 @@
 	is.NoErr(err)
 	is.Equal(other.status, 422)
 	is.Equal(other.verdict, "not-run")
-	is.Equal(w.instances[0].Runs("k1")+w.instances[1].Runs("k1"), 1)
+	is.Equal(w.runs("k1"), 1)
+	none, err := w.entries[1].call("GET", "/requests/none", "")
+	is.NoErr(err)
+	is.Equal(none.status, 404)
+	is.Equal(none.verdict, "may-have-run") // it may still be on its way elsewhere
+}
+
+// Symptom: a resend while the first still runs starts it a second time, or a
+// caller who went away finds no answer when it asks again.
+func TestClaimedRequestGoesOnWithoutItsCaller(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 2, Limits{})
+	w.instances[0].SetLatency(100 * time.Millisecond)
+	raw, err := net.Dial("tcp", strings.TrimPrefix(w.entries[0].url, "http://"))
+	is.NoErr(err)
+	_, err = io.WriteString(raw, "POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: 5\r\n\r\ngrain")
+	is.NoErr(err)
+	eventually(t, "it runs", func() bool { return w.runs("k") == 1 })
+	is.NoErr(raw.Close()) // the caller goes away
+	running, err := w.entries[1].call("POST", "/s/drafts/plan", "grain", "Idempotency-Key: k")
+	is.NoErr(err)
+	is.Equal(running.status, 409)
+	is.Equal(running.verdict, "may-have-run")
+	is.Equal(running.header.Get("Retry-After"), "1")
+	eventually(t, "the late answer", func() bool {
+		late, err := w.entries[1].call("GET", "/requests/k", "")
+		return err == nil && late.status == 200 && strings.HasSuffix(late.body, "grain")
+	})
+	is.Equal(w.runs("k"), 1)
+}
+
+func TestBadHeadersAreNamed(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1, Limits{})
+	for _, bad := range []struct{ header, allowed string }{
+		{"Comfreyloom-Priority: soon", "urgent"},
+		{"Comfreyloom-Idempotent: yes", "true"},
+		{"Comfreyloom-Timeout: 5", "unit"},
+		{"Comfreyloom-Timeout: 48h", "10m0s"},
+		{"Comfreyloom-Timeout: -1s", "1ms"},
+		{"Comfreyloom-Team: strangers", "planners"},
+		{"Comfreyloom-Prioritty: urgent", "Comfreyloom-Priority"},
+		{"Idempotency-Key: a b", "128"},
+		{"Idempotency-Key: ", "128"},
+	} {
+		got, err := w.entries[0].call("POST", "/s/drafts/plan", "grain", bad.header)
+		is.NoErr(err)
+		is.Equal(got.status, 400)
+		is.Equal(got.verdict, "not-run")
+		name, _, _ := strings.Cut(bad.header, ":")
+		is.True(strings.Contains(got.body, name))        // the header is named
+		is.True(strings.Contains(got.body, bad.allowed)) // and what is allowed
+	}
+	for path, status := range map[string]int{
+		"/s/nothing/plan": 404, "/s/drafts": 404, "/else": 404, "/s/drafts/a/../plans": 400,
+		"/s/drafts/%2e%2e/plans": 400, "/s/a%2Fdrafts/plan": 400, "/jobs/none": 404,
+	} {
+		got, err := w.entries[0].call("GET", path, "")
+		is.NoErr(err)
+		is.Equal(got.status, status)
+		is.Equal(got.verdict, "not-run")
+	}
+	got, err := w.entries[0].call("TRACE", "/s/drafts/plan", "")
+	is.NoErr(err)
+	is.Equal(got.status, 405)
+	is.Equal(w.instances[0].Total(), 0)
+}
+
+func TestIdempotenceByMethodRouteAndHeader(t *testing.T) {
+	is := is.New(t)
+	yes, no := true, false
+	routes := testSite().Services[0].Routes
+	for _, c := range []struct {
+		method, path string
+		header       *bool
+		want         bool
+	}{
+		{"GET", "/other", nil, true},
+		{"POST", "/other", nil, false},
+		{"PATCH", "/other", &yes, true},
+		{"GET", "/other", &no, false},
+		{"GET", "/plans/7", nil, false},
+		{"GET", "//plans/7", nil, false},
+		{"GET", "/plansheet", nil, true},
+		{"GET", "/plans", &yes, false}, // the manifest's mark stays
+		{"POST", "/search", nil, true},
+		{"POST", "/search/x", &no, false},
+	} {
+		is.Equal(idempotent(c.method, c.path, routes, c.header), c.want)
+	}
+}
+
+// Symptom: a truncated plan is taken for the plan; a request that could have
+// been answered fails.
+// Sequence: an upstream breaks off in the middle of a short or a long answer.
+// Cause: see InvariantVerdict and writeAnswer.
+func TestTruncatedAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 1, Limits{AnswerBytes: 1000})
+	e := w.entries[0]
+	for _, fault := range []standin.Fault{standin.FaultTruncate, standin.FaultTruncateChunks, standin.FaultUndelimited, standin.FaultForeign, standin.FaultCut, standin.FaultError} {
+		w.instances[0].Fail(fault, 1)
+		w.instances[1].Fail(standin.FaultNone, 0)
+		got, err := e.call("GET", "/s/drafts/visit?bytes=900", "")
+		is.NoErr(err)
+		is.Equal(got.status, 200) // idempotent: another instance answers
+		is.Equal(len(got.body), 900)
+		w.broker.next = 0
+	}
+	w.instances[0].Fail(standin.FaultTruncate, 1)
+	got, err := e.call("POST", "/s/drafts/plan?bytes=900", "")
+	is.NoErr(err)
+	is.Equal(got.status, 502)
+	is.Equal(got.verdict, "may-have-run")
+	w.broker.next = 0
+	for _, fault := range []standin.Fault{standin.FaultTruncate, standin.FaultTruncateChunks} {
+		w.instances[0].Fail(fault, 1)
+		w.broker.next = 0
+		_, err = e.call("GET", "/s/drafts/plan?bytes=200000", "")
+		is.True(err != nil) // begun to pass on: the caller sees the break
+	}
+}
+
+// Symptom: upstreams that fail under load get a multiple of the load.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	const requests = 300
+	w := newWorld(t, 3, 1, Limits{})
+	for _, u := range w.instances {
+		u.Fail(standin.FaultCut, -1)
+	}
+	for i := range requests {
+		got, err := w.entries[0].call("GET", "/s/drafts/visit", fmt.Sprint(i))
+		is.NoErr(err)
+		is.Equal(got.verdict, "may-have-run")
+	}
+	total := 0
+	for _, u := range w.instances {
+		total += u.Total()
+	}
+	is.True(total <= requests+requests/10+10) // 10 % and what was saved up
+	is.True(total > requests)
+}
+
+// Symptom: a planned stop cuts off a booking.
+// Sequence: an entry VM is stopped while callers keep it busy over kept
+// connections; they stop coming when it refuses connections.
+func TestStopUnderLoadCutsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 0, Limits{})
+	e := w.addEntry(t, Config{BalancerDelay: 100 * time.Millisecond, Linger: 50 * time.Millisecond})
+	for _, u := range w.instances {
+		u.SetLatency(5 * time.Millisecond)
+	}
+	var answered, cut atomic.Int64
+	var callers sync.WaitGroup
+	for n := range 16 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				got, err := e.call("POST", "/s/drafts/book", fmt.Sprint(n, i))
+				switch {
+				case err != nil && strings.Contains(err.Error(), "refused"):
+					return // the listener is closed: the balancer goes elsewhere
+				case err != nil || got.status != 200:
+					cut.Add(1)
+					t.Logf("cut: %v %d", err, got.status)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	eventually(t, "load", func() bool { return answered.Load() > 100 })
+	ready, err := e.call("GET", "/readyz", "")
+	is.NoErr(err)
+	is.Equal(ready.status, 200)
+	slow, rest := io.Pipe() // one request ends after all else
+	callers.Go(func() {
+		resp, err := http.Post(e.url+"/s/drafts/book", "text/plain", slow)
+		if err != nil || resp.StatusCode != 200 {
+			cut.Add(1)
+			t.Logf("slow one cut: %v", err)
+		}
+	})
+	_, err = io.WriteString(rest, "grain")
+	is.NoErr(err)
+	time.AfterFunc(400*time.Millisecond, func() { _ = rest.Close() })
+	drained := make(chan error, 1)
+	go func() { drained <- e.server.Drain(t.Context()) }()
+	eventually(t, "readiness goes off", func() bool {
+		ready, err := e.call("GET", "/readyz", "")
+		return err == nil && ready.status == 503
+	})
+	is.NoErr(<-drained)
+	callers.Wait()
+	is.Equal(cut.Load(), int64(0))
+	t.Logf("%d requests answered, %d cut", answered.Load(), cut.Load())
+}
+
+// Symptom: an answer without a verdict; a VM whose memory or connections are
+// used up by one peer.
+func TestHostileInput(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 1, Limits{
+		HeaderTimeout: 100 * time.Millisecond, BodyTimeout: 100 * time.Millisecond, MaxHeaderBytes: 4096,
+		BodyBytes: 1 << 20, KeyedBytes: 1000, Connections: 8, ConnectionsPerIP: 8,
+	})
+	address := strings.TrimPrefix(w.entries[0].url, "http://")
+	raw := func(text string) (*http.Response, error) {
+		c, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, text)
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		return resp, err
+	}
+	for text, status := range map[string]int{
+		"NONSENSE\r\n\r\n":                                               400,
+		"GET / HTTP/1.1\r\n\r\n":                                         400, // no host
+		"GET /healthz HTTP/9.9\r\nHost: x\r\n\r\n":                       505,
+		"GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 20_000): 431,
+		"POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\nTransfer-Encoding: odd\r\n\r\n": 501,
+		"POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nslow":                       408,
+		"POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n":                    413,
+		"POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\nContent-Length: 2000\r\n\r\n":  413,
+		"POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc":   400,
+		"POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":            400,
+		"DELETE /jobs/x HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n":                                404,
+		"GET /requests/" + strings.Repeat("k", 200) + " HTTP/1.1\r\nHost: x\r\n\r\n":                     400,
+		"POST /jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n[]":                                  400,
+	} {
+		resp, err := raw(text)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, status)
+		is.Equal(resp.Header.Get(model.VerdictHeader), "not-run")
+		is.True(resp.Header.Get("Comfreyloom-Request-Id") != "")
+	}
+	_, err := raw("GET /healthz HTTP/1.1\r\nHost: x\r\nX: slow")
+	is.True(err != nil) // closed without an answer
+	is.Equal(w.instances[0].Total(), 0)
+
+	var held []net.Conn
+	for range 9 {
+		c, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		held = append(held, c)
+	}
+	_, err = io.WriteString(held[8], "GET /s/drafts/x HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(held[8]), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 503) // surplus: told to come back, at once
+	is.Equal(resp.Header.Get("Retry-After"), "1")
+	for _, c := range held {
+		_ = c.Close()
+	}
+	eventually(t, "connections are counted out", func() bool { return w.entries[0].server.open.open() <= 1 })
+}
+
+func TestVerdictIsAddedToOwnErrorsOfTheLibraryOnly(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	c := &callerConn{Conn: near, open: newOpenConns(9, 9, newCounters(nil))}
+	c.served.Store(true)
+	got := make(chan []byte, 1)
+	go func() {
+		part := make([]byte, 256)
+		n, _ := far.Read(part)
+		got <- part[:n]
+	}()
+	text := []byte("HTTP/1.1 400 is the body of an answer\r\n\r\n")
+	_, err := c.Write(text)
+	is.NoErr(err)
+	is.True(bytes.Equal(<-got, text)) // an answer's bytes are never touched
 }
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -14,12 +14,16 @@
 	"github.com/sourcegraph/conc"
 )
 
-// lingerFor bounds the wait, after the listener is closed, for callers to end
-// the connections that they keep open.
-const lingerFor = time.Second
-
-// lingerPause is how often open connections are looked at meanwhile.
-const lingerPause = 10 * time.Millisecond
+const (
+	// defaultLinger is how long, after the listener is closed, the
+	// connections that callers keep open are still served.
+	defaultLinger = time.Second
+	// lingerPause is how often open connections are looked at meanwhile.
+	lingerPause = 10 * time.Millisecond
+	// acceptPause lets connections that are being made be accepted, after no
+	// new ones are let in and before the listener is closed.
+	acceptPause = 50 * time.Millisecond
+)
 
 func (s *Server) newHTTPServer() *http.Server {
 	return &http.Server{
@@ -99,7 +103,7 @@
 	s.draining.Store(true)
 	s.Logger.Info("callers: draining")
 	pause(ctx, s.BalancerDelay)
-	s.closeListeners()
+	s.closeListeners(ctx)
 	s.linger(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		return oops.In("caller").Wrapf(err, "requests were still in progress")
@@ -107,10 +111,19 @@
 	return s.waitSettled(ctx)
 }
 
-func (s *Server) closeListeners() {
+// closeListeners lets no new connection in, accepts those that were made
+// already, and closes.
+func (s *Server) closeListeners(ctx context.Context) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range s.listeners {
+	listeners := s.listeners
+	s.mu.Unlock()
+	for _, l := range listeners {
+		if err := refuseNew(l); err != nil {
+			s.Logger.WithError(err).Warn("callers: connections being made may be reset")
+		}
+	}
+	pause(ctx, acceptPause)
+	for _, l := range listeners {
 		_ = l.Close()
 	}
 }
@@ -118,7 +131,7 @@
 // linger serves on the open connections for a while. Shutdown closes the idle
 // ones at once, and a request that is just arriving on one would be cut.
 func (s *Server) linger(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lingerFor)
+	ctx, cancel := context.WithTimeout(ctx, s.Linger)
 	defer cancel()
 	for s.open.open() > 0 && ctx.Err() == nil {
 		pause(ctx, lingerPause)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -36,6 +36,9 @@
 	// BalancerDelay is how long a stop goes on accepting after readiness is
 	// off, so that the balancer sees it first.
 	BalancerDelay time.Duration
+	// Linger is how long, after that, connections which callers keep open
+	// are still served; one second when 0.
+	Linger time.Duration
 	// Now is the clock; time.Now when nil.
 	Now func() time.Time
 	// Metrics takes the counters; the default registry when nil.
@@ -84,6 +87,7 @@
 	if c.Logger == nil {
 		c.Logger = log.Log
 	}
+	setDefault(&c.Linger, defaultLinger)
 	s := &Server{
 		Config:   c,
 		limits:   c.Limits.withDefaults(),
