--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -213,6 +213,17 @@
 	return 0
 }
 
+// LeastLeft is what is left of the budget that has least; 0 without services.
+func (l *Ledger) LeastLeft() int {
+	least := 0
+	for i, e := range l.lines {
+		if left := e.left(l.options.Rules); i == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // Short reports whether a service of the pool has less than nothing left.
 func (l *Ledger) Short(p *fleet.Pool) bool {
 	return slices.ContainsFunc(p.Services, func(s *fleet.Service) bool { return l.Left(s.Spec.ID) < 0 })
--- a/internal/controller/check.go
+++ b/internal/controller/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/budget"
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
@@ -155,16 +156,17 @@
 	c.report(Check(view, c.soft.world.vms))
 }
 
-// report counts and logs broken invariants.
+// report counts broken invariants, and logs those that are new.
 func (c *Controller) report(broken []Broken) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, b := range broken {
 		c.counts.broken(b.Invariant)
-		c.config.Logger.WithField("invariant", b.Invariant).Error("controller: " + b.Detail)
-		c.mu.Lock()
-		if len(c.broken) < maxBroken {
-			c.broken = append(c.broken, b)
+		if len(c.broken) >= maxBroken || slices.Contains(c.broken, b) {
+			continue
 		}
-		c.mu.Unlock()
+		c.broken = append(c.broken, b)
+		c.config.Logger.WithField("invariant", b.Invariant).Error("controller: " + b.Detail)
 	}
 }
 
--- a/internal/controller/send.go
+++ b/internal/controller/send.go
@@ -65,9 +65,9 @@
 	case before.accepted:
 		return now.Sub(before.at) > shownAfter
 	case command.Kind.ForVM():
-		return w.vmsAt > before.at
+		return w.vmsSeen > before.at
 	default:
-		return w.tasksAt > before.at
+		return w.tasksSeen > before.at
 	}
 }
 
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -54,6 +54,7 @@
 
 // publish keeps the round for Status; the next round builds its own.
 func (c *Controller) publish(d *decided) {
+	c.counts.measure(d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = d
--- a/internal/controller/world.go
+++ b/internal/controller/world.go
@@ -11,8 +11,11 @@
 
 // world is what the platform said last.
 type world struct {
-	vms       map[model.VMID]platform.VMReport
+	vms map[model.VMID]platform.VMReport
+	// vmsAt is when the list was made, by the platform's clock; vmsSeen when
+	// it was asked for, by ours.
 	vmsAt     model.Instant
+	vmsSeen   model.Instant
 	vmsCursor platform.Cursor
 	vmsFullAt model.Instant
 	// listed is the form of vms that decisions read.
@@ -20,6 +23,7 @@
 
 	tasks       map[model.TaskID]platform.TaskReport
 	tasksAt     model.Instant
+	tasksSeen   model.Instant
 	tasksCursor platform.Cursor
 	tasksFullAt model.Instant
 	// missing are tasks that the platform does not run, by a renewal's answer.
@@ -66,14 +70,14 @@
 		since = ""
 	}
 	if list, err := c.config.Platform.VMs(ctx, since); c.counts.observed(err) && list.Since == since {
-		w.takeVMs(list)
+		w.takeVMs(list, now)
 	}
 	since = w.tasksCursor
 	if now-w.tasksFullAt > fullEvery {
 		since = ""
 	}
 	if list, err := c.config.Platform.Tasks(ctx, since); c.counts.observed(err) && list.Since == since {
-		w.takeTasks(list)
+		w.takeTasks(list, now)
 	}
 	if list, err := c.config.Platform.Usage(ctx, w.usageCursor); c.counts.observed(err) {
 		c.takeUsage(list)
@@ -98,18 +102,18 @@
 // some VMs only, and the others are not gone.
 func (c *Controller) stale(now model.Instant) bool {
 	w := c.soft.world
-	return w.vmsFullAt == 0 || now.Sub(w.vmsAt) > c.config.StaleAfter
+	return w.vmsFullAt == 0 || now.Sub(w.vmsSeen) > c.config.StaleAfter
 }
 
 // takeVMs enters a list. A list made before the one in hand is an answer that
 // came late; it would show VMs as up that failed since.
-func (w *world) takeVMs(list platform.VMList) {
-	if list.At < w.vmsAt || list.Next == "" {
+func (w *world) takeVMs(list platform.VMList, now model.Instant) {
+	if list.At <= w.vmsAt || list.Next == "" {
 		return
 	}
 	if list.Full {
 		clear(w.vms)
-		w.vmsFullAt = list.At
+		w.vmsFullAt = now
 	}
 	for _, id := range list.Removed {
 		delete(w.vms, id)
@@ -120,22 +124,22 @@
 			w.vms[report.VM] = report
 		}
 	}
-	w.vmsAt = list.At
+	w.vmsAt, w.vmsSeen = list.At, now
 	w.vmsCursor = list.Next
 }
 
-func (w *world) takeTasks(list platform.TaskList) {
-	if list.At < w.tasksAt || list.Next == "" {
+func (w *world) takeTasks(list platform.TaskList, now model.Instant) {
+	if list.At <= w.tasksAt || list.Next == "" {
 		return
 	}
 	if list.Full {
-		w.tasksFullAt = list.At
+		w.tasksFullAt = now
 	}
 	for _, report := range list.Tasks {
 		w.takeTask(report)
 	}
 	w.changes += uint64(len(list.Tasks))
-	w.tasksAt = list.At
+	w.tasksAt, w.tasksSeen = list.At, now
 	w.tasksCursor = list.Next
 }
 
