controller: a wave at 1,300 workers in virtual time

Cause: every VM has to be maintained once in 4 weeks at 1,300 workers and 42 pools. Change: BenchmarkWaveAtSize.

--- a/internal/controller/scale_test.go
+++ b/internal/controller/scale_test.go
@@ -17,7 +17,7 @@
 
 // scaleSim is a site of n workers in the proportions of 1,300 workers, 42
 // pools and 200 teams, with four jobs a worker running and a wave under way.
-func scaleSim(n int) *sim {
+func scaleSim(n int, runtime time.Duration) *sim {
 	random := rand.New(rand.NewPCG(1, uint64(n)))
 	pools, teams := max(n*42/1300, 3), max(n*200/1300, 8)
 	site := model.Site{Name: "scale", Revision: 1, Policy: model.Policy{MoveWeight: 0.5, BufferWeight: 0.5}}
@@ -40,14 +40,14 @@
 		seed: 1, site: site, config: Config{Wave: wave.Options{Ideas: wave.Chosen()}},
 		platform: standin.Config{
 			VMs: siteVMs(8, n, 4, cores(32)), RebootTime: 2 * time.Minute,
-			Behaviour: func(s platform.TaskSpec) standin.Work { return standin.Work{Runtime: 3 * time.Hour, Used: s.Size} },
+			Behaviour: func(s platform.TaskSpec) standin.Work { return standin.Work{Runtime: runtime, Used: s.Size} },
 		},
 	})
 	for range 30 {
 		s.step(time.Second)
 	}
 	for i := range 4 * n {
-		spec := job(fmt.Sprintf("j%05d", i), w.Pools[random.IntN(pools)], model.Priority(random.IntN(3)-1), cores(int64(1+random.IntN(4))), 3*time.Hour)
+		spec := job(fmt.Sprintf("j%05d", i), w.Pools[random.IntN(pools)], model.Priority(random.IntN(3)-1), cores(int64(1+random.IntN(4))), runtime)
 		spec.Team = site.Teams[random.IntN(teams)].ID
 		spec.Checkpoints = true
 		s.submit(spec)
@@ -61,7 +61,7 @@
 // BenchmarkRound measures the parts of a controller's round in mid-wave.
 func BenchmarkRound(b *testing.B) {
 	for _, n := range []int{50, 200, 800, 1300} {
-		s := scaleSim(n)
+		s := scaleSim(n, 3*time.Hour)
 		c := s.node("a")
 		b.Run(fmt.Sprintf("wave/%d", n), func(b *testing.B) {
 			snap := c.snapshot()
@@ -97,3 +97,34 @@
 		})
 	}
 }
+
+// BenchmarkWaveAtSize carries a wave through 1,300 workers and 42 pools in
+// virtual time, with a VM failing every two minutes, and reports how long it
+// takes: every VM has to be maintained once in 4 weeks. Run it with -benchtime 1x.
+func BenchmarkWaveAtSize(b *testing.B) {
+	for range b.N {
+		s := scaleSim(1300, 10*time.Minute)
+		random := rand.New(rand.NewPCG(2, 2))
+		start := s.platform.Now()
+		done := s.waveDone("kernel")
+		for step := 0; !done() && step < 20_000; step++ {
+			if step%60 == 0 {
+				s.platform.Repair(func(standin.VM) bool { return true })
+				s.platform.Fail(standin.OneVM(model.VMID(fmt.Sprintf("vm%03d", random.IntN(1300)))))
+			}
+			s.step(2 * time.Second)
+		}
+		if broken := s.broken(); len(broken) > 0 {
+			b.Fatal(broken)
+		}
+		twice := 0
+		for _, n := range s.platform.Tally().Asked {
+			if n > 1 {
+				twice++
+			}
+		}
+		b.ReportMetric(s.platform.Now().Sub(start).Hours(), "wave-h")
+		b.ReportMetric(float64(twice), "rebooted-twice")
+		b.ReportMetric(float64(s.log.bytes)/s.platform.Now().Sub(simStart).Seconds(), "log-B/s")
+	}
+}
