--- /dev/null
+++ b/internal/estimate/estimator_test.go
@@ -0,0 +1,84 @@
+package estimate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+var declared = model.Resources{MilliCPU: 1000, MemoryMB: 4000, Accelerators: 1}
+
+func observe(e *Estimator, kind string, n int, factor float64, at model.Instant) {
+	for i := range n {
+		id := fmt.Sprint(kind, factor, i, at)
+		spec := &model.JobSpec{ID: model.JobID(id), Team: "t", Kind: kind, Declared: declared}
+		task := &model.Task{ID: model.TaskID(id), Size: declared, Started: at.Add(-time.Hour)}
+		used := model.Resources{MilliCPU: int64(1000 * factor), MemoryMB: int64(4000 * factor)}
+		e.Observe(spec, task, Seen{Used: used, At: at})
+	}
+}
+
+// Symptom: VMs were over-committed, or stood half empty. Sequence: jobs of a
+// kind use far more, or far less, than they declare. Cause: the declared size
+// was trusted.
+func TestRatioFollowsLies(t *testing.T) {
+	is := is.New(t)
+	e := NewEstimator()
+	spec := func(kind string) *model.JobSpec {
+		return &model.JobSpec{ID: "new", Team: "t", Kind: kind, Declared: declared}
+	}
+	is.Equal(e.Size(spec("low")), declared) // nothing learned: the declaration
+	observe(e, "low", 1, 3, 1)
+	is.True(e.Size(spec("low")).MemoryMB > 9000) // one task above it is believed soon
+	observe(e, "high", 1, 0.1, 1)
+	is.True(e.Size(spec("high")).MemoryMB > 3200) // one task below it is not
+	observe(e, "high", 40, 0.1, 2)
+	is.True(e.Size(spec("high")).MemoryMB <= 1250)                     // many are
+	is.Equal(e.Size(spec("high")).Accelerators, declared.Accelerators) // whole devices stay
+	observe(e, "huge", 40, 50, 2)
+	is.Equal(e.Size(spec("huge")).MilliCPU, int64(4000)) // bounded
+	observe(e, "low", 40, 0.5, model.InstantOf(time.UnixMilli(0).Add(20*24*time.Hour)))
+	is.True(e.Size(spec("low")).MemoryMB < 4000) // old peaks lose their weight
+}
+
+// Symptom: one job was stopped for memory and started too small again, without
+// end. Sequence: a job lies worse than its kind. Cause: only kinds were learned.
+func TestJobKeepsWhatItWasSeenToUse(t *testing.T) {
+	is := is.New(t)
+	e := NewEstimator()
+	observe(e, "k", 40, 1, 1)
+	liar := &model.JobSpec{ID: "liar", Team: "t", Kind: "k", Declared: declared}
+	e.Observe(liar, &model.Task{ID: "x", Started: 1}, Seen{Used: model.Resources{MemoryMB: 30_000}, At: 2})
+	is.Equal(e.Size(liar).MemoryMB, int64(30_000))
+	is.True(e.Size(&model.JobSpec{ID: "other", Team: "t", Kind: "k", Declared: declared}).MemoryMB < 6000)
+}
+
+func TestChargeTrustsOnlyFreshUse(t *testing.T) {
+	is := is.New(t)
+	task := &model.Task{Size: declared, Started: 0}
+	low := model.Resources{MilliCPU: 100, MemoryMB: 400}
+	later := model.Instant(0).Add(time.Hour)
+	is.Equal(Charge(task, Seen{}, later), declared)                                                                  // never seen
+	is.Equal(Charge(task, Seen{low, later.Add(-10 * time.Minute)}, later), declared)                                 // seen too long ago
+	is.Equal(Charge(task, Seen{low, 1000}, 1000), declared)                                                          // in its warm-up
+	is.Equal(Charge(task, Seen{low, later}, later), model.Resources{MilliCPU: 500, MemoryMB: 2000, Accelerators: 1}) // half stays charged
+	is.Equal(Charge(task, Seen{model.Resources{MemoryMB: 9000}, 1}, later).MemoryMB, int64(9000))                    // more than declared counts at once
+	task.Throttled = true
+	is.Equal(Charge(task, Seen{}, later).MilliCPU, int64(250))
+}
+
+// Symptom: the leader's memory grew without end. Sequence: a caller names each
+// kind of job anew. Cause: classes were never dropped.
+func TestClassesAreBounded(t *testing.T) {
+	is := is.New(t)
+	e := NewEstimator()
+	for i := range classesKept + 50 {
+		observe(e, fmt.Sprint("kind", i), 1, 1.5, model.Instant(i+1))
+	}
+	is.True(len(e.classes) <= classesKept)
+	is.True(len(e.seen) <= jobsKept)
+}
