wave, controller: status tells what each VM under maintenance waits for

Cause: an operator could not see why a drain takes long; a platform that does not answer held a round up by three timeouts; the whole state was checked in tests only. Change: progress lists the VMs with phase and what they wait for; a round goes on after the first call that fails; the state's invariants are checked once a minute; measurements are copied before they change, because status may still read them. Measured result: go test ./internal/wave ./internal/controller passes.

--- a/internal/controller/check.go
+++ b/internal/controller/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/budget"
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
@@ -156,6 +157,24 @@
 	c.report(Check(view, c.soft.world.vms))
 }
 
+// checkState checks the tables of the state, which reads every row: once a
+// minute is enough to notice, and cheap at any size.
+func (c *Controller) checkState() {
+	now := c.config.Clock()
+	if now.Sub(c.checked) < checkEvery {
+		return
+	}
+	c.checked = now
+	var broken []Broken
+	for _, b := range state.Check(c.config.Log.View()) {
+		broken = append(broken, Broken{b.Invariant, b.Detail})
+	}
+	c.report(broken)
+}
+
+// checkEvery is the time between two checks of the whole state.
+const checkEvery = time.Minute
+
 // report counts broken invariants, and logs those that are new.
 func (c *Controller) report(broken []Broken) {
 	c.mu.Lock()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -111,6 +111,8 @@
 	term  uint64
 	soft  *soft
 	plans uint64
+	// checked is when the whole state was checked last.
+	checked model.Instant
 
 	mu sync.Mutex
 	// last is the last round, nil before the first.
--- a/internal/controller/step.go
+++ b/internal/controller/step.go
@@ -24,6 +24,7 @@
 		return err
 	}
 	c.observe(ctx)
+	c.checkState()
 	if c.quiet() {
 		c.counts.quiet.Inc(1)
 		return nil
--- a/internal/controller/world.go
+++ b/internal/controller/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -69,8 +70,12 @@
 	if now-w.vmsFullAt > fullEvery {
 		since = ""
 	}
-	if list, err := c.config.Platform.VMs(ctx, since); c.counts.observed(err) && list.Since == since {
-		w.takeVMs(list, now)
+	vms, err := c.config.Platform.VMs(ctx, since)
+	if !c.counts.observed(err) {
+		return // what does not answer now would only hold up the round
+	}
+	if vms.Since == since {
+		w.takeVMs(vms, now)
 	}
 	since = w.tasksCursor
 	if now-w.tasksFullAt > fullEvery {
@@ -161,6 +166,8 @@
 	dropGone(w.tasks, view)
 	dropGone(w.missing, view)
 	dropGone(w.renewed, view)
+	// Status may still read the map of measurements that the last round used.
+	w.usage = maps.Clone(w.usage)
 	dropGone(w.usage, view)
 }
 
@@ -198,6 +205,9 @@
 func (c *Controller) takeUsage(list platform.UsageList) {
 	w := c.soft.world
 	view := c.config.Log.View()
+	if len(list.Usage) > 0 {
+		w.usage = maps.Clone(w.usage)
+	}
 	for _, u := range list.Usage {
 		t := view.Tasks[u.Task]
 		if t == nil || u.At < w.usage[u.Task].At {
--- a/internal/wave/progress.go
+++ b/internal/wave/progress.go
@@ -1,6 +1,7 @@
 package wave
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
@@ -13,8 +14,10 @@
 	Wave  model.WaveID `json:"wave"`
 	Total int          `json:"total"`
 	Done  int          `json:"done"`
-	// Active counts the VMs under a permit of the wave.
-	Active int `json:"active"`
+	// Active counts the VMs under a permit of the wave, and VMs tells how far
+	// each is.
+	Active int           `json:"active"`
+	VMs    []Maintenance `json:"vms,omitempty"`
 	// Waiting says why no further VM is drained; empty when one was.
 	Waiting string `json:"waiting,omitempty"`
 	// End is when the wave is expected to be done; 0 once it is, or when it
@@ -22,6 +25,53 @@
 	End model.Instant `json:"end_ms,omitempty"`
 }
 
+// Maintenance is how far one VM is.
+type Maintenance struct {
+	VM    model.VMID    `json:"vm"`
+	Pool  model.PoolID  `json:"pool"`
+	Phase string        `json:"phase"`
+	Since model.Instant `json:"since_ms"`
+	// Waits says what the phase waits for.
+	Waits string `json:"waits,omitempty"`
+}
+
+// waits says what a VM's phase waits for, in words.
+func (d *decider) waits(v *fleet.VM) string {
+	switch {
+	case v.Listed == nil:
+		return "the platform does not list the VM"
+	case v.Permit.Phase == model.PhaseDraining && len(v.Tasks) > 0:
+		return d.waitsFor(v)
+	case v.Listed.Health != model.VMUp && v.Listed.Health != model.VMRebooting:
+		return "the VM does not answer"
+	case v.Permit.Phase == model.PhaseDraining && d.ledger != nil && d.poolShort(v):
+		return "a service of the pool is short of instances"
+	case v.Permit.Phase == model.PhaseRebooting:
+		return "the VM to come back under another boot ID"
+	default:
+		return ""
+	}
+}
+
+// waitsFor names the tasks that a drain waits for, one that must not be cut before others.
+func (d *decider) waitsFor(v *fleet.VM) string {
+	var longest *model.Job
+	for _, t := range v.SortedTasks() {
+		job := d.ix.Job(t.Job)
+		if job != nil && (longest == nil || !job.Spec.Idempotent) {
+			longest = job
+		}
+	}
+	if longest == nil {
+		return fmt.Sprintf("%d instances to stop", len(v.Tasks))
+	}
+	why := "it may still end by itself"
+	if !longest.Spec.Idempotent || longest.Spec.Priority == model.Urgent {
+		why = "it must not be cut"
+	}
+	return fmt.Sprintf("%d tasks to end, among them job %s: %s", len(v.Tasks), longest.Spec.ID, why)
+}
+
 // ProgressOf reports on the waves that have started. The end is estimated
 // from the rate at which VMs were done since the first; before that, from the
 // VMs under maintenance and the time that one is taken to need.
@@ -45,6 +95,9 @@
 func (d *decider) progress(w *model.Wave, waiting string) Progress {
 	r := d.survey(w)
 	p := Progress{Wave: w.ID, Total: r.total, Done: r.done, Active: len(r.active), Waiting: waiting}
+	for _, v := range r.active {
+		p.VMs = append(p.VMs, Maintenance{v.ID, v.Permit.Pool, v.Permit.Phase.String(), v.Permit.Since, d.waits(v)})
+	}
 	if left := r.total - r.done; left > 0 {
 		p.End = d.ix.Now().Add(time.Duration(left) * d.pace(r))
 	}
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -232,12 +232,16 @@
 func TestProgressEstimatesTheEnd(t *testing.T) {
 	is := is.New(t)
 	s := newSnapshot()
-	permit(s, "v04", model.PhaseSoaking)
+	permit(s, "v06", model.PhaseDraining)
+	runJob(s, "v06", model.JobSpec{}, 0)
 	for i := range 4 {
 		id := model.VMID(fmt.Sprintf("v%02d", i))
 		s.View.Maintained[id] = &model.Maintained{VM: id, Wave: "w", At: now.Add(time.Duration(i-6) * time.Minute)}
 	}
 	p := ProgressOf(fleet.NewIndex(s), map[model.WaveID]string{"w": "why"}, Options{})
 	// 4 were done 6 min ago to 3 min ago: one each 2 min, 8 are left.
-	is.Equal(p, []Progress{{Wave: "w", Total: 12, Done: 4, Active: 1, Waiting: "why", End: now.Add(16 * time.Minute)}})
+	is.Equal(p, []Progress{{Wave: "w", Total: 12, Done: 4, Active: 1, Waiting: "why", End: now.Add(16 * time.Minute), VMs: []Maintenance{{
+		VM: "v06", Pool: "p", Phase: "draining", Since: now.Add(-time.Minute),
+		Waits: "1 tasks to end, among them job job-v06: it must not be cut",
+	}}}})
 }
