replica: tests of an old disk that comes back, and of an adopted disk that waits

Cause: two founding rules were found by the random run only with many more runs than the default; a disk that turns up again after its repair was described but not tried.

--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -213,6 +213,27 @@
 	}
 }
 
+// Symptom: a committed change is stranded, as the disks that hold it are no
+// longer a quorum of the voters that they know.
+// Sequence: as in TestFoundingIsOnlyOne, here by hand.
+// Cause: a disk became active, or gave its founding up, too early.
+func TestAdoptedDiskWaits(t *testing.T) {
+	is := is.New(t)
+	founding := datafolder.NewFounding([]quorum.ID{"a#1", "b#1", "c#1"})
+	disk := func(node model.NodeID, disk string, phase datafolder.Phase) Identity {
+		return Identity{Node: node, Disk: disk, Phase: phase, Founding: founding}
+	}
+	self := disk("b", "1", datafolder.PhaseAdopted)
+	lost := answers{"a": Identity{Node: "a", Disk: "2", Phase: datafolder.PhaseEmpty}, "c": disk("c", "1", datafolder.PhaseAdopted)}
+	one := answers{"a": disk("a", "1", datafolder.PhaseAdopted)}
+	is.Equal(decide(self, nil, nil, one).kind, stepWait)    // c may still adopt another
+	is.Equal(decide(self, nil, nil, lost).kind, stepWait)   // c was asked before a was known as lost
+	is.Equal(decide(self, nil, lost, one).kind, stepWait)   // c did not answer
+	is.Equal(decide(self, nil, lost, lost).kind, stepRenew) // a is lost, and c was not active afterwards
+	lost["c"] = disk("c", "1", datafolder.PhaseActive)
+	is.Equal(decide(self, nil, lost, lost).kind, stepActivate) // c is: the founding lives
+}
+
 func TestVotersFollowDisks(t *testing.T) {
 	is := is.New(t)
 	active := func(node model.NodeID, disk string) Identity {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -107,6 +107,29 @@
 	}
 }
 
+// Symptom: a voter that was repaired breaks the site when its first disk
+// turns up again.
+// Sequence: a disk is not mounted at a start, the voter joins with an empty
+// one; at the next start the old disk is back.
+// Cause: the old identity acted on its old set of voters.
+func TestOldDiskComesBack(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.startAll()
+	c.propose("before")
+	c.agree()
+	old := c.stop("c")
+	c.propose("alone")
+	c.start("c", nil)
+	c.votersSettle()
+	c.propose("repaired")
+	c.stop("c")
+	c.start("c", old)
+	c.votersSettle()
+	c.propose("end")
+	is.Equal(c.agree(), []string{"before", "alone", "repaired", "end"})
+}
+
 // Symptom: a caller was told that a change took effect, and it did not; or
 // that it was not entered, and it takes effect.
 // Sequence: the leader is cut off with proposals under way, the others elect
