controller: a lost instance is replaced at once

Cause: an ordinal may not start again before the lost task's lease ends, 63 s later; a second failure in between could break a budget. Change: for each instance whose VM failed, one beyond the number starts elsewhere in the same round and stops when the ordinal is back; an instance is dropped only if the budget as it is now allows it.

--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -26,6 +26,8 @@
 	stopped map[model.TaskID]bool
 	// uneven are the services of which an instance has to move.
 	uneven map[model.ServiceID]bool
+	// lost counts the instances of each service whose VM failed.
+	lost map[model.ServiceID]int
 	// unhelped are the surges for which no VM of the pool helps.
 	unhelped map[model.PoolID]wave.Surge
 }
@@ -65,7 +67,7 @@
 // ones before it decided.
 func (c *Controller) decide() *decided {
 	snap := c.snapshot()
-	d := &decided{at: snap.Now, term: c.term, stale: c.stale(snap.Now), ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}, unhelped: map[model.PoolID]wave.Surge{}}
+	d := &decided{at: snap.Now, term: c.term, stale: c.stale(snap.Now), ix: fleet.NewIndex(snap), stopped: map[model.TaskID]bool{}, uneven: map[model.ServiceID]bool{}, unhelped: map[model.PoolID]wave.Surge{}, lost: map[model.ServiceID]int{}}
 	d.add(c.settle(d.ix)...)
 	d.ledger = budget.NewLedger(d.ix, c.budgetOptions(snap.Now))
 	if d.stale {
--- a/internal/controller/failure_test.go
+++ b/internal/controller/failure_test.go
@@ -121,6 +121,22 @@
 	s.finish(t)
 }
 
+// Symptom: a service has one instance less for a minute after a VM failed, and
+// a second failure in that minute takes it below its budget.
+// Sequence: a VM fails; the lease of its instance has not ended.
+// Cause: the ordinal may not start again before the lease ends.
+func TestLostInstanceIsReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := smallSim(7, simOptions{})
+	is.True(s.until(time.Minute, func() bool { return len(s.serving()) == 15 }))
+	victim := sortedTasks(s.view(), func(t *model.Task) bool { return t.Service == "checks" })[0].VM
+	s.platform.Fail(standin.OneVM(victim))
+	is.True(s.until(6*time.Second, func() bool { return len(s.serving()) == 15 }))
+	s.until(2*time.Minute, func() bool { return false })
+	is.Equal(len(s.serving()), 15) // the stand-in stopped when the ordinal was back
+	is.Equal(s.broken(), nil)
+}
+
 // Symptom: a VM is rebooted twice in one wave.
 // Sequence: the leader changes between the commit and each command, in every
 // phase; each new leader finds the permit.
--- a/internal/controller/spread.go
+++ b/internal/controller/spread.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/comfreyloom/comfreyloom/internal/budget"
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -11,14 +12,14 @@
 
 // byDomain counts the instances of a service, up to its number, by the
 // failure domain whose loss its budget absorbs. Those beyond the number are
-// left out: they go again.
+// left out: they go again. So are those whose VM failed.
 func (d *decided) byDomain(s *fleet.Service) map[string]int {
 	counts := map[string]int{}
 	for _, t := range s.Tasks {
 		if t == nil || t.State == model.TaskStopping || d.stopped[t.ID] {
 			continue
 		}
-		if v := d.ix.VM(t.VM); v != nil {
+		if v := d.ix.VM(t.VM); v != nil && d.ledger.Down(v) != budget.Failed {
 			counts[d.ledger.Domain(s.Spec.ID, v)]++
 		}
 	}
--- a/internal/controller/surge.go
+++ b/internal/controller/surge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/comfreyloom/comfreyloom/internal/budget"
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -12,6 +13,9 @@
 // asked for. They run at ordinals from the number up, and stop once no VM of
 // the pool is left to be drained.
 func (c *Controller) decideSurge(d *decided) {
+	for _, s := range d.ix.Services {
+		c.replaceLost(d, s)
+	}
 	for _, need := range d.wave.Surge {
 		s, target := d.ix.Service(need.Service), d.ix.VM(need.Target)
 		if s == nil || target == nil {
@@ -32,6 +36,52 @@
 	}
 }
 
+// replaceLost starts an instance elsewhere, at once, for each whose VM failed.
+// The ordinal itself waits until the lost task's lease has ended; until then
+// the service would have one less, and a second failure could break its budget.
+func (c *Controller) replaceLost(d *decided, s *fleet.Service) {
+	lost := 0
+	for _, t := range s.Tasks {
+		if t != nil && d.ledger.Down(d.ix.VM(t.VM)) == budget.Failed && !d.ix.Ending(t.ID) {
+			lost++
+		}
+	}
+	d.lost[s.Spec.ID] = lost
+	missing := lost - running(s.Extra)
+	if missing <= 0 {
+		return
+	}
+	counts := d.byDomain(s)
+	for _, t := range s.Extra {
+		if v := d.ix.VM(t.VM); v != nil {
+			counts[d.ledger.Domain(s.Spec.ID, v)]++
+		}
+	}
+	for i := 0; i < s.Spec.MaxSurge() && missing > 0; i++ {
+		ordinal := s.Spec.Instances + i
+		if hasOrdinal(s, ordinal) {
+			continue
+		}
+		place := d.emptiest(s, counts)
+		if place == nil {
+			return
+		}
+		counts[d.ledger.Domain(s.Spec.ID, place)]++
+		d.startSurgeOn(s, ordinal, place, "the VM of another failed")
+		missing--
+	}
+}
+
+func running(tasks []*model.Task) int {
+	n := 0
+	for _, t := range tasks {
+		if t.State != model.TaskStopping {
+			n++
+		}
+	}
+	return n
+}
+
 // starting counts the instances beyond the number that do not serve yet.
 func starting(ix *fleet.Index, s *fleet.Service) int {
 	n := 0
@@ -44,27 +94,30 @@
 }
 
 // dropUseless stops an instance beyond the number that does not help the
-// target, or is on it, to free its ordinal.
+// target, or is on it, to free its ordinal. The budget as it is now must allow
+// it too: what helps no target may be what a permit just granted stands on.
 func (c *Controller) dropUseless(d *decided, s *fleet.Service, target *fleet.VM) {
 	for _, t := range s.Extra {
-		onTarget, _ := d.ledger.MayStop(t)
-		onTarget = onTarget && t.VM == target.ID && t.State != model.TaskStopping
-		if onTarget || d.ledger.Useless(t, target) {
-			d.ledger.Stop(t)
-			d.stop(t, "the instance does not help to drain VM "+string(target.ID))
-			return
+		if t.State == model.TaskStopping || t.VM != target.ID && !d.ledger.Useless(t, target) {
+			continue
+		}
+		if ok, _ := d.ledger.MayStop(t); !ok && !d.ledger.Useless(t, nil) {
+			continue
 		}
+		d.ledger.Stop(t)
+		d.stop(t, "the instance does not help to drain VM "+string(target.ID))
+		return
 	}
 }
 
 // keepSurge reports whether an instance beyond its service's number is to
-// stay: VMs of its pool are yet to be drained and it will be needed again, or
-// it stands in while another one moves.
+// stay: it stands in for one whose VM failed or for one that moves, or VMs of
+// its pool are yet to be drained and it will be needed again.
 func (c *Controller) keepSurge(d *decided, s *fleet.Service, t *model.Task) bool {
 	if s == nil || t.Ordinal < s.Spec.Instances || t.Ordinal >= s.Spec.Instances+s.Spec.MaxSurge() {
 		return false
 	}
-	return d.wave.KeepSurge[s.Spec.Pool] || d.uneven[t.Service] && !d.ledger.Useless(t, nil)
+	return d.lost[t.Service] > 0 || d.wave.KeepSurge[s.Spec.Pool] || d.uneven[t.Service] && !d.ledger.Useless(t, nil)
 }
 
 func hasOrdinal(s *fleet.Service, ordinal int) bool {
