--- /dev/null
+++ b/internal/datafolder/fakedisk/crash.go
@@ -0,0 +1,111 @@
+package fakedisk
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
+
+// Restart returns the disk as the next process sees it when only the process
+// ended; the old one fails from now on.
+func (d *Disk) Restart() *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashed = true
+	next := New()
+	next.dirs = maps.Clone(d.dirs)
+	next.names = maps.Clone(d.names)
+	next.durable = maps.Clone(d.durable)
+	return next
+}
+
+// Reboot returns the disk as it may look after the machine crashed; the old
+// one fails from now on.
+func (d *Disk) Reboot(random *rand.Rand) *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.crashed = true
+	next := New()
+	next.dirs = maps.Clone(d.dirs)
+	for _, name := range d.touched() {
+		kept := d.names[name]
+		if kept != d.durable[name] && random.IntN(2) == 0 {
+			kept = d.durable[name]
+		}
+		if kept != nil {
+			data := kept.afterCrash(random)
+			next.names[name] = &inode{data: data, synced: len(data)}
+		}
+	}
+	next.durable = maps.Clone(next.names)
+	return next
+}
+
+func (d *Disk) touched() []string {
+	all := maps.Clone(d.durable)
+	maps.Copy(all, d.names)
+	return slices.Sorted(maps.Keys(all))
+}
+
+const sectorSize = 512
+
+// afterCrash returns what is left of a file.
+func (n *inode) afterCrash(random *rand.Rand) []byte {
+	unsynced := len(n.data) - n.synced
+	if n.broken || unsynced == 0 {
+		return slices.Clone(n.data[:n.synced])
+	}
+	switch random.IntN(4) {
+	case 0:
+		return slices.Clone(n.data[:n.synced])
+	case 1:
+		return slices.Clone(n.data)
+	case 2:
+		return slices.Clone(n.data[:n.synced+random.IntN(unsynced)])
+	default:
+		return n.withEmptySectors(random)
+	}
+}
+
+func (n *inode) withEmptySectors(random *rand.Rand) []byte {
+	data := slices.Clone(n.data)
+	for from := n.synced; from < len(data); {
+		next := min((from/sectorSize+1)*sectorSize, len(data))
+		if random.IntN(2) == 0 {
+			clear(data[from:next])
+		}
+		from = next
+	}
+	return data
+}
+
+// Flip changes one bit of a file, durably.
+func (d *Disk) Flip(name string, offset int, bit uint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.names[name].data[offset] ^= 1 << (bit % 8)
+}
+
+// Zero clears bytes of a file, durably, as a lost block does.
+func (d *Disk) Zero(name string, from, to int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.names[name].data[from:to])
+}
+
+// Truncate cuts a file to size bytes, durably.
+func (d *Disk) Truncate(name string, size int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[name]
+	n.data = n.data[:size]
+	n.synced = min(n.synced, size)
+}
+
+// Delete removes a file, durably.
+func (d *Disk) Delete(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.names, name)
+	delete(d.durable, name)
+}
