--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +21,13 @@
 // platform starts. It is safe for concurrent use.
 type Instances struct {
 	// Announce are the base URLs at which the instances announce themselves.
+	// Each instance starts at another one, as behind a balancer.
 	Announce []string
 	// Latency is how long each request runs.
 	Latency time.Duration
 
 	mu      sync.Mutex
+	started int
 	running map[model.TaskID]*upstreams.Upstream
 	ended   []*upstreams.Upstream
 }
@@ -37,7 +40,7 @@
 	u, err := upstreams.Start(upstreams.Options{
 		Service: string(r.Service), Instance: string(r.Task), VM: string(r.VM), AvailabilityZone: string(r.Zone),
 		Slots: slotsPerInstance, Connections: connectionsPerInstance, Latency: h.Latency,
-		Announce: h.Announce, Renew: renewEvery,
+		Announce: h.announce(), Renew: renewEvery,
 	})
 	if err != nil {
 		log.WithError(err).WithField("task", r.Task).Error("stand-in upstream did not start")
@@ -52,6 +55,18 @@
 	go u.Run(context.Background()) // ends when the upstream is closed
 }
 
+// announce returns the addresses of the next instance, in its own order.
+func (h *Instances) announce() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.Announce) == 0 {
+		return nil
+	}
+	first := h.started % len(h.Announce)
+	h.started++
+	return slices.Concat(h.Announce[first:], h.Announce[:first])
+}
+
 // Stop is the platform's hook for a task that is told to stop, or is killed.
 func (h *Instances) Stop(r standin.Running) {
 	u := h.take(r.Task)
