node: a former leader is no hint to itself

Cause: a voter that was cut off as the leader stepped down after 0.2 s, but Log.Leader fell back on the last hint, which was the voter itself. Platform commands of the old term were fenced by the platform only. Change: a hint that names this process counts as no leader; only its own voter says that it leads. Measured result: TestFormerLeaderIsNoHintToItself failed before (n1 != "") and passes now, go test -race ./internal/node.

--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -234,13 +234,21 @@
 }
 
 // Leader returns the leader and its term as last heard.
+//
+// Whether this process leads, only its own voter knows. One that was cut off
+// as the leader hears of no other: by the last hint, which is itself, its
+// controller would go on as the leader's for as long as the cut lasts.
 func (l *Log) Leader() (model.NodeID, uint64) {
 	if l.config.Voter != nil {
 		if s := l.config.Voter.Standing(); s.Leader != "" {
 			return s.Leader, s.Term
 		}
 	}
-	return l.config.Leader.Get()
+	leader, term := l.config.Leader.Get()
+	if leader == l.config.Self {
+		return "", term
+	}
+	return leader, term
 }
 
 func limited(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -236,6 +236,24 @@
 	is.True(learner.count("node.follow.rotations") > 0)
 }
 
+// Symptom: a VM that was cut off as the leader goes on for as long as it is cut
+// off: its controller sends commands, and its status names it as the leader.
+// Sequence: it led and heard so from itself; its lease lapsed; it hears of no
+// other leader. Cause: without a leader the last hint counts, which is itself.
+func TestFormerLeaderIsNoHintToItself(t *testing.T) {
+	is := is.New(t)
+	voter, hint := &fakeVoter{}, &LeaderHint{}
+	l := NewLog(LogConfig{Self: "n1", Voter: voter, Leader: hint, Metrics: metrics.NewRegistry()})
+	hint.Learn("n1", 2)
+	voter.stale.Store(&Standing{Leader: "n1", Term: 2, Leads: true})
+	leader, term := l.Leader()
+	is.Equal(leader, model.NodeID("n1"))
+	is.Equal(term, uint64(2))
+	voter.stale.Store(&Standing{Term: 2})
+	leader, _ = l.Leader()
+	is.Equal(leader, model.NodeID(""))
+}
+
 // Symptom: a VM takes requests on an old state, or is given slots, while the
 // others don't hear it. Sequence: everything that it sends is lost, what is
 // sent to it arrives. Cause: a one-way partition.
