caller, agent: a planned stop no longer fails now and then

Symptom: demo, and a process stopped by a signal, exited 1 with "close: use of closed network connection". Cause: Drain closes the listener itself, and http.Server.Shutdown closes it once more unless Serve returned in between; the second close is an error. Ruled out: requests in progress (none was, the counters of aborted answers stood at 0). Change: the bounded listener may be closed twice.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -115,7 +115,7 @@
 	if a.listeners != nil {
 		return nil
 	}
-	opened, err := openListeners(a.settings.Listen)
+	opened, err := OpenListeners(a.settings.Listen)
 	a.listeners = opened
 	return err
 }
--- a/internal/agent/listen.go
+++ b/internal/agent/listen.go
@@ -1,12 +1,14 @@
 package agent
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/samber/oops"
 
+	"github.com/comfreyloom/comfreyloom/internal/caller"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 )
 
@@ -26,8 +28,8 @@
 	Callers, Upstreams, Operators, Nodes net.Listener
 }
 
-// openListeners binds each IP:port; the error names the settings key.
-func openListeners(l settings.Listen) (*Listeners, error) {
+// OpenListeners binds each IP:port; the error names the settings key.
+func OpenListeners(l settings.Listen) (*Listeners, error) {
 	opened := &Listeners{}
 	sockets := []struct {
 		to           *net.Listener
@@ -39,7 +41,7 @@
 		{&opened.Nodes, "nodes", l.Nodes},
 	}
 	for _, s := range sockets {
-		listener, err := net.Listen("tcp", s.address)
+		listener, err := caller.Listen(context.Background(), s.address)
 		if err != nil {
 			opened.close()
 			return nil, oops.In("agent").Wrapf(err, "[listen] %s: cannot listen on %s", s.key, s.address)
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -82,9 +82,21 @@
 // listener accepts within the bounds of open.
 type listener struct {
 	net.Listener
-	open *openConns
+	open  *openConns
+	close func() error
 }
 
+// newListener bounds l. Its Close may be called again: a stop closes the
+// listener itself, and then http.Server.Shutdown does once more unless Serve
+// has returned in between. The error of the second close would turn a clean
+// stop into a failed one.
+func newListener(l net.Listener, open *openConns) *listener {
+	return &listener{Listener: l, open: open, close: sync.OnceValue(l.Close)}
+}
+
+// Close closes the listener; it returns the same each time.
+func (l *listener) Close() error { return l.close() }
+
 // Accept returns the next connection that is within the hard bounds.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -75,10 +75,11 @@
 
 // Serve accepts callers on l until Drain; it returns nil after a drain.
 func (s *Server) Serve(l net.Listener) error {
+	bounded := newListener(l, s.open)
 	s.mu.Lock()
-	s.listeners = append(s.listeners, l)
+	s.listeners = append(s.listeners, bounded)
 	s.mu.Unlock()
-	err := s.http.Serve(&listener{Listener: l, open: s.open})
+	err := s.http.Serve(bounded)
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -118,7 +119,7 @@
 	listeners := s.listeners
 	s.mu.Unlock()
 	for _, l := range listeners {
-		if err := refuseNew(l); err != nil {
+		if err := refuseNew(l.Listener); err != nil {
 			s.Logger.WithError(err).Warn("callers: connections being made may be reset")
 		}
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -73,7 +72,7 @@
 	conditions []Condition
 	open       *openConns
 	broken     []string
-	listeners  []net.Listener
+	listeners  []*listener
 }
 
 // New returns a server; Run must run for claims and cancellations to end.
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"path/filepath"
 	"strings"
 	"time"
@@ -110,13 +109,10 @@
 func listen() ([]*agent.Listeners, error) {
 	var all []*agent.Listeners
 	for range entryVMs {
-		l := &agent.Listeners{}
-		for _, to := range []*net.Listener{&l.Callers, &l.Upstreams, &l.Operators, &l.Nodes} {
-			opened, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return nil, err
-			}
-			*to = opened
+		free := "127.0.0.1:0"
+		l, err := agent.OpenListeners(settings.Listen{Callers: free, Upstreams: free, Operators: free, Nodes: free})
+		if err != nil {
+			return nil, err
 		}
 		all = append(all, l)
 	}
