fleet: a move whose target the manifest drops ends at the spares

Cause: a manifest dropped a pool while VMs were on their way to it; their moves could never end. Change: such a VM is sent to the shared spares. The guard of instances knows ordinals beyond a service's number, which a wave may start.

--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -57,6 +57,10 @@
 // finishMoves commits the new pool of VMs on which nothing is left.
 func (d *decider) finishMoves() {
 	for _, v := range d.ix.VMs {
+		if !v.Moving() {
+			continue
+		}
+		d.redirect(v)
 		if !v.Moving() {
 			continue
 		}
@@ -69,6 +73,17 @@
 	}
 }
 
+// redirect sends a VM to the shared spares whose target the manifest dropped
+// while the VM was on its way: the move could never end.
+func (d *decider) redirect(v *VM) {
+	target := v.Owner.Target
+	if target == "" || d.ix.Pool(target) != nil || v.Permit != nil {
+		return
+	}
+	reason := fmt.Sprintf("the manifest has no pool %s any more", target)
+	d.add(state.Action{Reason: reason, BeginMove: &state.BeginMove{VM: v.ID, Generation: v.Generation()}})
+}
+
 func (d *decider) free(v *VM) bool {
 	return v.Permit == nil && (v.Idle() || d.o.Rules.SkipIdle)
 }
--- a/internal/fleet/guard.go
+++ b/internal/fleet/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -60,8 +61,16 @@
 		return
 	}
 	s := ix.services[t.Service]
-	free := s != nil && t.Ordinal >= 0 && t.Ordinal < len(s.Tasks) && s.Tasks[t.Ordinal] == nil
-	ix.Guard(free, InvariantOneTask, "instance %s/%d has a task already", t.Service, t.Ordinal)
+	ix.Guard(s != nil && s.free(t.Ordinal), InvariantOneTask, "instance %s/%d has a task already", t.Service, t.Ordinal)
+}
+
+// free reports whether no task is recorded for an ordinal, which may lie
+// beyond the number of instances.
+func (s *Service) free(ordinal int) bool {
+	if ordinal >= 0 && ordinal < len(s.Tasks) {
+		return s.Tasks[ordinal] == nil
+	}
+	return !slices.ContainsFunc(s.Extra, func(t *model.Task) bool { return t.Ordinal == ordinal })
 }
 
 func (ix *Index) guardJob(t *model.Task) {
