controller, placement: a service whose pool or size changes is moved over

Symptom: a manifest that puts a service on another pool, or changes its instances' size, was accepted and never in force: the instances stayed as they were for good. Cause: a stop needs something left of the budget. With 6 instances over three availability zones and 4 that must stay, nothing is left while all run, and nothing started more, as a wave does. A changed size was not looked at at all. Change: replaceOutdated asks for instances beyond the number in the right pool until the outdated ones can go; an instance of another size is outdated; one for which no VM has room is not stopped. A move between pools that a budget holds back asks for such instances too.

--- a/internal/budget/take.go
+++ b/internal/budget/take.go
@@ -81,6 +81,13 @@
 	return missing
 }
 
+// Lacks counts how many more instances of a service must be available before
+// the VM, with all that it carries of the service, may be taken.
+func (l *Ledger) Lacks(id model.ServiceID, v *fleet.VM) int {
+	defer l.without(v)()
+	return max(-l.Left(id), 0)
+}
+
 // Helps reports whether one more instance of a service on the place would
 // leave more of its budget once the target, nil for none, is taken out. One in
 // a failure domain that is then the fullest does not: the reserve grows with it.
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -30,6 +30,8 @@
 	lost map[model.ServiceID]int
 	// unhelped are the surges for which no VM of the pool helps.
 	unhelped map[model.PoolID]wave.Surge
+	// heldMoves are the VMs whose move to another pool a budget forbids now.
+	heldMoves []*fleet.VM
 }
 
 func (d *decided) add(actions ...state.Action) { d.actions = append(d.actions, actions...) }
@@ -100,7 +102,9 @@
 		if m := a.BeginMove; m != nil {
 			v := d.ix.VM(m.VM)
 			held[m.VM] = !mayMove(d, v)
-			if !held[m.VM] {
+			if held[m.VM] {
+				d.heldMoves = append(d.heldMoves, v)
+			} else {
 				d.ledger.Take(v)
 			}
 		}
@@ -139,6 +143,7 @@
 	for _, s := range d.wave.Stops {
 		d.stop(s.Task, s.Reason)
 	}
+	d.replaceOutdated()
 	c.decideSurge(d)
 	c.decideBorrow(d)
 }
--- a/internal/placement/evacuate.go
+++ b/internal/placement/evacuate.go
@@ -52,7 +52,7 @@
 
 func misplaced(ix *fleet.Index, v *fleet.VM, t *model.Task) bool {
 	s := ix.Service(t.Service)
-	return s == nil || t.Ordinal >= s.Spec.Instances || s.Spec.Pool != v.Pool()
+	return s == nil || t.Ordinal >= s.Spec.Instances || s.Spec.Pool != v.Pool() || s.Spec.Size != t.Size
 }
 
 // stopMargins is how many available instances each service can spare now.
@@ -81,13 +81,38 @@
 		return Wish{Stop, ForMove, t, fmt.Sprintf("the manifest has no service %s", t.Service)}, true
 	case t.Ordinal >= s.Spec.Instances:
 		return Wish{Stop, ForMove, t, fmt.Sprintf("service %s asks for %d instances", t.Service, s.Spec.Instances)}, true
+	case !v.Moving() && !hasRoom(ix, s, v, t):
+		return Wish{}, false
 	case v.Moving(), v.Pool() != s.Spec.Pool:
 		why := fmt.Sprintf("VM %s leaves pool %s", v.ID, s.Spec.Pool)
 		return Wish{Stop, ForMove, t, why}, spend(ix, t, margins)
+	case t.Size != s.Spec.Size:
+		why := fmt.Sprintf("service %s asks for %s an instance", t.Service, sizeWords(s.Spec.Size))
+		return Wish{Stop, ForMove, t, why}, spend(ix, t, margins)
 	}
 	return Wish{}, false
 }
 
+// hasRoom reports whether an instance that is stopped could start again as the
+// manifest asks for it. Stopped without, it would be lost: an outdated instance
+// serves better than none.
+func hasRoom(ix *fleet.Index, s *fleet.Service, v *fleet.VM, t *model.Task) bool {
+	p := ix.Pool(s.Spec.Pool)
+	if p == nil {
+		return false
+	}
+	for _, o := range p.VMs {
+		free := o.Free()
+		if o == v {
+			free = free.Plus(ix.Charge(t))
+		}
+		if o.Block == fleet.Open && s.Spec.Size.Fits(free) {
+			return true
+		}
+	}
+	return false
+}
+
 // spend takes an instance off its service's margin, unless it is not
 // available anyway.
 func spend(ix *fleet.Index, t *model.Task, margins map[model.ServiceID]int) bool {
