--- a/internal/controller/manifest_change_test.go
+++ b/internal/controller/manifest_change_test.go
@@ -193,6 +193,8 @@
 func TestChangeWithoutRoomStopsNothing(t *testing.T) {
 	is := is.New(t)
 	s := calmSim(t, 22, simOptions{})
-	s.revise(t, 5*time.Minute, func(m *model.Site) { service(m, "plans").Size = cores(17) })
+	s.revise(t, 5*time.Minute, func(m *model.Site) {
+		service(m, "plans").Size, service(m, "plans").MinAvailable = cores(17), 1
+	})
 	is.Equal(s.servingOf()["plans"], 5) // a VM has 16 cores
 }
