wave: a wave that the manifest takes back reboots no further VM

Symptom: minutes after an operator's manifest removed a wave, put off its start or took a pool out of it, VMs were still rebooted. Cause: a permit that was granted was carried through whatever the manifest in force said; only one in its first phase looked for the wave, and not at its start or pools. Change: a VM that is drained and was not rebooted is undrained when the manifest no longer asks for its maintenance. One whose reboot was committed goes through, since the command may be on its way.

--- a/internal/wave/phase.go
+++ b/internal/wave/phase.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
@@ -48,8 +49,8 @@
 const absentFor = 10 * time.Minute
 
 func (d *decider) advanceGranted(v *fleet.VM) {
-	if d.wave(v) == nil {
-		d.release(v, false, "the manifest has no such wave any more")
+	if !d.covers(v) {
+		d.release(v, false, takenBack)
 		return
 	}
 	d.phase(v, model.PhaseDraining, "the permit is committed; the drain begins")
@@ -63,6 +64,8 @@
 		d.release(v, false, "the VM was given back before its reboot")
 	case d.rebooted(v):
 		d.phase(v, model.PhaseSoaking, "the VM rebooted while it was drained")
+	case !d.covers(v):
+		d.undrain = append(d.undrain, v.ID)
 	case v.Listed.Drained && v.Idle() && v.Healthy() && !d.poolShort(v):
 		d.phase(v, model.PhaseRebooting, "nothing is left on the VM")
 	default:
@@ -127,6 +130,21 @@
 	return waveOf(d.ix.Snap.View.Site, v.Permit.Wave)
 }
 
+// takenBack is why a VM that was not rebooted yet is returned.
+const takenBack = "the manifest took the wave back, or put it off, for the VM's pool"
+
+// covers reports whether the manifest in force still asks for the maintenance
+// that the VM's permit is for. Operators can stop a wave that goes wrong only
+// by a manifest without it; VMs that are drained would otherwise be rebooted
+// minutes after it was accepted.
+func (d *decider) covers(v *fleet.VM) bool {
+	w := d.wave(v)
+	if w == nil || w.Start > d.ix.Now() {
+		return false
+	}
+	return v.Permit.Pool == "" || slices.Contains(w.Pools, v.Permit.Pool)
+}
+
 func waveOf(site *model.Site, id model.WaveID) *model.Wave {
 	if site == nil {
 		return nil
