caller, upstream: answers despite silent connections, smaller buffers, load benchmark

Cause: when every kept connection goes silent at once, twelve waiting requests wanted more retries than the budget's ten, and a second try met the next silent connection: 3 to 4 of 12 ran into their deadline of 20 s. Buffers towards upstreams are 2 KB. Benchmarks of load, latency, claim and open requests. Conclusion: silence costs an idempotent request about twice the service's slowest answer; a non-idempotent one that was sent into it ends may-have-run.

--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -21,6 +21,7 @@
 	resp, sent, err := s.Sender.Send(ctx, grant.Upstream, s.outgoing(q, t))
 	if err != nil {
 		grant.Release(outcomeOf(err))
+		t.silent = t.silent || errors.Is(err, upstream.ErrSilent)
 		return nil, failureOf(err, sent)
 	}
 	if f := busy(resp); f != nil {
@@ -66,7 +67,8 @@
 	if q.body.length != 0 {
 		out.Body = q.body.reader
 	}
-	if q.idempotent && q.body.whole() && t.tries == 1 {
+	out.Fresh = t.silent
+	if q.idempotent && q.body.whole() && t.tries < s.limits.Attempts {
 		half := q.deadline.Sub(s.Now()) / 2
 		out.GiveUpAfter = half
 		out.GiveUpReused = l.giveUp(half)
--- /dev/null
+++ b/internal/caller/bench_test.go
@@ -0,0 +1,250 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+)
+
+// quick is a client that writes fixed requests and reads answers with a length,
+// so that the figures are not those of a client library.
+type quick struct {
+	c  net.Conn
+	in *bufio.Reader
+}
+
+func dialQuick(b testing.TB, address string) *quick {
+	c, err := net.Dial("tcp", address)
+	must(b, err)
+	b.Cleanup(func() { _ = c.Close() })
+	return &quick{c, bufio.NewReader(c)}
+}
+
+func (q *quick) do(text string) error {
+	if _, err := io.WriteString(q.c, text); err != nil {
+		return err
+	}
+	return q.read()
+}
+
+func (q *quick) read() error {
+	resp, err := http.ReadResponse(q.in, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return err
+}
+
+const (
+	directText = "GET /visit HTTP/1.1\r\nHost: x\r\n\r\n"
+	pathText   = "GET /s/drafts/visit HTTP/1.1\r\nHost: x\r\n\r\n"
+	onceText   = "POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\ngrain"
+)
+
+// plainProxy is the least that could stand in our place: no verdicts, no
+// claims, no slots, no checks. It is the baseline, not an alternative.
+func plainProxy(b testing.TB, target string) string {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+target+r.URL.RequestURI(), r.Body)
+		if err != nil {
+			return
+		}
+		resp, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		w.Header().Set("Content-Length", resp.Header.Get("Content-Length"))
+		_, _ = io.Copy(w, resp.Body)
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(b, err)
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Close(); transport.CloseIdleConnections() })
+	return l.Addr().String()
+}
+
+func benchWorld(b testing.TB) (upstreamAddress, entryAddress, proxyAddress string) {
+	log.SetHandler(discard.New())
+	w := newWorld(b, 1, 1, Limits{})
+	u := w.instances[0].Address()
+	return u, strings.TrimPrefix(w.entries[0].url, "http://"), plainProxy(b, u)
+}
+
+func cpuTime() time.Duration {
+	var use syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &use)
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
+
+// load runs b.N requests over so many connections and reports requests a
+// second, and processor time and allocations a request of the whole process.
+func load(b *testing.B, address string, connections int, text func(i int64) string) {
+	clients := make([]*quick, connections)
+	for i := range clients {
+		clients[i] = dialQuick(b, address)
+		must(b, clients[i].do(text(-int64(i)-1)))
+	}
+	var next atomic.Int64
+	var all sync.WaitGroup
+	b.ReportAllocs()
+	b.ResetTimer()
+	cpu := cpuTime()
+	for _, c := range clients {
+		all.Go(func() {
+			for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+				if err := c.do(text(i)); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	all.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+	b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/float64(b.N), "cpu-ns/req")
+}
+
+// BenchmarkLoad compares calls straight to the upstream, through a plain
+// proxy, and through the request path: idempotent, not, and claimed.
+func BenchmarkLoad(b *testing.B) {
+	u, e, proxy := benchWorld(b)
+	const connections = 32
+	fixed := func(text string) func(int64) string { return func(int64) string { return text } }
+	b.Run("direct", func(b *testing.B) { load(b, u, connections, fixed(directText)) })
+	b.Run("proxy", func(b *testing.B) { load(b, proxy, connections, fixed(directText)) })
+	b.Run("path", func(b *testing.B) { load(b, e, connections, fixed(pathText)) })
+	b.Run("once", func(b *testing.B) { load(b, e, connections, fixed(onceText)) })
+}
+
+// BenchmarkClaim has the cost of the claim in this package: two commands and
+// their apply, with a control log that commits at once. What the quorum adds
+// is measured with it.
+func BenchmarkClaim(b *testing.B) {
+	log.SetHandler(discard.New())
+	w := newWorld(b, 1, 1, Limits{})
+	load(b, strings.TrimPrefix(w.entries[0].url, "http://"), 32, func(i int64) string {
+		if i%1000 == 0 {
+			w.forgetClaims(b, i)
+		}
+		return fmt.Sprintf("POST /s/drafts/plan HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k%d-%d\r\nContent-Length: 5\r\n\r\ngrain", b.N, i)
+	})
+}
+
+// forgetClaims keeps the table of claims within its bound.
+func (w *world) forgetClaims(b *testing.B, i int64) {
+	_, err := w.log.Propose(b.Context(), state.Command{
+		ID:           model.CommandID(fmt.Sprintf("forget-%d-%d", b.N, i)),
+		ForgetClaims: &state.ForgetClaims{Before: model.InstantOf(time.Now().Add(time.Hour))},
+	})
+	must(b, err)
+}
+
+// BenchmarkLatency sends at a fixed rate, in turn straight to the upstream,
+// through the plain proxy and through the path, and reports quantiles in µs.
+func BenchmarkLatency(b *testing.B) {
+	u, e, proxy := benchWorld(b)
+	kinds := []struct{ name, address, text string }{
+		{"direct", u, directText}, {"proxy", proxy, directText}, {"path", e, pathText},
+	}
+	const connections = 8
+	const rate = 6000 // a second, over all kinds
+	times := make([][]time.Duration, len(kinds))
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for c := range connections {
+		clients := make([]*quick, len(kinds))
+		for k := range kinds {
+			clients[k] = dialQuick(b, kinds[k].address)
+		}
+		all.Go(func() {
+			mine := make([][]time.Duration, len(kinds))
+			start := time.Now().Add(time.Duration(c) * time.Second / rate)
+			for i := range b.N {
+				time.Sleep(time.Until(start.Add(time.Duration(i) * connections * time.Second / rate)))
+				k := (i + c) % len(kinds)
+				began := time.Now()
+				if err := clients[k].do(kinds[k].text); err != nil {
+					b.Error(err)
+					return
+				}
+				mine[k] = append(mine[k], time.Since(began))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for k := range kinds {
+				times[k] = append(times[k], mine[k]...)
+			}
+		})
+	}
+	all.Wait()
+	for k, kind := range kinds {
+		slices.Sort(times[k])
+		for _, q := range []struct {
+			name  string
+			share float64
+		}{{"p50", 0.5}, {"p99", 0.99}, {"p999", 0.999}} {
+			at := times[k][int(float64(len(times[k])-1)*q.share)]
+			b.ReportMetric(float64(at.Microseconds()), kind.name+"-"+q.name+"-µs")
+		}
+	}
+}
+
+// BenchmarkOpenRequests holds a thousand requests open and reports the memory
+// that each takes straight to the upstream, and what the path adds. Both hold
+// the memory of the client's and the upstream's ends.
+func BenchmarkOpenRequests(b *testing.B) {
+	const open = 1000
+	for range b.N {
+		u, e, _ := benchWorld(b)
+		heap, stack := held(b, u, directText, open)
+		pathHeap, pathStack := held(b, e, pathText, open)
+		b.ReportMetric(float64(heap)/open, "direct-heap-B")
+		b.ReportMetric(float64(stack)/open, "direct-stack-B")
+		b.ReportMetric(float64(pathHeap-heap)/open, "path-heap-B")
+		b.ReportMetric(float64(pathStack-stack)/open, "path-stack-B")
+	}
+}
+
+// held is how much heap and stack grow with so many requests that hang.
+func held(b *testing.B, address, text string, open int) (heap, stack int64) {
+	heapBefore, stackBefore := inUse()
+	for range open {
+		c := dialQuick(b, address)
+		_, err := io.WriteString(c.c, strings.Replace(text, "/visit", "/visit?hang", 1))
+		must(b, err)
+	}
+	time.Sleep(500 * time.Millisecond)
+	heap, stack = inUse()
+	return heap - heapBefore, stack - stackBefore
+}
+
+func inUse() (heap, stack int64) {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc), int64(m.StackInuse)
+}
--- a/internal/caller/budget.go
+++ b/internal/caller/budget.go
@@ -29,8 +29,11 @@
 	// requestShare what each request pays in: retries are 10 % of traffic.
 	retryCost    = 1000
 	requestShare = 100
-	// retryReserve is the most that a service saves up: ten retries.
-	retryReserve = 10 * retryCost
+	// firstReserve is what a service starts with, maxReserve the most that
+	// it saves up. A burst of retries is needed when every connection goes
+	// silent at once; what pays for it is traffic that went well before.
+	firstReserve = 10 * retryCost
+	maxReserve   = 100 * retryCost
 )
 
 // retryBudget bounds a service's retries to a share of its traffic. Without
@@ -41,7 +44,7 @@
 func (b *retryBudget) pay() {
 	for {
 		saved := b.saved.Load()
-		next := min(saved+requestShare, retryReserve)
+		next := min(saved+requestShare, maxReserve)
 		if next == saved || b.saved.CompareAndSwap(saved, next) {
 			return
 		}
@@ -69,7 +72,7 @@
 		return known.(*retryBudget)
 	}
 	fresh := &retryBudget{}
-	fresh.saved.Store(retryReserve)
+	fresh.saved.Store(firstReserve)
 	known, _ := b.services.LoadOrStore(id, fresh)
 	return known.(*retryBudget)
 }
--- a/internal/caller/path_test.go
+++ b/internal/caller/path_test.go
@@ -187,6 +187,46 @@
 	}
 }
 
+// Symptom: household after household waits for its slots until it gives up.
+// Sequence: every kept connection to the upstreams goes silent while new ones
+// work; requests go on coming.
+// Cause: a request on a silent connection waits for its deadline, and the next
+// one is sent on the next silent connection.
+func TestSilentConnectionsCostNoAnswer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 1, Limits{})
+	e := w.entries[0]
+	load := func(method string, n int) (answered int) {
+		var all sync.WaitGroup
+		var good atomic.Int64
+		for i := range n {
+			all.Go(func() {
+				got, err := e.call(method, "/s/drafts/visit", fmt.Sprint(i), "Comfreyloom-Timeout: 20s")
+				if err == nil && got.status == 200 {
+					good.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		return int(good.Load())
+	}
+	for _, u := range w.instances {
+		u.SetLatency(5 * time.Millisecond)
+	}
+	for range 20 {
+		is.Equal(load("GET", 24), 24) // enough to know how long answers take
+	}
+	for _, u := range w.instances {
+		u.Freeze()
+	}
+	began := time.Now()
+	is.Equal(load("GET", 1), 1)                   // its second try does not meet the next silent one
+	is.Equal(load("GET", 12), 12)                 // all are answered
+	is.True(time.Since(began) < 10*time.Second)   // not by half of their deadline
+	is.Equal(load("POST", 30), 30)                // and no other goes out on a silent one
+	is.True(e.server.counters.silent.Count() > 0) // silence was met
+}
+
 // Symptom: upstreams that fail under load get a multiple of the load.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
 	is := is.New(t)
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -19,6 +19,9 @@
 	verdict model.Verdict
 	// fallback is an answer with a server error that another try may better.
 	fallback *answer
+	// silent says that a try met silence: the next one goes out on a new
+	// connection, since other used ones may be silent too.
+	silent bool
 }
 
 // run tries a request until it is answered or given up. Its failure carries
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -43,8 +43,10 @@
 	// SuspectAfter is how long an answer may keep still before the other
 	// connections to the address are no longer trusted; 0 means never.
 	SuspectAfter time.Duration
+	// Fresh asks for a connection that is new, or was proved since Send began.
+	Fresh bool
 	// GiveUp is asked after a longer silence whether to end the request with
-	// ErrSilent. It may be nil and is asked once at most.
+	// ErrSilent, and again after as much silence when it says no. It may be nil.
 	GiveUp func() bool
 	// GiveUpAfter is that silence on a new connection, GiveUpReused that on
 	// one which was used before and may be dead.
@@ -60,6 +62,9 @@
 // upstream. NotSent is final: no byte leaves after Send has returned.
 func (t *Transport) Send(ctx context.Context, u model.Upstream, r *Request) (*http.Response, SentState, error) {
 	p := t.enter(u)
+	if r.Fresh {
+		p.distrust()
+	}
 	for try := 1; ; try++ {
 		p.dropStale()
 		resp, sent, err := t.try(ctx, p, u, r)
--- a/internal/upstream/standin/serve.go
+++ b/internal/upstream/standin/serve.go
@@ -49,6 +49,10 @@
 	if err != nil {
 		return
 	}
+	if r.URL.Query().Has("hang") {
+		<-u.hung
+		return
+	}
 	fault, latency, ok := u.begin(keyOf(r, body))
 	if !ok {
 		refuseBusy(w)
--- a/internal/upstream/standin/upstream.go
+++ b/internal/upstream/standin/upstream.go
@@ -38,7 +38,7 @@
 // Upstream is a running stand-in.
 type Upstream struct {
 	options  Options
-	listener net.Listener
+	listener *silencer
 	server   *http.Server
 	client   *http.Client
 	serving  conc.WaitGroup
@@ -75,7 +75,7 @@
 	}
 	u := &Upstream{
 		options:  o,
-		listener: l,
+		listener: &silencer{Listener: l, open: make(map[*silentConn]bool)},
 		client:   &http.Client{Timeout: announceTimeout},
 		latency:  o.Latency,
 		slots:    o.Slots,
@@ -83,7 +83,7 @@
 		hung:     make(chan struct{}),
 	}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: time.Minute}
-	u.serving.Go(func() { _ = u.server.Serve(l) })
+	u.serving.Go(func() { _ = u.server.Serve(u.listener) })
 	return u, nil
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -15,7 +15,7 @@
 	defaultKeepAlive       = 1 * time.Second
 	defaultUserTimeout     = 4 * time.Second
 	defaultMaxAnswerHeader = 64 << 10
-	defaultBufferBytes     = 4 << 10
+	defaultBufferBytes     = 2 << 10
 	// keepAliveProbes is how many probes may go unanswered.
 	keepAliveProbes = 3
 	// poolIdle is how long a pool is kept after its last request.
@@ -40,7 +40,8 @@
 	UserTimeout time.Duration
 	// MaxAnswerHeader bounds the header of an answer, in bytes.
 	MaxAnswerHeader int64
-	// BufferBytes is the size of each connection's read and write buffer.
+	// BufferBytes is the size of each connection's read and write buffer. Small
+	// ones keep a thousand open requests small; longer parts bypass them.
 	BufferBytes int
 	// EntryVMs is how many entry VMs share an instance's connections; each
 	// keeps to its share.
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -63,7 +63,9 @@
 	}
 	if w.request.GiveUp() {
 		w.exchange.cancel(ErrSilent)
+		return
 	}
+	w.timer.Reset(w.limit())
 }
 
 // awaitLimit sets the timer for the next conclusion, if there is one.
