fleet, controller, budget: changed pools reach what the manifest says

Symptoms, each by a manifest that changes a pool under work: 1. A pool of 76 VMs whose largest size became 74 shrank to 72. 2. VMs stayed in availability zones that the manifest forbids, for good, in a pool without surplus; likewise where the only VMs of the allowed zone served another pool at its least size, though spares could stand in there. 3. A running batch job of a pool that was removed was stopped, queued again and then told that it can never run. 4. One VM that a budget keeps in its pool kept all others of the site from moving, and took no new work meanwhile. VMs on their way out counted as members. 2. A misfit could go only from a surplus, a donor gave only from a surplus, and a budget kept a reserve for a zone that the pool must leave. 3. The move's stop did not look for the job's pool. 4. A move was planned before the budgets were asked. Change: members that leave are not counted for the largest size; a misfit may go when another can take its place at once; a donor that a spare can fill again gives too; the reserve covers only zones that the pool may lie in; a job of a removed pool runs to its end; fleet asks MayMove before it plans the move of a VM with tasks, and the instances that keep one are started elsewhere first. Left: a pool at its largest size of which no VM may be taken by the budgets, such as 3 VMs of at most 3, keeps a misfit, since no other VM may join first.

--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -66,14 +66,16 @@
 	return l
 }
 
-// domains counts the failure domains over which a pool lies.
+// domains counts the failure domains over which a pool lies and may lie: while
+// it leaves a zone that the manifest no longer allows, no reserve for a whole
+// zone can be kept, and one that was asked for would keep the last VM there.
 type domains struct{ vms, racks, zones int }
 
 func countDomains(p *fleet.Pool) domains {
 	racks, zones := map[int]bool{}, map[int]bool{}
 	d := domains{}
 	for _, v := range p.VMs {
-		if v.Listed == nil || v.Moving() {
+		if v.Listed == nil || v.Moving() || !fleet.ZoneAllowed(p.Spec, v.Listed.Zone) {
 			continue
 		}
 		d.vms++
--- a/internal/controller/check.go
+++ b/internal/controller/check.go
@@ -127,12 +127,21 @@
 	case a.Grant != nil:
 		return ix.VM(a.Grant.VM)
 	case a.BeginMove != nil && a.BeginMove.Generation > 0:
-		return ix.VM(a.BeginMove.VM)
+		return stillThere(ix.VM(a.BeginMove.VM))
 	default:
 		return nil
 	}
 }
 
+// stillThere leaves out a VM that was moving before: another target takes
+// nothing more, and back to its pool it takes nothing.
+func stillThere(v *fleet.VM) *fleet.VM {
+	if v != nil && v.Moving() {
+		return nil
+	}
+	return v
+}
+
 func markServices(v *fleet.VM, ix *fleet.Index, hit map[model.ServiceID]bool) {
 	for _, t := range v.Tasks {
 		if t.Service != "" && ix.InstanceAvailable(t) {
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -97,31 +97,16 @@
 func (c *Controller) decideFleet(d *decided) {
 	options := c.config.Fleet
 	options.Sizes = c.soft.sizes
-	held := map[model.VMID]bool{}
-	for _, a := range fleet.Decide(d.ix, options) {
-		if m := a.BeginMove; m != nil {
-			v := d.ix.VM(m.VM)
-			held[m.VM] = !mayMove(d, v)
-			if held[m.VM] {
-				d.heldMoves = append(d.heldMoves, v)
-			} else {
-				d.ledger.Take(v)
-			}
-		}
-		if a.BeginMove != nil && held[a.BeginMove.VM] || a.FinishMove != nil && held[a.FinishMove.VM] {
+	options.MayMove = func(v *fleet.VM) bool {
+		if ok, _ := d.ledger.MayTake(v); !ok {
 			c.counts.heldMoves.Inc(1)
-			continue
+			d.heldMoves = append(d.heldMoves, v)
+			return false
 		}
-		d.add(a)
-	}
-}
-
-func mayMove(d *decided, v *fleet.VM) bool {
-	if v == nil || v.Idle() {
+		d.ledger.Take(v)
 		return true
 	}
-	ok, _ := d.ledger.MayTake(v)
-	return ok
+	d.add(fleet.Decide(d.ix, options)...)
 }
 
 func (c *Controller) decideWave(d *decided) {
--- a/internal/controller/replace.go
+++ b/internal/controller/replace.go
@@ -40,14 +40,68 @@
 	return v != nil && (t.Size != s.Spec.Size || v.Pool() != s.Spec.Pool)
 }
 
-// replace asks for what the service lacks to spare its instances on a VM.
+// replace brings about that the service can spare its instances on a VM: as
+// many as it has there run elsewhere first, where they will be afterwards. If
+// that is not enough, it asks for more as a wave does.
 func (d *decided) replace(s *fleet.Service, v *fleet.VM) {
+	lacks := d.ledger.Lacks(s.Spec.ID, v)
 	if d.wave.KeepSurge == nil {
 		return
 	}
 	d.wave.KeepSurge[s.Spec.Pool] = true
 	asked := func(n wave.Surge) bool { return n.Service == s.Spec.ID }
-	if n := d.ledger.Lacks(s.Spec.ID, v); n > 0 && !slices.ContainsFunc(d.wave.Surge, asked) {
-		d.wave.Surge = append(d.wave.Surge, wave.Surge{Service: s.Spec.ID, Target: v.ID, Count: n})
+	if lacks == 0 || slices.ContainsFunc(d.wave.Surge, asked) {
+		return
+	}
+	if missing := toReplace(s, v); missing > 0 {
+		d.startElsewhere(s, v, missing)
+		return
+	}
+	d.wave.Surge = append(d.wave.Surge, wave.Surge{Service: s.Spec.ID, Target: v.ID, Count: lacks})
+}
+
+// toReplace counts the service's instances on a VM for which no other, beyond
+// its number, runs elsewhere.
+func toReplace(s *fleet.Service, v *fleet.VM) int {
+	n := 0
+	for _, t := range s.Tasks {
+		if t != nil && t.VM == v.ID {
+			n++
+		}
+	}
+	for _, t := range s.Extra {
+		if t.VM != v.ID && t.State != model.TaskStopping {
+			n--
+		}
+	}
+	return n
+}
+
+func (d *decided) startElsewhere(s *fleet.Service, v *fleet.VM, missing int) {
+	counts := d.byDomain(s)
+	for _, t := range append(slices.Clone(s.Tasks), s.Extra...) {
+		if t == nil || d.ix.VM(t.VM) == nil {
+			continue
+		}
+		domain := d.ledger.Domain(s.Spec.ID, d.ix.VM(t.VM))
+		switch {
+		case t.VM == v.ID && t.Ordinal < s.Spec.Instances:
+			counts[domain]--
+		case t.VM != v.ID && t.Ordinal >= s.Spec.Instances:
+			counts[domain]++
+		}
+	}
+	for i := 0; i < s.Spec.MaxSurge() && missing > 0; i++ {
+		ordinal := s.Spec.Instances + i
+		if hasOrdinal(s, ordinal) {
+			continue
+		}
+		place := d.emptiestBut(s, counts, v)
+		if place == nil {
+			return
+		}
+		counts[d.ledger.Domain(s.Spec.ID, place)]++
+		d.startSurgeOn(s, ordinal, place, "its instances on VM "+string(v.ID)+" are to go")
+		missing--
 	}
 }
--- a/internal/controller/spread.go
+++ b/internal/controller/spread.go
@@ -50,6 +50,11 @@
 
 // emptiest is the open VM with room in the domain with the fewest instances.
 func (d *decided) emptiest(s *fleet.Service, counts map[string]int) *fleet.VM {
+	return d.emptiestBut(s, counts, nil)
+}
+
+// emptiestBut leaves out one VM.
+func (d *decided) emptiestBut(s *fleet.Service, counts map[string]int, but *fleet.VM) *fleet.VM {
 	p := d.ix.Pool(s.Spec.Pool)
 	if p == nil {
 		return nil
@@ -58,7 +63,7 @@
 	var best *fleet.VM
 	var bestScore int
 	for _, v := range p.VMs {
-		if v.Block != fleet.Open || !s.Spec.Size.Fits(v.Free()) {
+		if v == but || v.Block != fleet.Open || !s.Spec.Size.Fits(v.Free()) {
 			continue
 		}
 		score := inDomain*counts[d.ledger.Domain(s.Spec.ID, v)] + near(v)
--- a/internal/fleet/decide.go
+++ b/internal/fleet/decide.go
@@ -128,17 +128,24 @@
 	}
 }
 
-// mayMoveBusy reports whether one more VM with tasks may be on the move.
-func (d *decider) mayMoveBusy() bool {
-	return d.busyMoves < max(1, int(float64(len(d.ix.VMs))*d.o.MaxMoving))
+// mayLeave reports whether a VM may leave its pool now: one that is idle, or
+// one with tasks while few such VMs move. A VM that may not is not planned as
+// moving, so that it takes work on and other VMs can be tried.
+func (d *decider) mayLeave(v *VM) bool {
+	if v.Idle() {
+		return true
+	}
+	few := d.busyMoves < max(1, int(float64(len(d.ix.VMs))*d.o.MaxMoving))
+	return few && (d.o.MayMove == nil || d.o.MayMove(v))
 }
 
 // Eligible reports whether the pool's shape and availability zones allow a VM.
 func Eligible(p *model.Pool, vm *model.VM) bool {
-	return vm != nil && p.Shape.Fits(vm.Capacity) && zoneAllowed(p, vm.Zone)
+	return vm != nil && p.Shape.Fits(vm.Capacity) && ZoneAllowed(p, vm.Zone)
 }
 
-func zoneAllowed(p *model.Pool, zone model.ZoneID) bool {
+// ZoneAllowed reports whether VMs of the availability zone may be in the pool.
+func ZoneAllowed(p *model.Pool, zone model.ZoneID) bool {
 	for _, z := range p.Zones {
 		if z == zone {
 			return true
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -38,6 +38,9 @@
 	Patient int
 	// Lost counts the VMs that failed for longer than the grace.
 	Lost int
+	// staying counts the VMs that are in the pool and do not leave, and those
+	// on their way to it.
+	staying int
 }
 
 // Words gives the arithmetic of the demand for status.
@@ -78,6 +81,7 @@
 		d.countVM(ix, v, o)
 	}
 	d.Coming = len(d.Pool.Incoming)
+	d.staying += d.Coming
 	d.Unit = d.Pool.Spec.Shape
 	if listed > 0 {
 		d.Unit = model.Resources{MilliCPU: total.MilliCPU / listed, MemoryMB: total.MemoryMB / listed, Accelerators: total.Accelerators / listed}
@@ -85,6 +89,9 @@
 }
 
 func (d *Demand) countVM(ix *Index, v *VM, o Options) {
+	if !v.Moving() {
+		d.staying++
+	}
 	switch {
 	case v.Moving():
 	case v.Block == Open:
--- a/internal/fleet/fill.go
+++ b/internal/fleet/fill.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -96,7 +97,7 @@
 	if lvl == levelWant {
 		return false
 	}
-	return d.takeFromDonor(demand)
+	return d.takeFromDonor(demand, s)
 }
 
 // takeBack ends the move of a VM that was to leave the pool and has not left:
@@ -148,14 +149,15 @@
 	return false
 }
 
-// takeFromDonor moves a VM from the pool that has the most to spare. The VM
-// with the least to relocate goes, and none that moved a short while ago.
-func (d *decider) takeFromDonor(demand *Demand) bool {
+// takeFromDonor moves a VM from a pool that has some to spare, or that a spare
+// can fill again which the other pool may not have. The VM with the least to
+// relocate goes, and none that moved a short while ago.
+func (d *decider) takeFromDonor(demand *Demand, s *sources) bool {
 	var best *VM
 	var donor *Demand
 	bestCost := 0
 	for _, other := range d.demands {
-		if other == demand || other.Surplus() <= 0 {
+		if other == demand || other.Surplus() <= 0 && !s.canFill(other.Pool) {
 			continue
 		}
 		for _, v := range other.Pool.VMs {
@@ -165,13 +167,14 @@
 			}
 		}
 	}
-	if best == nil || !best.Idle() && !d.mayMoveBusy() {
+	if best == nil || !d.mayLeave(best) {
 		return false
 	}
 	idle := best.Idle()
 	d.move(best, demand.Pool.Spec.ID, fmt.Sprintf("pool %s has %d to spare; pool %s %s",
-		donor.Pool.Spec.ID, donor.Surplus(), demand.Pool.Spec.ID, demand.Words()))
+		donor.Pool.Spec.ID, max(donor.Surplus(), 0), demand.Pool.Spec.ID, demand.Words()))
 	donor.Ready--
+	donor.staying--
 	if idle {
 		demand.Ready++
 	} else {
@@ -212,32 +215,47 @@
 		if v.Owner == nil || v.Owner.Pool == "" || v.Moving() || v.Permit != nil || v.Listed == nil {
 			continue
 		}
-		if why := misfit(v, byPool[v.Owner.Pool]); why != "" && (v.Idle() || d.mayMoveBusy()) {
+		if why := d.misfit(v, byPool[v.Owner.Pool]); why != "" && d.mayLeave(v) {
 			d.evict(v, byPool[v.Owner.Pool], why)
 		}
 	}
 }
 
 func (d *decider) evict(v *VM, demand *Demand, why string) {
-	if demand != nil && v.Block == Open {
-		demand.Ready--
+	if demand != nil {
+		demand.staying--
+		if v.Block == Open {
+			demand.Ready--
+		}
 	}
 	d.move(v, "", why)
 }
 
-func misfit(v *VM, demand *Demand) string {
+// misfit says why a VM must leave its pool; empty when it need not, or while
+// the pool can't do without it. A pool without surplus lets one go when
+// another can take its place at once: it would else keep what the manifest
+// forbids for good.
+func (d *decider) misfit(v *VM, demand *Demand) string {
 	if demand == nil {
 		return fmt.Sprintf("the manifest has no pool %s", v.Owner.Pool)
 	}
 	spec := demand.Pool.Spec
 	spared := v.Block != Open || demand.Ready > demand.Hard
 	switch {
-	case !spared:
-		return ""
 	case !Eligible(spec, v.Listed):
-		return fmt.Sprintf("pool %s no longer allows the VM's shape or availability zone", spec.ID)
-	case demand.Pool.Size() > spec.MaxVMs:
-		return fmt.Sprintf("pool %s has %d VMs; its largest size is %d", spec.ID, demand.Pool.Size(), spec.MaxVMs)
+		if spared || demand.Ready == demand.Hard && replaceable(d.ix, spec) {
+			return fmt.Sprintf("pool %s no longer allows the VM's shape or availability zone", spec.ID)
+		}
+	case spared && demand.staying > spec.MaxVMs:
+		return fmt.Sprintf("pool %s has %d VMs; its largest size is %d", spec.ID, demand.staying, spec.MaxVMs)
 	}
 	return ""
 }
+
+// replaceable reports whether a new VM or a shared spare could join the pool now.
+func replaceable(ix *Index, p *model.Pool) bool {
+	return slices.ContainsFunc(ix.VMs, func(v *VM) bool {
+		fresh := v.Owner == nil && v.Healthy() && usable(v)
+		return (fresh || SpareReady(v)) && Eligible(p, v.Listed)
+	})
+}
--- a/internal/fleet/options.go
+++ b/internal/fleet/options.go
@@ -28,6 +28,9 @@
 	// MaxMoving bounds the VMs with tasks that move at one time, as a share
 	// of all VMs; at least one. Spares without tasks are not bounded. Default 0.05.
 	MaxMoving float64
+	// MayMove reports whether a VM with tasks may leave its pool now, and is
+	// asked last, just before the move; nil allows all.
+	MayMove func(v *VM) bool
 	// Sizes judges what a queued job needs; nil takes the declared size.
 	Sizes Sizer
 	Rules Rules
--- a/internal/fleet/sources.go
+++ b/internal/fleet/sources.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/comfreyloom/comfreyloom/internal/model"
+import (
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
 
 // sources are the VMs that pools can be given: new ones and shared spares,
 // grouped by failure domain and capacity, so that choosing one does not look
@@ -95,6 +99,12 @@
 	return v
 }
 
+// canFill reports whether a new VM or a spare is left that may join the pool.
+func (s *sources) canFill(p *Pool) bool {
+	fits := func(g *group) bool { return len(g.vms) > 0 && Eligible(p.Spec, g.vms[0].Listed) }
+	return slices.ContainsFunc(s.fresh, fits) || slices.ContainsFunc(s.spares, fits)
+}
+
 func (s *sources) count(p *Pool) *spreadCount {
 	if c := s.members[p]; c != nil {
 		return c
--- a/internal/placement/evacuate.go
+++ b/internal/placement/evacuate.go
@@ -137,6 +137,9 @@
 		return Wish{Stop, ForCancel, t, "the job was cancelled"}, true
 	case !v.Moving() || t.Priority != model.Batch || !job.Spec.Idempotent:
 		return Wish{}, false
+	case ix.Pool(job.Spec.Pool) == nil:
+		// The manifest dropped the pool: stopped, the job could never go on.
+		return Wish{}, false
 	}
 	kind := Stop
 	if job.Spec.Checkpoints {
