--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -19,7 +20,10 @@
 	"github.com/apex/log/handlers/discard"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
+	"github.com/comfreyloom/comfreyloom/internal/slots"
 	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/upstream/standin"
 )
 
 // quick is a client that writes fixed requests and reads answers with a length,
@@ -248,3 +252,102 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc), int64(m.StackInuse)
 }
+
+// oneSite is the catalog of the test's site.
+type oneSite struct{ *model.Site }
+
+func (s oneSite) Service(id model.ServiceID) (model.Service, bool) {
+	found := findService(s.Site, id)
+	if found == nil {
+		return model.Service{}, false
+	}
+	return *found, true
+}
+
+func (s oneSite) Team(id model.TeamID) (model.Team, bool) { return model.Team{ID: id}, id != "" }
+
+// overloadWorld has three instances with 8 slots each, whose requests take
+// 20 ms, behind one entry VM with the real broker: 1,200 requests a second.
+func overloadWorld(b *testing.B) *entry {
+	log.SetHandler(discard.New())
+	w := newWorld(b, 0, 0, Limits{})
+	known := registry.New(registry.Options{})
+	for i := range 3 {
+		u := w.addInstance(b, standin.Options{Instance: fmt.Sprint("i", i), Slots: 8, Latency: 20 * time.Millisecond})
+		_, err := known.Announce(model.Upstream{
+			Service: "drafts", Instance: model.InstanceID(fmt.Sprint("i", i)), Address: u.Address(), VM: "v",
+			Incarnation: 1, Sequence: 1, Slots: 8, Connections: 64,
+		}, slots.Clock()())
+		must(b, err)
+	}
+	dispatcher := slots.New(slots.Config{Self: "n1", Registry: known, Services: oneSite{testSite()}})
+	ctx, cancel := context.WithCancel(b.Context())
+	b.Cleanup(cancel)
+	go func() { _ = dispatcher.Run(ctx) }()
+	return w.addEntry(b, Config{Broker: dispatcher})
+}
+
+// tally is what the requests of one priority came to.
+type tally struct {
+	mu      sync.Mutex
+	took    []time.Duration
+	refused int
+	other   int
+}
+
+// offer sends requests of one priority at a fixed rate for a while, whether or
+// not earlier ones were answered.
+func (e *entry) offer(all *sync.WaitGroup, priority string, rate int, d time.Duration) *tally {
+	t := &tally{}
+	n := int(d.Seconds() * float64(rate))
+	all.Go(func() {
+		start := time.Now()
+		for i := range n {
+			time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+			all.Go(func() { t.one(e, priority) })
+		}
+	})
+	return t
+}
+
+func (t *tally) one(e *entry, priority string) {
+	began := time.Now()
+	got, err := e.call("GET", "/s/drafts/visit", "", "Comfreyloom-Priority: "+priority, "Comfreyloom-Timeout: 2s")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case err == nil && got.status == http.StatusOK:
+		t.took = append(t.took, time.Since(began))
+	case err == nil && got.verdict == "not-run" && got.header.Get("Retry-After") != "":
+		t.refused++
+	default:
+		t.other++
+	}
+}
+
+func (t *tally) quantile(q float64) float64 {
+	slices.Sort(t.took)
+	return float64(t.took[int(float64(len(t.took)-1)*q)].Microseconds()) / 1000
+}
+
+// BenchmarkOverload offers twice what the instances can do, a tenth of it
+// urgent, and compares the urgent answers with those of the same rate alone.
+// Refused requests got not-run and a time to come back; others must be 0.
+func BenchmarkOverload(b *testing.B) {
+	const d = 2 * time.Second
+	for range b.N {
+		e := overloadWorld(b)
+		var all sync.WaitGroup
+		alone := e.offer(&all, "urgent", 120, d)
+		all.Wait()
+		urgent := e.offer(&all, "urgent", 120, d)
+		batch := e.offer(&all, "batch", 2280, d)
+		all.Wait()
+		b.ReportMetric(alone.quantile(0.99), "alone-p99-ms")
+		b.ReportMetric(urgent.quantile(0.99), "urgent-p99-ms")
+		b.ReportMetric(float64(urgent.refused), "urgent-refused")
+		b.ReportMetric(float64(len(batch.took)), "batch-answered")
+		b.ReportMetric(float64(batch.refused), "batch-refused")
+		b.ReportMetric(float64(alone.other+urgent.other+batch.other), "without-verdict")
+	}
+}
--- a/internal/caller/harness_test.go
+++ b/internal/caller/harness_test.go
@@ -77,11 +77,10 @@
 
 // listBroker hands out slots of a list of instances in turn.
 type listBroker struct {
-	mu       sync.Mutex
-	list     []model.Upstream
-	next     int
-	outcomes []slots.Outcome
-	held     int
+	mu   sync.Mutex
+	list []model.Upstream
+	next int
+	held int
 }
 
 func (b *listBroker) Acquire(ctx context.Context, ask slots.Ask) (*slots.Grant, error) {
@@ -98,11 +97,10 @@
 	return nil, &slots.Rejection{Reason: "no instance", RetryAfter: time.Second}
 }
 
-func (b *listBroker) release(o slots.Outcome) {
+func (b *listBroker) release(slots.Outcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.held--
-	b.outcomes = append(b.outcomes, o)
 }
 
 // site is a small site: one service whose GET /plans is marked.
@@ -237,6 +235,9 @@
 	body    string
 }
 
+// callers keeps as many connections as there are callers in a test.
+var callers = &http.Transport{MaxIdleConnsPerHost: 512}
+
 // call sends one request; headers are "Name: value".
 func (e *entry) call(method, path, body string, headers ...string) (reply, error) {
 	r, err := http.NewRequest(method, e.url+path, strings.NewReader(body))
@@ -247,7 +248,7 @@
 		name, value, _ := strings.Cut(h, ": ")
 		r.Header.Add(name, value)
 	}
-	resp, err := http.DefaultTransport.RoundTrip(r)
+	resp, err := callers.RoundTrip(r)
 	if err != nil {
 		return reply{}, err
 	}
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -87,7 +87,7 @@
 		Service:  q.service.ID,
 		Team:     q.team,
 		Priority: q.priority,
-		Deadline: model.InstantOf(q.deadline),
+		Deadline: s.BrokerNow().Add(q.deadline.Sub(s.Now())),
 		Avoid:    avoid,
 	})
 	if err != nil {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -38,8 +38,12 @@
 	// Linger is how long, after that, connections which callers keep open
 	// are still served; one second when 0.
 	Linger time.Duration
-	// Now is the clock; time.Now when nil.
+	// Now is the wall clock; time.Now when nil.
 	Now func() time.Time
+	// BrokerNow is the clock by which Broker reads deadlines; slots.Clock when
+	// nil. It is not the wall clock: when that is set back or forward, every
+	// ask would look expired, or none.
+	BrokerNow func() model.Instant
 	// Metrics takes the counters; the default registry when nil.
 	Metrics metrics.Registry
 	// Logger takes changes of state; the default logger when nil.
@@ -80,6 +84,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.BrokerNow == nil {
+		c.BrokerNow = slots.Clock()
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.DefaultRegistry
 	}
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -167,6 +167,26 @@
 	}
 }
 
+// Symptom: a caller gets the answer to a request that was given up before.
+// Sequence: a request passes its deadline; its answer comes afterwards, while
+// the next request is on its way to the same upstream.
+// Cause: a connection that still owes an answer was used again.
+func TestLateAnswerIsNotTheNextOne(t *testing.T) {
+	is := is.New(t)
+	u := newStandin(t, standin.Options{Latency: 20 * time.Millisecond})
+	transport := newTransport(t, upstream.Options{})
+	for i := range 10 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		_, sent, err := send(ctx, transport, u.Address(), request("GET", "/late", "late"))
+		cancel()
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.Equal(sent, upstream.MaybeSent)
+		text, _, err := send(context.Background(), transport, u.Address(), request("GET", fmt.Sprint("/next", i), "next"))
+		is.NoErr(err)
+		is.True(strings.Contains(text, fmt.Sprint("/next", i)))
+	}
+}
+
 // serveRaw serves each connection with a function.
 func serveRaw(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
