--- a/internal/controller/borrow.go
+++ b/internal/controller/borrow.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		d.lend(spares[i], p)
+		delete(d.unhelped, p.Spec.ID)
 		spares = slices.Delete(spares, i, i+1)
 	}
 }
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -131,6 +131,7 @@
 	d.replaceOutdated()
 	c.decideSurge(d)
 	c.decideBorrow(d)
+	c.breakStandstill(d)
 }
 
 func (d *decided) stop(t *model.Task, reason string) {
--- /dev/null
+++ b/internal/controller/manifest_random_test.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/platform/standin"
+)
+
+// operate accepts a manifest with one to three random changes to the small
+// site, so that each undoes the ones before.
+func (c *chaos) operate() {
+	site := smallSite()
+	site.Revision = c.view().Site.Revision + 1
+	for range 1 + c.draw(3) {
+		c.change(&site)
+	}
+	c.apply(site)
+	c.waves += len(site.Waves) // each may reboot each VM once
+}
+
+func (c *chaos) change(m *model.Site) {
+	zones := []model.ZoneID{"az1", "az2", "az3"}
+	s := &m.Services[c.draw(len(m.Services))]
+	p := &m.Pools[c.draw(len(m.Pools))]
+	switch c.draw(12) {
+	case 0:
+		s.Instances = 2 + c.draw(7)
+		s.MinAvailable = c.draw(s.Instances)
+	case 1:
+		s.Size = cores(int64(1 + c.draw(4)))
+	case 2:
+		s.Pool = p.ID
+	case 3:
+		*s = m.Services[len(m.Services)-1]
+		m.Services = m.Services[:max(1, len(m.Services)-1)]
+	case 4:
+		p.Zones = zones[c.draw(3):]
+	case 5:
+		p.MinVMs, p.MaxVMs = 2+c.draw(3), 5+c.draw(5)
+	case 6:
+		p.Shape = cores(int64(8 + 4*c.draw(4)))
+	case 7:
+		m.Waves = nil
+	case 8:
+		m.Waves = append(m.Waves, model.Wave{ID: "second", Pools: []model.PoolID{p.ID}, Start: c.platform.Now().Add(-time.Minute), Soak: time.Minute, MaxParallel: c.draw(3)})
+	case 9:
+		m.Waves = smallSite().Waves
+		m.Waves[0].Start = c.platform.Now().Add(time.Duration(c.draw(20)-10) * time.Minute)
+	case 10:
+		m.Pools = append(m.Pools, model.Pool{ID: "reports", MinVMs: 1 + c.draw(3), MaxVMs: 5, Shape: cores(8)})
+		s.Pool = "reports"
+	case 11:
+		m.Teams[0].Quota = cores(int64(4 + c.draw(10)))
+		m.Policy = model.Policy{MoveWeight: float64(c.draw(11)) / 10, BufferWeight: 0.5}
+	}
+}
+
+// Symptom: a promise breaks, or the site never gets to its last manifest.
+// Sequence: manifests change at random while VMs, racks and leaders fail,
+// answers are lost and jobs run; then the failures end.
+func TestRandomManifests(t *testing.T) {
+	steps := longSteps(t)
+	for total, seed := 0, uint64(1); total < steps; seed++ {
+		random := rand.New(rand.NewPCG(seed, 43))
+		c := newChaos(seed, random.IntN, simOptions{})
+		for c.steps < 400 {
+			if c.draw(3) == 0 {
+				c.operate()
+			}
+			if c.draw(2) == 0 {
+				c.step(time.Second)
+				continue
+			}
+			c.act()
+		}
+		total += c.steps
+		if wrong := c.rest(); len(wrong) > 0 {
+			t.Errorf("seed %d after %d steps: %v", seed, c.steps, wrong)
+		}
+	}
+}
+
+// rest ends failures and changes, and reports what is not as it must be.
+func (c *chaos) rest() []string {
+	c.client.SetFaults(standin.Faults{})
+	c.log.lose = 0
+	clear(c.log.cut)
+	everything := func(standin.VM) bool { return true }
+	c.platform.Repair(everything)
+	c.platform.Reconnect(everything)
+	for _, v := range c.platform.Truth() {
+		c.platform.Mend(v.Worker)
+	}
+	c.site = smallSite()
+	c.site.Revision = c.view().Site.Revision + 1
+	c.site.Waves[0].Start = c.platform.Now()
+	c.apply(c.site)
+	// A quarantine may keep a worker from its pool for a day.
+	if !c.untilBy(4*time.Second, 30*time.Hour, func() bool { return c.settled() == "" && c.unlike() == nil }) {
+		return append(append(c.unlike(), c.settled()), c.violations()...)
+	}
+	return c.violations()
+}
--- a/internal/controller/surge.go
+++ b/internal/controller/surge.go
@@ -117,6 +117,10 @@
 	if s == nil || t.Ordinal < s.Spec.Instances || t.Ordinal >= s.Spec.Instances+s.Spec.MaxSurge() {
 		return false
 	}
+	if v := d.ix.VM(t.VM); v == nil || v.Moving() || outdated(d.ix, s, t) {
+		// Kept, it would keep its VM from ever leaving the pool.
+		return false
+	}
 	return d.lost[t.Service] > 0 || d.wave.KeepSurge[s.Spec.Pool] || d.uneven[t.Service] && !d.ledger.Useless(t, nil)
 }
 
