--- a/internal/caller/path_test.go
+++ b/internal/caller/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/slots"
 	"github.com/comfreyloom/comfreyloom/internal/upstream/standin"
 )
 
@@ -156,6 +158,32 @@
 	}
 }
 
+// askedBroker remembers the deadline it was asked with.
+type askedBroker struct{ deadline model.Instant }
+
+func (b *askedBroker) Acquire(_ context.Context, ask slots.Ask) (*slots.Grant, error) {
+	b.deadline = ask.Deadline
+	return nil, &slots.Rejection{Reason: "none", RetryAfter: 7 * time.Second}
+}
+
+// Symptom: after the wall clock was set back, every request is refused.
+// Sequence: the broker reads a clock that never steps; deadlines reach it in
+// wall-clock time.
+// Cause: two clocks that only agree until one of them is set.
+func TestDeadlineIsOnTheBrokersClock(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, 0, Limits{})
+	broker := &askedBroker{}
+	e := w.addEntry(t, Config{Broker: broker, BrokerNow: func() model.Instant { return 5_000 }})
+	got, err := e.call("GET", "/s/drafts/visit", "", "Comfreyloom-Timeout: 1m")
+	is.NoErr(err)
+	is.Equal(got.status, 503)
+	is.Equal(got.verdict, "not-run")
+	is.Equal(got.header.Get("Retry-After"), "7")
+	left := broker.deadline.Sub(5_000)
+	is.True(left > 30*time.Second && left <= time.Minute)
+}
+
 // Symptom: a truncated plan is taken for the plan; a request that could have
 // been answered fails.
 // Sequence: an upstream breaks off in the middle of a short or a long answer.
