slots: a dispatcher at rest ticks twice a second

Cause: the dispatcher ticked every 20 ms, also when no request waited and nothing was lent; in an idle learner that was half of the processor time. Change: when every service is at rest the next tick is 500 ms away, at which manifests and invariants were looked at before, too. A request that queues, a loan or a call of another entry VM ends the rest. Proof: TestQueueEndsTheRest fails without the call that ends the rest.

--- a/internal/slots/borrow.go
+++ b/internal/slots/borrow.go
@@ -141,7 +141,7 @@
 func (k *core) divide(n need, position, lenders int) [lending.Classes]int {
 	var told [lending.Classes]int
 	for c, wanted := range n.wanted {
-		widen := min(int(n.age[c]/(2*k.config.lending.Spacing)), maxWiden)
+		widen := min(max(int(n.age[c]/(2*k.config.lending.Spacing)), 0), maxWiden)
 		asked := min(lenders, askFactor*wanted<<widen)
 		if position < asked {
 			told[c] = (askFactor*wanted + asked - 1) / asked
--- a/internal/slots/desk.go
+++ b/internal/slots/desk.go
@@ -64,16 +64,10 @@
 
 // step runs f on the core and does what the core asks for.
 func (k *desk) step(f func(now model.Instant)) {
-	now := k.dispatcher.config.Now()
-	k.mu.Lock()
-	if k.dispatcher.config.Registry.Revision() != k.revision {
-		k.load(now)
+	out, again, idle := k.locked(f)
+	if !idle {
+		k.dispatcher.wake()
 	}
-	f(now)
-	out := k.core.effects()
-	again := k.core.again
-	k.deliver(out.answers)
-	k.mu.Unlock()
 	for _, s := range out.sends {
 		k.call(s)
 	}
@@ -82,6 +76,23 @@
 	}
 }
 
+// locked runs f on the core. The clock is read under the lock: read before it, a
+// request could bring the core a time before that of the one which overtook
+// it, and ages would be negative. The lock is given back even by a panic:
+// otherwise every later request of the service would wait for ever.
+func (k *desk) locked(f func(now model.Instant)) (out effects, again, idle bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.dispatcher.config.Now()
+	if k.dispatcher.config.Registry.Revision() != k.revision {
+		k.load(now)
+	}
+	f(now)
+	out = k.core.effects()
+	k.deliver(out.answers)
+	return out, k.core.again, k.core.idle()
+}
+
 // deliver hands replies to the calls that wait for them.
 func (k *desk) deliver(answers []lending.Answer) {
 	for _, a := range answers {
@@ -120,21 +131,23 @@
 
 // acquireNow is the short way of a request that needs not wait.
 func (k *desk) acquireNow(ask Ask) *Grant {
-	config := &k.dispatcher.config
-	now := config.Now()
-	k.mu.Lock()
-	if config.Registry.Revision() != k.revision {
-		k.mu.Unlock()
-		return nil
-	}
-	use, ok := k.core.grantNow(ask, now)
-	k.mu.Unlock()
+	use, ok := k.tryNow(ask)
 	if !ok {
 		return nil
 	}
 	return k.grant(ask, use)
 }
 
+func (k *desk) tryNow(ask Ask) (balance.Use, bool) {
+	config := &k.dispatcher.config
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if config.Registry.Revision() != k.revision {
+		return balance.Use{}, false
+	}
+	return k.core.grantNow(ask, config.Now())
+}
+
 // abandon takes a request whose caller went away out of the queue. A grant
 // that came at the same moment goes back.
 func (k *desk) abandon(t *ticket, answers <-chan answer, cause error) error {
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -16,8 +17,12 @@
 const tickInterval = 20 * time.Millisecond
 
 // idleTicks is how many ticks a service at rest is passed over: its manifest
-// and its invariants are looked at every half second.
-const idleTicks = 25
+// and its invariants are looked at every restInterval.
+const idleTicks = int(restInterval / tickInterval)
+
+// restInterval is the time between two ticks while every service is at rest.
+// Ticks at tickInterval were most of the processor time of an idle process.
+const restInterval = 500 * time.Millisecond
 
 // noInstanceRetry is when a caller may come back to a service none of whose
 // instances serves: an instance that starts announces itself within it.
@@ -43,7 +48,11 @@
 	callsMu sync.Mutex
 	stopped bool
 	// soon holds one token while a tick is wanted early.
-	soon    chan struct{}
+	soon chan struct{}
+	// resting says that ticks are restInterval apart; busy holds a token when
+	// a service ended that.
+	resting atomic.Bool
+	busy    chan struct{}
 	ticks   int
 	started model.Instant
 
@@ -62,6 +71,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		soon:     make(chan struct{}, 1),
+		busy:     make(chan struct{}, 1),
 		started:  c.Now(),
 		counters: newCounters(c.Metrics),
 		gauges:   newGauges(c.Metrics),
@@ -73,20 +83,58 @@
 // Run moves the queues and loans on until ctx ends. Then it gives back what is
 // borrowed and ends the calls to other entry VMs.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	next := time.NewTimer(0)
+	defer next.Stop()
 	defer d.stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-next.C:
 			d.Tick()
 		case <-d.soon:
 			time.Sleep(d.config.Lending.WithDefaults().Spacing)
 			d.Tick()
+		case <-d.busy:
+		}
+		next.Reset(d.interval())
+	}
+}
+
+// interval returns the time until the next tick. A tick after a rest looks at
+// every service. That the dispatcher rests is said before the services are
+// looked at: said afterwards, a request that queued in between would wake
+// nobody and wait out the rest.
+func (d *Dispatcher) interval() time.Duration {
+	d.resting.Store(true)
+	if d.idle() {
+		d.ticks = 0
+		return restInterval
+	}
+	d.resting.Store(false)
+	return tickInterval
+}
+
+func (d *Dispatcher) idle() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, k := range d.desks {
+		if !k.idle() {
+			return false
 		}
 	}
+	return true
+}
+
+// wake ends a rest, if there is one.
+func (d *Dispatcher) wake() {
+	if !d.resting.Load() || !d.resting.Swap(false) {
+		return
+	}
+	select {
+	case d.busy <- struct{}{}:
+	default:
+	}
 }
 
 // hurry asks for a tick before the next regular one.
@@ -186,6 +234,7 @@
 	defer d.mu.Unlock()
 	if d.desks[id] == nil {
 		d.desks[id] = newDesk(d, service)
+		d.wake() // a new desk may have to ask for what was lent
 	}
 	return d.desks[id]
 }
--- a/internal/slots/dispatcher_test.go
+++ b/internal/slots/dispatcher_test.go
@@ -103,3 +103,29 @@
 	first.grant.Release(Answered)
 	is.NoErr((<-batch[0]).err)
 }
+
+// Symptom: a request that can't be served any more waits half a second for its
+// refusal. Sequence: it queues while every service is at rest. Cause: a tick
+// that rests until its time, whatever comes meanwhile.
+func TestQueueEndsTheRest(t *testing.T) {
+	is := is.New(t)
+	d, _, r := newAlone(t, 1, 3)
+	announce(t, r, 1, false, 1)
+	running, err := d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: 60_000})
+	is.NoErr(err)
+	d.Tick()
+	is.Equal(d.interval(), restInterval)
+	for len(d.busy) > 0 {
+		<-d.busy
+	}
+	waiting := asking(d, Ask{Service: "drafts", Deadline: 60_000})
+	select {
+	case <-d.busy:
+	case <-time.After(time.Minute):
+		t.Fatal("the queue did not end the rest")
+	}
+	is.Equal(d.interval(), tickInterval)
+	running.Release(Answered)
+	is.NoErr((<-waiting).err)
+	is.Equal(d.interval(), restInterval)
+}
