slots: a busy service wakes the dispatcher again

Change: the call is back, next to the locked part. Measured result: go test ./internal/slots passes.

--- a/internal/slots/desk.go
+++ b/internal/slots/desk.go
@@ -64,7 +64,10 @@
 
 // step runs f on the core and does what the core asks for.
 func (k *desk) step(f func(now model.Instant)) {
-	out, again := k.locked(f)
+	out, again, idle := k.locked(f)
+	if !idle {
+		k.dispatcher.wake()
+	}
 	for _, s := range out.sends {
 		k.call(s)
 	}
@@ -77,7 +80,7 @@
 // request could bring the core a time before that of the one which overtook
 // it, and ages would be negative. The lock is given back even by a panic:
 // otherwise every later request of the service would wait for ever.
-func (k *desk) locked(f func(now model.Instant)) (out effects, again bool) {
+func (k *desk) locked(f func(now model.Instant)) (out effects, again, idle bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.dispatcher.config.Now()
@@ -87,7 +90,7 @@
 	f(now)
 	out = k.core.effects()
 	k.deliver(out.answers)
-	return out, k.core.again
+	return out, k.core.again, k.core.idle()
 }
 
 // deliver hands replies to the calls that wait for them.
