agent, telemetry: one clock for deadlines, few lines from libraries

Cause: callers and slots each made a clock of their own, which may differ after the wall clock is set between the two; and net/http writes a line to the standard logger for each answer that nobody asked for, so that a faulty upstream could fill the disk.

--- a/cmd/comfreyloom/serve.go
+++ b/cmd/comfreyloom/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os/signal"
 	"syscall"
 
@@ -32,7 +33,10 @@
 		fmt.Fprintln(c.err, "comfreyloom serve:", err)
 		return exitUsage
 	}
-	a, err := agent.New(s, agent.Options{Logger: logger})
+	counters := telemetry.NewRegistry()
+	stdlog.SetOutput(telemetry.NewStandardWriter(logger, counters))
+	stdlog.SetFlags(0)
+	a, err := agent.New(s, agent.Options{Logger: logger, Metrics: counters})
 	if err != nil {
 		fmt.Fprintln(c.err, "comfreyloom serve:", err)
 		return exitFailed
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -36,6 +36,7 @@
 	a.registry = registry.New(a.registryOptions())
 	a.spreader = node.NewSpreader(node.SpreaderConfig{
 		Self: a.settings.Node.Name, Registry: a.registry, Client: a.client, Metrics: a.metrics,
+		Clock: func() model.Instant { return model.InstantOf(a.now()) },
 	})
 	a.follower = node.NewFollower(node.FollowerConfig{
 		Self: a.settings.Node.Name, Machine: a.machine, Client: a.client, Voters: a.settings.Voters,
@@ -96,14 +97,16 @@
 }
 
 func (a *Agent) wireRequests() {
+	clock := slots.Clock() // deadlines are set and compared by the same clock
 	a.dispatcher = slots.New(slots.Config{
+		Now:  clock,
 		Self: a.settings.Node.Name, Zone: a.settings.Node.Zone, Nodes: a.members(), Members: a.live, Confirmed: a.heartbeats.Ready,
 		Registry: a.registry, Services: catalog{a.log}, Peer: slots.NewPeer(a.client.Lend), Metrics: a.metrics, Log: a.logger,
 	})
 	a.transport = upstream.NewTransport(upstream.Options{EntryVMs: len(a.settings.Nodes), Metrics: a.metrics})
 	a.callers = caller.New(caller.Config{
 		Self: a.settings.Node.Name,
-		Log:  a.log, Broker: staticCount{a.dispatcher, a.heartbeats}, Sender: a.transport,
+		Log:  a.log, Broker: staticCount{a.dispatcher, a.heartbeats}, BrokerNow: clock, Sender: a.transport,
 		Limits: caller.Limits{
 			BodyBytes:   a.settings.Limits.RequestBody,
 			Connections: int64(a.settings.Limits.CallerConnections),
@@ -159,6 +162,7 @@
 
 func (a *Agent) upstreamHandler() http.Handler {
 	return upstream.NewHandler(upstream.HandlerConfig{
-		Announcer: a.registry, Authorizer: a.tokens.upstreams, Metrics: a.metrics,
+		Announcer: announcer{a.registry, a.spreader}, Authorizer: a.tokens.upstreams, Metrics: a.metrics,
+		Now: a.now,
 	})
 }
--- /dev/null
+++ b/internal/telemetry/standard_test.go
@@ -0,0 +1,31 @@
+package telemetry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	"github.com/matryer/is"
+)
+
+// Symptom: the log fills the disk. Sequence: an upstream sends answers that
+// nobody asked for, net/http writes a line for each. Cause: the library logs
+// whatever a peer does.
+func TestStrayLinesAreCountedAndFew(t *testing.T) {
+	is := is.New(t)
+	handler := memory.New()
+	registry := NewRegistry()
+	w := NewStandardWriter(&log.Logger{Handler: handler, Level: log.InfoLevel}, registry)
+	now := time.Unix(1000, 0)
+	w.now = func() time.Time { return now }
+	for range 1000 {
+		_, err := w.Write([]byte("Unsolicited response received\n"))
+		is.NoErr(err)
+	}
+	is.Equal(len(handler.Entries), 1)
+	is.Equal(w.count.Count(), int64(1000))
+	now = now.Add(strayEvery)
+	_, _ = w.Write([]byte("again\n"))
+	is.Equal(len(handler.Entries), 2)
+}
