caller: the test of cancellations that go together is deterministic

Symptom: TestCancellationsGoTogether failed, then hung, in 1 of 10 runs of a race build. Cause: it counted on the first command to hold exactly one cancellation; when more arrived before the command was made, the number it waited for never came, and the failed test left the duty waiting for ever. Change: the first cancellation goes alone; the others follow once its command commits. Conclusion: the test was wrong, not the program; it is as strict as before.

--- a/internal/caller/jobs_test.go
+++ b/internal/caller/jobs_test.go
@@ -77,6 +77,8 @@
 		is.Equal(got.status, 202)
 	}
 	release := make(chan struct{})
+	letGo := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(letGo) // a failure must not leave the duty waiting
 	var commands atomic.Int64
 	w.log.onCommand(&w.log.before, func(c state.Command) bool { return c.CancelJobs != nil }, func() error {
 		commands.Add(1)
@@ -84,15 +86,20 @@
 		return nil
 	})
 	var all sync.WaitGroup
-	for i := range jobs {
+	cancel := func(i int) {
 		all.Go(func() {
 			got, err := w.entries[0].call("DELETE", fmt.Sprint("/jobs/j", i), "")
 			is.NoErr(err)
 			is.True(strings.Contains(got.body, `"state":"cancelled"`))
 		})
 	}
+	cancel(0)
+	eventually(t, "the first command commits", func() bool { return commands.Load() == 1 })
+	for i := 1; i < jobs; i++ {
+		cancel(i)
+	}
 	eventually(t, "the wave waits", func() bool { return w.entries[0].server.cancels.Len() == jobs-1 })
-	close(release)
+	letGo()
 	all.Wait()
 	is.Equal(commands.Load(), int64(2))
 }
