--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -29,9 +29,9 @@
 # the flag exists only in packages whose tests import the library.
 seeded=$(go list -f '{{.ImportPath}} {{.TestImports}} {{.XTestImports}}' ./... | grep 'pgregory.net/rapid' | cut -d' ' -f1)
 plain=$(go list ./... | grep -vxF "${seeded:-none}")
-step test go test -race -count=1 -timeout 14m "${skip[@]}" $plain
+step test go test -race -count=1 -timeout 6m "${skip[@]}" $plain
 if [ -n "$seeded" ]; then
-  step 'test, randomised with a fixed seed' go test -race -count=1 -timeout 14m "${skip[@]}" $seeded -rapid.seed=20261202
+  step 'test, randomised with a fixed seed' go test -race -count=1 -timeout 6m "${skip[@]}" $seeded -rapid.seed=20261202
 fi
 for test in "${known[@]}"; do
   printf '== known to fail: %s (does not decide)\n' "$test"
