wave: an undrain that comes late does not lead to a second reboot

An undrain of an earlier round was late and arrived after the reboot was accepted; while the VM was away it looked as if it had been given back unrebooted, so the wave granted it again. Change: a permit whose reboot was committed is given back only when the VM is seen up with the old boot.

--- a/internal/wave/phase.go
+++ b/internal/wave/phase.go
@@ -77,7 +77,10 @@
 	switch {
 	case d.rebooted(v):
 		d.phase(v, model.PhaseSoaking, "the VM is back under another boot ID")
-	case d.facts.Returned[v.ID] && !v.Listed.Drained:
+	case v.Healthy() && d.facts.Returned[v.ID] && !v.Listed.Drained:
+		// An undrain that was late can arrive after the reboot was accepted.
+		// While the VM is away it would look as if it had not been rebooted,
+		// and the wave would reboot it a second time.
 		d.release(v, false, "the VM was given back before its reboot")
 	}
 }
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -157,6 +157,8 @@
 		{"rebooted by itself", model.PhaseDraining, func(v *model.VM) { v.BootID = "b2" }, false, model.PhaseSoaking, ""},
 		{"given back", model.PhaseDraining, nil, true, 0, "back"},
 		{"on its way", model.PhaseRebooting, func(v *model.VM) { v.Health = model.VMRebooting }, false, 0, ""},
+		{"late undrain while away", model.PhaseRebooting, func(v *model.VM) { v.Health = model.VMRebooting }, true, 0, ""},
+		{"undrained before", model.PhaseRebooting, nil, true, 0, "back"},
 		{"old boot", model.PhaseRebooting, nil, false, 0, ""},
 		{"other boot", model.PhaseRebooting, func(v *model.VM) { v.BootID = "b2" }, false, model.PhaseSoaking, ""},
 		{"soaks", model.PhaseSoaking, func(v *model.VM) { v.HealthSince = now.Add(-30 * time.Second) }, false, 0, ""},
