node, agent, registry: silent instances lapse, and changes are pushed when they come

Symptom: an instance whose VM died stayed announced, got requests and counted as serving for ever. Cause: nothing in the process called the registry's Tick, so that no lease ended. Found by the profile of an idle process, which lacked it. Cause of the cost: every 50 ms the spreader looked at the registry, and at 1,300 workers each of four renewals a second woke the duty of every peer. Proof: TestSilentInstanceLapses fails without the call of Tick.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,6 +43,8 @@
 	logger    log.Interface
 	metrics   metrics.Registry
 	listeners *Listeners
+	// now is the clock of the announcements.
+	now func() time.Time
 
 	machine    *state.Machine
 	leader     *node.LeaderHint
@@ -73,7 +75,7 @@
 // New opens what one process needs: token files, sockets and data folder.
 // Nothing runs before Run.
 func New(s *settings.Settings, o Options) (*Agent, error) {
-	a := &Agent{settings: s, logger: o.Logger, metrics: o.Metrics, listeners: o.Listeners}
+	a := &Agent{settings: s, logger: o.Logger, metrics: o.Metrics, listeners: o.Listeners, now: steadyClock()}
 	if a.logger == nil {
 		a.logger = log.Log
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/node/nodepb"
 	"github.com/comfreyloom/comfreyloom/internal/quorum"
+	"github.com/comfreyloom/comfreyloom/internal/registry"
 	"github.com/comfreyloom/comfreyloom/internal/state"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -363,7 +364,27 @@
 	u.Sequence, u.Leaving = 2, true
 	_, err = s.processes["n4"].registry.Announce(u, wallClock())
 	is.NoErr(err)
+	s.processes["n4"].spreader.Nudge()
 	began := time.Now()
 	eventually(t, "leaving everywhere", s.all(sees(true)))
 	t.Logf("everywhere after %v", time.Since(began))
 }
+
+// Symptom: an instance whose VM died gets requests for ever, and counts as
+// serving in every budget. Sequence: it announces once and falls silent. Cause:
+// nothing lets the lease of its announcement lapse.
+func TestSilentInstanceLapses(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, 3, 1, 0)
+	eventually(t, "all ready", s.all(ready))
+	u := model.Upstream{Service: "plans", Instance: "i1", Address: "127.0.0.1:9", Incarnation: 1, Sequence: 1, Slots: 8, Connections: 64}
+	at := s.processes["n4"].registry
+	left := registry.LeaseRenewals*registry.DefaultRenewMin - time.Second
+	_, err := at.Announce(u, wallClock().Add(-left)) // its lease ends in a second
+	is.NoErr(err)
+	_, listed := at.Get(u.Service, u.Instance)
+	is.True(listed)
+	eventually(t, "gone everywhere", s.all(func(p *process) bool { return len(p.registry.All()) == 0 }))
+	is.True(metrics.GetOrRegisterCounter("node.announce.lapsed", s.processes["n4"].metrics).Count() > 0)
+}
--- a/internal/node/spreader.go
+++ b/internal/node/spreader.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// spreadPoll is how often the registry is looked at for changes.
-	spreadPoll = 50 * time.Millisecond
+	// spreadPoll is how often the registry is looked at: for leases that end,
+	// and for changes of which no Nudge told.
+	spreadPoll = 500 * time.Millisecond
 	// spreadTimeout bounds one delivery, so that a lost one is repeated soon.
 	spreadTimeout = 500 * time.Millisecond
 	// spreadPause is the pause after a failed delivery; it grows to maxSpreadPause.
@@ -47,14 +48,18 @@
 // Spreader carries what upstreams announced here to all other processes. A
 // change is pushed at once and repeated until it is acknowledged; renewals of
 // leases travel together. Beats carry a digest, and where digests differ the
-// two processes exchange what each of them lacks, whatever was lost before.
+// two processes exchange what each of them lacks, whatever was lost before. It
+// also lets the leases of silent instances lapse: without that an instance
+// whose VM died would get requests, and count in budgets, for ever.
 type Spreader struct {
 	config SpreaderConfig
+	// nudge holds a token when something changed.
+	nudge chan struct{}
 	// renewal is how long renewals are held back.
 	renewal time.Duration
 	routes  map[model.NodeID]*route
 
-	pushed, repaired, failed metrics.Counter
+	pushed, repaired, failed, lapsed metrics.Counter
 }
 
 // route is the way to one peer.
@@ -74,10 +79,12 @@
 func NewSpreader(c SpreaderConfig) *Spreader {
 	s := &Spreader{
 		config:   c,
+		nudge:    make(chan struct{}, 1),
 		routes:   map[model.NodeID]*route{},
 		pushed:   metrics.GetOrRegisterCounter("node.announce.pushed", c.Metrics),
 		repaired: metrics.GetOrRegisterCounter("node.announce.repaired", c.Metrics),
 		failed:   metrics.GetOrRegisterCounter("node.announce.failed", c.Metrics),
+		lapsed:   metrics.GetOrRegisterCounter("node.announce.lapsed", c.Metrics),
 	}
 	if s.config.Clock == nil {
 		s.config.Clock = wallClock
@@ -101,16 +108,34 @@
 	return ctx.Err()
 }
 
+// Nudge says that an instance entered, left or changed here, so that it is
+// pushed at once. A renewal needs no nudge.
+func (s *Spreader) Nudge() { signal(s.nudge) }
+
+// watch wakes the routes: at once for a change, together for renewals. A route
+// that woke for each renewal would compare and wait many times a second.
 func (s *Spreader) watch(ctx context.Context) {
-	var last uint64
-	for ctx.Err() == nil {
-		if version := s.config.Registry.Version(); version != last {
-			last = version
-			for _, r := range s.routes {
-				signal(r.changed)
-			}
+	var version, changed uint64
+	var told time.Time
+	poll := time.NewTicker(spreadPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case <-s.nudge:
+		case <-poll.C:
+			s.lapsed.Inc(int64(s.config.Registry.Tick(s.config.Clock())))
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		nextVersion, nextChanged := s.config.Registry.Version(), s.config.Registry.Changed()
+		if nextChanged == changed && (nextVersion == version || now.Sub(told) < s.renewal) {
+			continue
+		}
+		version, changed, told = nextVersion, nextChanged, now
+		for _, r := range s.routes {
+			signal(r.changed)
 		}
-		pause(ctx, spreadPoll)
 	}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,6 +65,8 @@
 	// changes orders the entries that were announced here by version.
 	changes *list.List
 	version uint64
+	// changed is the version of the last change other than a renewal.
+	changed uint64
 	// gone orders the entries that are remembered but not live, oldest first.
 	gone    *list.List
 	live    int
--- a/internal/registry/spread.go
+++ b/internal/registry/spread.go
@@ -27,6 +27,7 @@
 	if e.changed == 0 || e.sent != content {
 		e.changed = r.version
 		e.sent = content
+		r.changed = r.version
 	}
 	e.renewed = r.version
 	if e.place == nil {
@@ -43,6 +44,14 @@
 	return r.version
 }
 
+// Changed is the version of the last announcement at this VM that was more than
+// a renewal.
+func (r *Registry) Changed() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.changed
+}
+
 // Deltas returns what was announced at this VM after the version since, oldest
 // first and at most limit entries. The peer acknowledges Upto; the next call
 // goes on from there, so a lost batch is sent again.
