--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -123,9 +123,11 @@
 
 // alignLog makes the log on disk end where the core's does. They differ when
 // a crash came after a received snapshot was saved and before the log was
-// restarted behind it.
+// restarted behind it. Comparing the last indexes is not enough: stale entries
+// may end at the very index of the snapshot, and what is appended behind them
+// would be dropped with them at the next start, though it was acknowledged.
 func (r *Replica) alignLog(raft *quorum.Raft, meta quorum.SnapshotMeta) error {
-	if raft.Status().Last == r.log.Last() {
+	if !raft.LogDropped() && raft.Status().Last == r.log.Last() {
 		return nil
 	}
 	hard := r.log.Hard()
