caller: a resend after the manifest changed is answered from what ran

Symptom: a keyed request that had run was answered not-run, or ran again, when the caller sent it a second time; likewise a job that was accepted. Sequence: the answer is lost; a manifest drops the service, team or pool, or marks the route as idempotent; the caller resends. Cause: the manifest was looked at before the claim of the key, and before the job's ID. Change: a request whose key is claimed for the service is answered from the claim, whatever the manifest says now; a job that the manifest refuses is looked up by its ID in the newest state first, and is may-have-run while that can't be read. The fuzz target of headers gets a log, since claims are looked up there.

--- a/internal/caller/failure.go
+++ b/internal/caller/failure.go
@@ -29,6 +29,8 @@
 	gone bool
 	// final says that another try would do no better.
 	final bool
+	// bySite says that a named job was refused for what the manifest lacks.
+	bySite bool
 }
 
 // Error returns the message with the verdict.
--- a/internal/caller/forward.go
+++ b/internal/caller/forward.go
@@ -36,8 +36,9 @@
 	prepaid atomic.Bool
 }
 
-// keyed reports whether the request must be claimed before it is sent.
-func (q *request) keyed() bool { return !q.idempotent && q.key != "" }
+// keyed reports whether the request must be claimed before it is sent. One that
+// is known from an earlier send stays so when the manifest changes its route.
+func (q *request) keyed() bool { return q.key != "" && (!q.idempotent || q.claimed) }
 
 // forward serves /s/:service/*path.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, p httprouter.Params, id string) {
@@ -90,7 +91,7 @@
 	if site == nil {
 		return nil, overloaded("no manifest is in force yet", time.Second)
 	}
-	service := findService(site, name)
+	service := s.serviceOf(site, name, r.Header)
 	if service == nil {
 		return nil, refuse(http.StatusNotFound, "no such service in the manifest")
 	}
@@ -113,6 +114,33 @@
 	return q, nil
 }
 
+// serviceOf is the service of the manifest, or a stand-in for one that the
+// manifest dropped after a request of this key was claimed for it.
+//
+// Told that there is no such service, and so that its request was not run, a
+// caller who sends again after a lost answer would give it to somebody else;
+// but it ran. The claim has the answer.
+func (s *Server) serviceOf(site *model.Site, name model.ServiceID, h http.Header) *model.Service {
+	if service := findService(site, name); service != nil {
+		return service
+	}
+	var o options
+	if f := parseKey(h, &o); f != nil || !s.claimedBefore(o.key, name) {
+		return nil
+	}
+	return &model.Service{ID: name}
+}
+
+// claimedBefore reports whether a request of this key to the service may have
+// run, as far as is known here.
+func (s *Server) claimedBefore(key model.RequestKey, service model.ServiceID) bool {
+	if key == "" {
+		return false
+	}
+	c := s.Log.Claim(key)
+	return c != nil && c.Service == service && !reclaimable(c)
+}
+
 // upstreamHeader is what the upstream gets: the caller's header and our id.
 func upstreamHeader(h http.Header, id string) http.Header {
 	out := forwarded(h)
--- a/internal/caller/header.go
+++ b/internal/caller/header.go
@@ -55,6 +55,8 @@
 	priority   model.Priority
 	timeout    time.Duration
 	team       model.TeamID
+	// claimed says that a request of this key was claimed before.
+	claimed bool
 }
 
 // single returns the one value of a header, "" when it is absent.
@@ -85,6 +87,10 @@
 			return o, f
 		}
 	}
+	o.claimed = s.claimedBefore(o.key, service.ID)
+	if o.claimed {
+		return o, nil // the manifest may have dropped its team
+	}
 	return o, parseTeam(h, site, &o)
 }
 
--- a/internal/caller/jobs.go
+++ b/internal/caller/jobs.go
@@ -75,14 +75,17 @@
 // submitJob serves POST /jobs.
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id string) {
 	setReadDeadline(w, time.Now().Add(s.limits.BodyTimeout))
+	ctx, cancel := context.WithTimeout(r.Context(), s.limits.DefaultTimeout)
+	defer cancel()
 	spec, f := s.decodeJob(http.MaxBytesReader(w, r.Body, s.limits.JobBytes), r.Header)
 	setReadDeadline(w, time.Time{})
+	if f != nil && f.bySite {
+		f = s.checkAgain(ctx, &spec)
+	}
 	if f != nil {
 		s.writeFailure(w, id, f)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), s.limits.DefaultTimeout)
-	defer cancel()
 	result, err := s.Log.Propose(ctx, state.Command{
 		ID:        model.CommandID("submit/" + uuid.NewString()),
 		At:        model.InstantOf(s.Now()),
@@ -114,7 +117,8 @@
 	}
 }
 
-// decodeJob reads and checks a job; its failures are all not-run.
+// decodeJob reads and checks a job; its failures are all not-run, but for one
+// bySite: the job may have been accepted before the manifest changed.
 func (s *Server) decodeJob(from io.Reader, h http.Header) (model.JobSpec, *failure) {
 	var in jobRequest
 	d := json.NewDecoder(from)
@@ -136,16 +140,37 @@
 	if in.ID == "" {
 		in.ID = string(o.key)
 	}
-	if in.ID == "" {
+	named := in.ID != ""
+	if !named {
 		in.ID = uuid.NewString()
 	}
-	return in.spec(s.currentSite())
+	spec, f := in.spec()
+	if f != nil {
+		return spec, f
+	}
+	f = checkSite(&spec, s.currentSite())
+	if f != nil {
+		f.bySite = named
+	}
+	return spec, f
 }
 
-func (in *jobRequest) spec(site *model.Site) (model.JobSpec, *failure) {
-	if site == nil {
-		return model.JobSpec{}, overloaded("no manifest is in force yet", time.Second)
+// checkAgain looks again at a job that the manifest refuses, by the newest
+// state: it may have been accepted before its pool or team was dropped. Told
+// that it was not run, its caller would submit it elsewhere, and it would run
+// twice. The control log tells a resend from another job.
+func (s *Server) checkAgain(ctx context.Context, spec *model.JobSpec) *failure {
+	if s.confirm(ctx) != nil {
+		return notProposed(state.ErrOutcomeUnknown, "sending the job again under id "+string(spec.ID)+" is safe")
 	}
+	view := s.Log.View()
+	if view.Jobs[spec.ID] != nil {
+		return nil
+	}
+	return checkSite(spec, view.Site)
+}
+
+func (in *jobRequest) spec() (model.JobSpec, *failure) {
 	priority, ok := model.ParsePriority(in.Priority)
 	if !ok && in.Priority != "" {
 		return model.JobSpec{}, badJob("priority", "allowed are urgent, normal and batch")
@@ -154,7 +179,7 @@
 	if f != nil {
 		return model.JobSpec{}, f
 	}
-	if f := in.check(site); f != nil {
+	if f := in.check(); f != nil {
 		return model.JobSpec{}, f
 	}
 	return model.JobSpec{
@@ -190,19 +215,14 @@
 // maxAmount bounds each declared amount, so that sums can't overflow.
 const maxAmount = 1 << 40
 
-func (in *jobRequest) check(site *model.Site) *failure {
+// check looks at what does not depend on the manifest.
+func (in *jobRequest) check() *failure {
 	if _, ok := validKey(in.ID); !ok {
 		return badJob("id", "must have 1 to 128 printable ASCII characters without spaces or slashes")
 	}
 	if len(in.Kind) > maxKeyBytes {
 		return badJob("kind", fmt.Sprintf("must have at most %d bytes", maxKeyBytes))
 	}
-	if !slices.ContainsFunc(site.Pools, func(p model.Pool) bool { return string(p.ID) == in.Pool }) {
-		return badJob("pool", "allowed are "+strings.Join(poolNames(site), ", "))
-	}
-	if in.Team != "" && !knownTeam(site, model.TeamID(in.Team)) {
-		return badJob("team", "allowed are "+strings.Join(teamNames(site), ", "))
-	}
 	if f := in.checkAmounts(); f != nil {
 		return f
 	}
@@ -212,6 +232,20 @@
 	return nil
 }
 
+// checkSite looks at what the manifest must have.
+func checkSite(spec *model.JobSpec, site *model.Site) *failure {
+	if site == nil {
+		return overloaded("no manifest is in force yet", time.Second)
+	}
+	if !slices.ContainsFunc(site.Pools, func(p model.Pool) bool { return p.ID == spec.Pool }) {
+		return badJob("pool", "allowed are "+strings.Join(poolNames(site), ", "))
+	}
+	if spec.Team != "" && !knownTeam(site, spec.Team) {
+		return badJob("team", "allowed are "+strings.Join(teamNames(site), ", "))
+	}
+	return nil
+}
+
 func (in *jobRequest) checkAmounts() *failure {
 	for _, amount := range []struct {
 		key   string
--- a/internal/caller/jobs_test.go
+++ b/internal/caller/jobs_test.go
@@ -109,6 +109,7 @@
 	f.Add("/s/drafts/plans?x=1", "k", "true", "urgent", "5s", "planners")
 	f.Add("/s/%2e%2e//..%2f/%00", "", "maybe", "", "1e9h", "")
 	s := &Server{limits: Limits{}.withDefaults()}
+	s.Log = &sharedLog{machine: state.NewMachine(state.Options{})}
 	site := testSite()
 	f.Fuzz(func(t *testing.T, path, key, mark, priority, timeout, team string) {
 		u, err := url.ParseRequestURI(path)
