--- /dev/null
+++ b/cmd/comfreyloom/script_revise_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/manifest"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/operator"
+)
+
+// reviseMain is an operators' pipeline: it hands in one revision after another
+// of the manifest -f, in turn at the entry VMs that it is given by number, and
+// sends each again until it is told that it was accepted. At SIGTERM it ends
+// with the revision at hand, waits until that is in force at all these VMs,
+// and fails when another text won or an accepted one is gone.
+func reviseMain() {
+	p := &pipeline{}
+	flag.StringVar(&p.file, "f", "site.ini", "manifest of revision 1")
+	pause := flag.Duration("pause", 20*time.Millisecond, "pause after each revision")
+	flag.Parse()
+	text, err := os.ReadFile(p.file)
+	exitOn(err)
+	p.nodes = flag.Args()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	for revision := 2; ctx.Err() == nil; revision++ {
+		own := strings.Replace(string(text), "revision = 1\n", fmt.Sprintf("revision = %d\n", revision), 1)
+		exitOn(p.insist([]byte(own), revision))
+		time.Sleep(*pause)
+	}
+	exitOn(p.awaitInForce())
+	fmt.Printf("revisions accepted: %d, in force everywhere; sent again: %d, slowest %v\n",
+		p.accepted, p.again, p.slowest.Round(time.Millisecond))
+}
+
+type pipeline struct {
+	file            string
+	nodes           []string
+	accepted, again int
+	digest          string
+	slowest         time.Duration
+}
+
+// insist sends one text until it is accepted.
+func (p *pipeline) insist(text []byte, revision int) error {
+	began := time.Now()
+	var last error
+	for try := 0; time.Since(began) < patience; try++ {
+		address := os.Getenv("OPERATORS" + p.nodes[(revision+try)%len(p.nodes)])
+		var answer operator.ManifestAnswer
+		answer, last = put(address, text)
+		switch {
+		case last != nil:
+			p.again++
+			time.Sleep(10 * time.Millisecond)
+		case answer.Digest == manifest.Digest(text):
+			p.accepted, p.digest = revision, answer.Digest
+			p.slowest = max(p.slowest, time.Since(began))
+			return nil
+		default:
+			return fmt.Errorf("revision %d: %s: %s", revision, answer.Outcome, answer.Message)
+		}
+	}
+	return fmt.Errorf("revision %d was not accepted: %w", revision, last)
+}
+
+// put returns what was decided, or an error when nothing was or nobody knows.
+func put(address string, text []byte) (operator.ManifestAnswer, error) {
+	var answer operator.ManifestAnswer
+	r, err := http.NewRequest(http.MethodPut, "http://"+address+"/manifest", bytes.NewReader(text))
+	if err != nil {
+		return answer, err
+	}
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return answer, err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return answer, err
+	}
+	if answer.Outcome == "" {
+		return answer, fmt.Errorf("status %d, %s", response.StatusCode, response.Header.Get(model.VerdictHeader))
+	}
+	return answer, nil
+}
+
+func (p *pipeline) awaitInForce() error {
+	var last string
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		last = ""
+		for _, node := range p.nodes {
+			s, err := statusOf(os.Getenv("OPERATORS" + node))
+			if err != nil || s.Digest != p.digest {
+				last = fmt.Sprintf("n%s has revision %d, %v", node, s.Revision, err)
+			}
+		}
+		if last == "" {
+			return nil
+		}
+	}
+	return fmt.Errorf("revision %d was accepted and is not in force everywhere: %s", p.accepted, last)
+}
