state: a wave with a later start is a new wave, also under its old name

Symptom: an operator who writes the next month's wave by a later start of the same name sees it done at once; no VM is maintained any more. Cause: a VM counted as done when its last wave had that name, whenever that was (found by reading while manifests were changed at random). Change: only the time counts: maintained since the wave's start is done. The fixture of TestProgressEstimatesTheEnd had VMs done before their wave started; its start is now before them, its expected values are the same.

--- a/internal/manifest/keys.go
+++ b/internal/manifest/keys.go
@@ -133,7 +133,7 @@
 	{sectionTeam, "max_requests", UnitCount, "", 1, MaxTeamRequests, "requests in progress at one entry VM; absent is unlimited"},
 
 	{sectionWave, "pools", UnitNames, inifile.Required, 0, 0, "the pools whose VMs are maintained once"},
-	{sectionWave, "start", UnitTime, inifile.Required, 0, 0, "when the first VM may be drained"},
+	{sectionWave, "start", UnitTime, inifile.Required, 0, 0, "when the first VM may be drained; a VM maintained since then is done, so a later start is a new wave"},
 	{sectionWave, "max_parallel", UnitCount, "", 1, MaxVMs, "VMs under maintenance at one time; absent leaves it to the budgets"},
 	{sectionWave, "soak", UnitDuration, "5m", int64(time.Second), int64(MaxSoak), "time a VM stays healthy after its reboot before it counts as available"},
 }
--- a/internal/state/apply_permit.go
+++ b/internal/state/apply_permit.go
@@ -59,14 +59,17 @@
 }
 
 // WaveDone reports whether a VM, last maintained as m says (nil for never),
-// needs nothing more from the wave. Maintenance after the wave's start counts
-// whichever wave did it: with two waves over one pool, a VM would otherwise be
-// rebooted by turns without end, since only its last wave is kept.
+// needs nothing more from the wave. Only the time counts. Maintenance after the
+// wave's start counts whichever wave did it: with two waves over one pool, a VM
+// would otherwise be rebooted by turns without end, since only its last wave is
+// kept. Maintenance before it does not count even under the wave's own name:
+// operators write the next month's wave by a later start, and every VM would
+// silently be taken for done.
 func WaveDone(wave *model.Wave, m *model.Maintained) bool {
 	if m == nil {
 		return false
 	}
-	return m.Wave == wave.ID || m.At >= wave.Start
+	return m.At >= wave.Start
 }
 
 // permitAt returns the permit of a VM if the decision saw it.
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -234,6 +234,7 @@
 func TestProgressEstimatesTheEnd(t *testing.T) {
 	is := is.New(t)
 	s := newSnapshot()
+	s.View.Site.Waves[0].Start = now.Add(-10 * time.Minute) // before what it did
 	permit(s, "v06", model.PhaseDraining)
 	runJob(s, "v06", model.JobSpec{}, 0)
 	for i := range 4 {
