slots: standard terms for a service's state and for shares that change hands

Cause: the core of a service was a "desk" with "parked" calls, a share that a stopping entry VM leaves was a "bequest" to "heirs", an early tick a "hurry". A reader had to learn these words, and the field has its own.

Change: serviceState, pending calls, HoldReply (time), handover, successor, takeOver, tickSoon; desk.go is service.go, inherit.go is takeover.go. One highestClass serves ledger and book. The messages keep their CBOR keys; no behaviour changes; tests only follow the names.

--- a/internal/slots/chaos_test.go
+++ b/internal/slots/chaos_test.go
@@ -175,7 +175,7 @@
 	}
 	c.step(vm, func() {
 		vm.core.giveBackAll(c.now)
-		vm.core.bequeath()
+		vm.core.handOver()
 	})
 	vm.alive = false
 	c.after(scaled(length), func() { c.boot(vm, true, c.nodes) })
--- a/internal/slots/clock_test.go
+++ b/internal/slots/clock_test.go
@@ -17,7 +17,7 @@
 // negative, a shift by it panicked, and the panic kept the lock.
 func TestClockIsReadUnderTheLock(t *testing.T) {
 	is := is.New(t)
-	var k *desk
+	var k *serviceState
 	outside := 0
 	now := func() model.Instant {
 		if k != nil && k.mu.TryLock() {
@@ -30,7 +30,7 @@
 		Self: "n1", Registry: registry.New(registry.Options{}), Now: now,
 		Services: siteOf{model.Service{ID: "drafts", Slots: 8, QueueLimit: 10, Timeout: time.Second}},
 	})
-	k = d.desk("drafts")
+	k = d.state("drafts")
 	k.step(func(model.Instant) {})
 	k.acquireNow(Ask{Service: "drafts"})
 	is.Equal(outside, 0)
@@ -40,7 +40,7 @@
 func TestPanicLeavesNoLock(t *testing.T) {
 	is := is.New(t)
 	d, _, _ := newAlone(t, 8, 10)
-	k := d.desk("drafts")
+	k := d.state("drafts")
 	func() {
 		defer func() { is.True(recover() != nil) }()
 		k.step(func(model.Instant) { panic("fault of a test") })
--- a/internal/slots/core.go
+++ b/internal/slots/core.go
@@ -1,7 +1,6 @@
 package slots
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/admission"
@@ -28,20 +27,20 @@
 	// confirmed says that live is what a quorum confirmed lately.
 	confirmed bool
 	lost      lossTracker
-	// bequests are what others left to this entry VM when they stopped,
+	// handovers are what others left to this entry VM when they stopped,
 	// processes the latest incarnation heard of each.
-	bequests  map[model.NodeID]bequest
+	handovers map[model.NodeID]handover
 	processes map[model.NodeID]uint64
-	// inheriting are the entry VMs whose share is used here.
-	inheriting []model.NodeID
+	// takenOver are the entry VMs whose share is used here.
+	takenOver []model.NodeID
 	// unrecovered are the entry VMs that have not said yet what they hold of
 	// an earlier process of this one; until then no share is used.
 	unrecovered map[model.NodeID]bool
 	started     model.Instant
-	// inherited and asked are when shares of lost entry VMs were last taken,
+	// tookOverAt and asked are when shares of lost entry VMs were last taken over,
 	// and when the unrecovered ones were last asked.
-	inherited model.Instant
-	asked     model.Instant
+	tookOverAt model.Instant
+	asked      model.Instant
 	// given is what requests were given lately.
 	given    longest
 	rotation int
@@ -49,9 +48,10 @@
 	spare    idleWindow
 	again    bool
 	out      effects
-	// overruns is what the last check saw; left says that the share was handed over.
-	overruns int
-	left     bool
+	// overruns is at how many instances the last check saw more in use than
+	// allowed; handedOver says that the own share was left to others.
+	overruns   int
+	handedOver bool
 }
 
 // coreConfig is what stays the same for a core.
@@ -104,7 +104,7 @@
 		started: now,
 		live:    c.nodes,
 
-		bequests:  map[model.NodeID]bequest{},
+		handovers: map[model.NodeID]handover{},
 		processes: map[model.NodeID]uint64{},
 	}
 	k.config.lending = c.lending.WithDefaults()
@@ -120,7 +120,7 @@
 
 // own is the part of an instance's slots that is this entry VM's and not lent.
 func (k *core) own(i model.InstanceID) int {
-	if len(k.unrecovered) > 0 || k.left {
+	if len(k.unrecovered) > 0 || k.handedOver {
 		return 0
 	}
 	return max(0, k.shares[i]-k.ledger.Lent(i))
@@ -260,7 +260,7 @@
 	if k.config.lend {
 		k.book.Lapse(now)
 		k.ledger.Tick(now)
-		k.inherit(now)
+		k.takeOver(now)
 		k.recover(now)
 		k.recountAll()
 	}
@@ -289,24 +289,3 @@
 	k.out = effects{}
 	return out
 }
-
-// check returns the invariants that are broken; none when all is well.
-func (k *core) check() []string {
-	broken := append(k.set.Check(), k.queue.Check()...)
-	overruns := 0
-	for i, share := range k.shares {
-		instance := k.set.Get(i)
-		if instance == nil || len(k.unrecovered) > 0 {
-			continue
-		}
-		own := share - k.ledger.Lent(i)
-		if instance.InUse > max(own, 0)+k.book.Held(i) || own < 0 {
-			overruns++
-		}
-	}
-	if overruns > k.overruns {
-		broken = append(broken, fmt.Sprintf("more slots in use than allowed at %d instances", overruns))
-	}
-	k.overruns = overruns
-	return broken
-}
--- a/internal/slots/dispatcher.go
+++ b/internal/slots/dispatcher.go
@@ -37,8 +37,8 @@
 	counters *counters
 	gauges   *gauges
 
-	mu    sync.RWMutex
-	desks map[model.ServiceID]*desk
+	mu     sync.RWMutex
+	states map[model.ServiceID]*serviceState
 
 	// ctx bounds the calls to other entry VMs.
 	ctx    context.Context
@@ -75,7 +75,7 @@
 		started:  c.Now(),
 		counters: newCounters(c.Metrics),
 		gauges:   newGauges(c.Metrics),
-		desks:    map[model.ServiceID]*desk{},
+		states:   map[model.ServiceID]*serviceState{},
 		quota:    admission.NewQuota(),
 	}
 }
@@ -118,7 +118,7 @@
 func (d *Dispatcher) idle() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	for _, k := range d.desks {
+	for _, k := range d.states {
 		if !k.idle() {
 			return false
 		}
@@ -137,8 +137,8 @@
 	}
 }
 
-// hurry asks for a tick before the next regular one.
-func (d *Dispatcher) hurry() {
+// tickSoon asks for a tick before the next regular one.
+func (d *Dispatcher) tickSoon() {
 	select {
 	case d.soon <- struct{}{}:
 	default:
@@ -149,10 +149,10 @@
 // a moment, and ends all calls.
 func (d *Dispatcher) stop() {
 	d.mu.RLock()
-	for _, k := range d.desks {
+	for _, k := range d.states {
 		k.step(func(now model.Instant) {
 			k.core.giveBackAll(now)
-			k.core.bequeath()
+			k.core.handOver()
 		})
 	}
 	d.mu.RUnlock()
@@ -184,12 +184,12 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var all status
-	for _, desk := range d.desks {
-		if whole || !desk.idle() {
-			desk.tick(members, confirmed)
+	for _, state := range d.states {
+		if whole || !state.idle() {
+			state.tick(members, confirmed)
 		}
 		if whole {
-			all.add(desk.inspect())
+			all.add(state.inspect())
 		}
 	}
 	if whole {
@@ -199,8 +199,8 @@
 
 // Acquire returns a slot for a request, or a *Rejection, or ctx's error.
 func (d *Dispatcher) Acquire(ctx context.Context, ask Ask) (*Grant, error) {
-	desk := d.desk(ask.Service)
-	if desk == nil {
+	state := d.state(ask.Service)
+	if state == nil {
 		d.counters.refused.Inc(1)
 		return nil, &Rejection{Reason: "no such service", Unknown: true}
 	}
@@ -208,17 +208,17 @@
 		d.counters.refused.Inc(1)
 		return nil, err
 	}
-	grant, err := desk.acquire(ctx, ask)
+	grant, err := state.acquire(ctx, ask)
 	if err != nil {
 		d.leaveTeam(ask.Team)
 	}
 	return grant, err
 }
 
-// desk returns the desk of a service of the manifest, or nil.
-func (d *Dispatcher) desk(id model.ServiceID) *desk {
+// state returns the state of a service of the manifest, or nil.
+func (d *Dispatcher) state(id model.ServiceID) *serviceState {
 	d.mu.RLock()
-	known := d.desks[id]
+	known := d.states[id]
 	d.mu.RUnlock()
 	if known != nil {
 		if known.dropped.Load() {
@@ -232,11 +232,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.desks[id] == nil {
-		d.desks[id] = newDesk(d, service)
-		d.wake() // a new desk may have to ask for what was lent
+	if d.states[id] == nil {
+		d.states[id] = newServiceState(d, service)
+		d.wake() // a new service may have to ask for what was lent
 	}
-	return d.desks[id]
+	return d.states[id]
 }
 
 // teamRetry is when a caller whose team is at its quota may come back.
--- a/internal/slots/lend_test.go
+++ b/internal/slots/lend_test.go
@@ -170,7 +170,7 @@
 			service := model.Service{ID: "drafts", Slots: 8, Connections: 64, QueueLimit: 100, Timeout: 10 * time.Second}
 			site, _ := newSite(b, map[string]int{"alone": 1, "site": 3}[mode], service)
 			ask := Ask{Service: "drafts", Deadline: model.InstantOf(time.Now().Add(time.Hour))}
-			for len(site[0].desk("drafts").core.unrecovered) > 0 {
+			for len(site[0].state("drafts").core.unrecovered) > 0 {
 				time.Sleep(time.Millisecond)
 			}
 			b.ReportAllocs()
--- a/internal/slots/lending/book.go
+++ b/internal/slots/lending/book.go
@@ -117,7 +117,7 @@
 		Held: d.holdings(), Wanted: wanted, RunMS: d.asked.Milliseconds(),
 	}
 	if wait {
-		r.WaitMS = b.options.Park.Milliseconds()
+		r.WaitMS = b.options.HoldReply.Milliseconds()
 	}
 	return r
 }
@@ -153,9 +153,9 @@
 	return true
 }
 
-// Inherit uses the share of an entry VM that is lost, like a loan from it, so
+// TakeOver uses the share of an entry VM that is lost, like a loan from it, so
 // that it finds out when it comes back.
-func (b *Book) Inherit(lost model.NodeID, share []Count, run time.Duration, now model.Instant) {
+func (b *Book) TakeOver(lost model.NodeID, share []Count, run time.Duration, now model.Instant) {
 	d := b.debt(lost)
 	d.open = false
 	d.run = max(d.run, run)
--- a/internal/slots/lending/demand.go
+++ b/internal/slots/lending/demand.go
@@ -37,7 +37,7 @@
 	}
 	for _, b := range l.order {
 		c := b.class()
-		if c < 0 || !b.parked || skip[b.node] {
+		if c < 0 || !b.pending || skip[b.node] {
 			continue
 		}
 		if !found || c > best.Class || (c == best.Class && b.since[c] < best.Since) {
@@ -49,14 +49,7 @@
 }
 
 // class is the highest class that the borrower wants; -1 for none.
-func (b *borrower) class() int {
-	for c := Classes - 1; c >= 0; c-- {
-		if b.wanted[c] > 0 {
-			return c
-		}
-	}
-	return -1
-}
+func (b *borrower) class() int { return highestClass(b.wanted) }
 
 // Avoids reports whether a borrower has no use for an instance.
 func (l *Ledger) Avoids(node model.NodeID, i model.InstanceID) bool {
@@ -94,7 +87,7 @@
 			continue // What was just lent to it must get there first.
 		}
 		theirs := b.class()
-		if !b.parked || b.node == except || theirs > class || (theirs == class && b.since[theirs] < since) {
+		if !b.pending || b.node == except || theirs > class || (theirs == class && b.since[theirs] < since) {
 			continue
 		}
 		coming += b.recall(need - coming)
--- a/internal/slots/lending/due.go
+++ b/internal/slots/lending/due.go
@@ -32,7 +32,7 @@
 	if d.total < d.reported {
 		return true
 	}
-	if !d.open && quiet < patience && best(wanted) <= best(d.told) {
+	if !d.open && quiet < patience && highestClass(wanted) <= highestClass(d.told) {
 		return false
 	}
 	if !d.open {
@@ -45,7 +45,7 @@
 	if quiet >= urgentLife*b.options.Spacing {
 		told[Classes-1] = 0 // The lender has dropped it.
 	}
-	return best(wanted) > best(told)
+	return highestClass(wanted) > highestClass(told)
 }
 
 // cancelSpacings is how many spacings a demand that has gone is left standing:
@@ -58,7 +58,8 @@
 // late.
 const urgentLife = 5
 
-func best(wanted [Classes]int) int {
+// highestClass is the highest class of which slots are wanted; -1 for none.
+func highestClass(wanted [Classes]int) int {
 	for c := Classes - 1; c >= 0; c-- {
 		if wanted[c] > 0 {
 			return c
--- a/internal/slots/lending/ledger.go
+++ b/internal/slots/lending/ledger.go
@@ -37,9 +37,9 @@
 	ends   model.Instant
 	// urgentUntil is when the urgent demand is dropped.
 	urgentUntil model.Instant
-	// parked says that a request waits for its reply, until parkedUntil.
-	parked      bool
-	parkedUntil model.Instant
+	// pending says that a request waits for its reply, until pendingUntil.
+	pending      bool
+	pendingUntil model.Instant
 	// offered says that the reply should go out now.
 	offered bool
 	// recalled is how many slots it was told to give back and has not yet.
@@ -60,7 +60,7 @@
 // Quiet reports whether nothing is lent or wanted, and no reply is due.
 func (l *Ledger) Quiet() bool {
 	for _, b := range l.order {
-		if b.total > 0 || b.parked {
+		if b.total > 0 || b.pending {
 			return false
 		}
 	}
@@ -87,8 +87,8 @@
 		b.since[c] = now.Add(-span(ms))
 	}
 	b.urgentUntil = now.Add(urgentLife * l.options.Spacing)
-	b.parked = true
-	b.parkedUntil = now.Add(min(span(r.WaitMS), l.options.Park))
+	b.pending = true
+	b.pendingUntil = now.Add(min(span(r.WaitMS), l.options.HoldReply))
 	b.offered = r.WaitMS <= 0
 	l.extend(b, now)
 	return nil
@@ -192,10 +192,10 @@
 func (l *Ledger) Answers(now model.Instant) []Answer {
 	var due []Answer
 	for _, b := range l.order {
-		if !b.parked || (!b.offered && now < b.parkedUntil) {
+		if !b.pending || (!b.offered && now < b.pendingUntil) {
 			continue
 		}
-		b.parked = false
+		b.pending = false
 		b.offered = false
 		l.want(b, [Classes]int{})
 		l.extend(b, now)
@@ -206,10 +206,10 @@
 	return due
 }
 
-// Unpark forgets a request whose sender no longer waits for the reply.
-func (l *Ledger) Unpark(node model.NodeID, number uint64) {
+// DropPending forgets a request whose sender no longer waits for the reply.
+func (l *Ledger) DropPending(node model.NodeID, number uint64) {
 	if b := l.borrowers[node]; b != nil && b.number == number {
-		b.parked = false
+		b.pending = false
 		l.want(b, [Classes]int{})
 	}
 }
@@ -217,7 +217,7 @@
 // Tick ends loans whose leases and requests are over.
 func (l *Ledger) Tick(now model.Instant) {
 	for _, b := range l.order {
-		if b.parked || now < b.lapses {
+		if b.pending || now < b.lapses {
 			continue
 		}
 		// Slots on their way back from a borrower that fell silent don't come
--- a/internal/slots/lending/message.go
+++ b/internal/slots/lending/message.go
@@ -61,12 +61,12 @@
 	WaitMS int64 `cbor:"10,keyasint,omitempty"`
 	// Recover asks what the receiver holds of the sender's own slots.
 	Recover bool `cbor:"11,keyasint,omitempty"`
-	// Bequest leaves slots to the receiver; the sender stops and uses none.
-	Bequest []Count `cbor:"12,keyasint,omitempty"`
-	// Heir is the incarnation of the receiver that the bequest is for: a copy
-	// that comes late must not reach its successor, which knows nothing of
-	// what the sender did since.
-	Heir uint64 `cbor:"13,keyasint,omitempty"`
+	// Handover leaves slots to the receiver; the sender stops and uses none.
+	Handover []Count `cbor:"12,keyasint,omitempty"`
+	// Receiver is the incarnation of the receiver that the handover is for: a
+	// copy that comes late must not reach a later process of it, which knows
+	// nothing of what the sender did since.
+	Receiver uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Reply is what a lender answers.
@@ -110,7 +110,7 @@
 			return Request{}, errors.New("lending: wanted slots out of bounds")
 		}
 	}
-	return r, errors.Join(checkHoldings(r.Held), checkCounts(r.Bequest))
+	return r, errors.Join(checkHoldings(r.Held), checkCounts(r.Handover))
 }
 
 // DecodeReply is the inverse of EncodeReply; it checks all bounds.
--- a/internal/slots/lending/message_test.go
+++ b/internal/slots/lending/message_test.go
@@ -10,7 +10,7 @@
 	is := is.New(t)
 	request := Request{
 		Service: "drafts", Borrower: "n1", Incarnation: 7, Number: 9, Wanted: [Classes]int{1, 2, 3},
-		Held: []Holding{{Instance: "i1", Slots: 3, Usable: 2}}, RunMS: 1000, WaitMS: 400, Bequest: []Count{{Instance: "i2", Slots: 1}},
+		Held: []Holding{{Instance: "i1", Slots: 3, Usable: 2}}, RunMS: 1000, WaitMS: 400, Handover: []Count{{Instance: "i2", Slots: 1}},
 	}
 	data, err := EncodeRequest(request)
 	is.NoErr(err)
@@ -27,7 +27,7 @@
 		{Service: "drafts"},
 		{Service: "drafts", Borrower: "n1", Wanted: [Classes]int{-1}},
 		{Service: "drafts", Borrower: "n1", Held: []Holding{{Instance: "i", Slots: 1, Usable: 2}}},
-		{Service: "drafts", Borrower: "n1", Bequest: []Count{{Instance: "i", Slots: -1}}},
+		{Service: "drafts", Borrower: "n1", Handover: []Count{{Instance: "i", Slots: -1}}},
 	} {
 		data, err = EncodeRequest(bad)
 		is.NoErr(err)
--- a/internal/slots/lending/options.go
+++ b/internal/slots/lending/options.go
@@ -6,8 +6,8 @@
 type Options struct {
 	// Lease is how long a loan may be used without a renewal.
 	Lease time.Duration
-	// Park is how long a lender holds a reply until it has slots.
-	Park time.Duration
+	// HoldReply is how long a lender holds a reply until it has slots.
+	HoldReply time.Duration
 	// KeepIdle is how long a borrower keeps a slot which it doesn't use.
 	KeepIdle time.Duration
 	// Spacing is the least time between two requests to one lender.
@@ -44,7 +44,7 @@
 // Defaults of Options.
 const (
 	DefaultLease        = 1500 * time.Millisecond
-	DefaultPark         = 400 * time.Millisecond
+	DefaultHoldReply    = 400 * time.Millisecond
 	DefaultKeepIdle     = 250 * time.Millisecond
 	DefaultSpacing      = 2 * time.Millisecond
 	DefaultHelpAfter    = 2 * time.Millisecond
@@ -62,7 +62,7 @@
 		value *time.Duration
 		other time.Duration
 	}{
-		{&o.Lease, DefaultLease}, {&o.Park, DefaultPark}, {&o.KeepIdle, DefaultKeepIdle},
+		{&o.Lease, DefaultLease}, {&o.HoldReply, DefaultHoldReply}, {&o.KeepIdle, DefaultKeepIdle},
 		{&o.Spacing, DefaultSpacing}, {&o.HelpAfter, DefaultHelpAfter},
 		{&o.Margin, DefaultMargin}, {&o.UrgentMargin, DefaultUrgentMargin},
 	} {
--- a/internal/slots/peer.go
+++ b/internal/slots/peer.go
@@ -70,19 +70,19 @@
 	if !d.isPeer(r.Borrower) {
 		return LendReply{}, ErrNotMember
 	}
-	desk := d.desk(r.Service)
-	if desk == nil {
+	state := d.state(r.Service)
+	if state == nil {
 		return LendReply{}, nil // A service that is unknown here has nothing lent either way.
 	}
 	d.counters.lendCalls.Inc(1)
 	switch {
 	case r.Recover:
-		return desk.holding(r), nil
-	case len(r.Bequest) > 0:
-		desk.step(func(now model.Instant) { desk.core.inheritFrom(r, now) })
+		return state.holding(r), nil
+	case len(r.Handover) > 0:
+		state.step(func(now model.Instant) { state.core.receiveHandover(r, now) })
 		return LendReply{}, nil
 	default:
-		return desk.serve(ctx, r)
+		return state.serve(ctx, r)
 	}
 }
 
@@ -95,24 +95,24 @@
 	return false
 }
 
-func (k *desk) holding(r lending.Request) lending.Reply {
+func (k *serviceState) holding(r lending.Request) lending.Reply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.core.holding(r)
 }
 
-// serve parks a borrower's request until the core answers it.
-func (k *desk) serve(ctx context.Context, r lending.Request) (lending.Reply, error) {
-	call := parked{r.Incarnation, r.Number, make(chan lending.Reply, 1)}
+// serve holds the call of a borrower until the core answers it.
+func (k *serviceState) serve(ctx context.Context, r lending.Request) (lending.Reply, error) {
+	call := pendingCall{r.Incarnation, r.Number, make(chan lending.Reply, 1)}
 	var err error
 	k.step(func(now model.Instant) {
 		if err = k.core.ledger.Check(r); err != nil {
 			return
 		}
-		if before, ok := k.parked[r.Borrower]; ok {
+		if before, ok := k.pending[r.Borrower]; ok {
 			close(before.reply)
 		}
-		k.parked[r.Borrower] = call
+		k.pending[r.Borrower] = call
 		err = k.core.receive(r, now)
 	})
 	if err != nil {
@@ -124,23 +124,23 @@
 		// the reply then, and it is no failure of the link.
 		return reply, nil
 	case <-ctx.Done():
-		k.unpark(r)
+		k.dropPending(r)
 		return lending.Reply{}, ctx.Err()
 	}
 }
 
-func (k *desk) unpark(r lending.Request) {
+func (k *serviceState) dropPending(r lending.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.core.ledger.Unpark(r.Borrower, r.Number)
-	waiting, ok := k.parked[r.Borrower]
+	k.core.ledger.DropPending(r.Borrower, r.Number)
+	waiting, ok := k.pending[r.Borrower]
 	if ok && waiting.incarnation == r.Incarnation && waiting.number == r.Number {
-		delete(k.parked, r.Borrower)
+		delete(k.pending, r.Borrower)
 	}
 }
 
 // call sends a request to a lender and takes in the reply.
-func (k *desk) call(s send) {
+func (k *serviceState) call(s send) {
 	d := k.dispatcher
 	d.counters.borrowCalls.Inc(1)
 	d.start(func() {
@@ -152,7 +152,7 @@
 			case err != nil:
 				d.counters.borrowFailed.Inc(1)
 				k.core.failed(s.to, s.request.Number, now)
-			case len(s.request.Bequest) > 0:
+			case len(s.request.Handover) > 0:
 			case s.request.Recover:
 				k.core.recovered(s.to, reply, now)
 			default:
--- a/internal/slots/desk.go
+++ b/internal/slots/service.go
@@ -11,9 +11,9 @@
 	"github.com/comfreyloom/comfreyloom/internal/slots/lending"
 )
 
-// desk is the core of one service with its lock, its parked replies and its
-// calls to other entry VMs.
-type desk struct {
+// serviceState is the core of one service with its lock, the calls of
+// borrowers that wait for a reply, and its own calls to other entry VMs.
+type serviceState struct {
 	dispatcher *Dispatcher
 	id         model.ServiceID
 	// dropped says that the manifest no longer has the service.
@@ -22,13 +22,13 @@
 	mu       sync.Mutex
 	core     *core
 	revision uint64
-	parked   map[model.NodeID]parked
+	pending  map[model.NodeID]pendingCall
 	// seen is the status that the last log lines told of.
 	seen status
 }
 
-// parked is a borrower's call that waits for its reply.
-type parked struct {
+// pendingCall is a borrower's call that waits for its reply.
+type pendingCall struct {
 	incarnation uint64
 	number      uint64
 	reply       chan lending.Reply
@@ -40,9 +40,9 @@
 	refusal *admission.Refusal
 }
 
-func newDesk(d *Dispatcher, service model.Service) *desk {
+func newServiceState(d *Dispatcher, service model.Service) *serviceState {
 	c := d.config
-	k := &desk{dispatcher: d, id: service.ID, parked: map[model.NodeID]parked{}}
+	k := &serviceState{dispatcher: d, id: service.ID, pending: map[model.NodeID]pendingCall{}}
 	now := c.Now()
 	k.core = newCore(coreConfig{
 		self: c.Self, zone: c.Zone, nodes: c.Nodes, incarnation: c.Incarnation,
@@ -56,14 +56,14 @@
 }
 
 // load takes in the announced instances.
-func (k *desk) load(now model.Instant) {
+func (k *serviceState) load(now model.Instant) {
 	registry := k.dispatcher.config.Registry
 	k.revision = registry.Revision()
 	k.core.update(k.core.service, registry.Serving(k.id), now)
 }
 
 // step runs f on the core and does what the core asks for.
-func (k *desk) step(f func(now model.Instant)) {
+func (k *serviceState) step(f func(now model.Instant)) {
 	out, again, idle := k.locked(f)
 	if !idle {
 		k.dispatcher.wake()
@@ -72,7 +72,7 @@
 		k.call(s)
 	}
 	if again {
-		k.dispatcher.hurry()
+		k.dispatcher.tickSoon()
 	}
 }
 
@@ -80,7 +80,7 @@
 // request could bring the core a time before that of the one which overtook
 // it, and ages would be negative. The lock is given back even by a panic:
 // otherwise every later request of the service would wait for ever.
-func (k *desk) locked(f func(now model.Instant)) (out effects, again, idle bool) {
+func (k *serviceState) locked(f func(now model.Instant)) (out effects, again, idle bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.dispatcher.config.Now()
@@ -94,18 +94,18 @@
 }
 
 // deliver hands replies to the calls that wait for them.
-func (k *desk) deliver(answers []lending.Answer) {
+func (k *serviceState) deliver(answers []lending.Answer) {
 	for _, a := range answers {
-		waiting, ok := k.parked[a.Node]
+		waiting, ok := k.pending[a.Node]
 		if ok && waiting.incarnation == a.Incarnation && waiting.number == a.Number {
 			waiting.reply <- a.Reply
-			delete(k.parked, a.Node)
+			delete(k.pending, a.Node)
 		}
 	}
 }
 
 // acquire grants at once, refuses at once, or waits in the queue.
-func (k *desk) acquire(ctx context.Context, ask Ask) (*Grant, error) {
+func (k *serviceState) acquire(ctx context.Context, ask Ask) (*Grant, error) {
 	if grant := k.acquireNow(ask); grant != nil {
 		return grant, nil
 	}
@@ -130,7 +130,7 @@
 }
 
 // acquireNow is the short way of a request that needs not wait.
-func (k *desk) acquireNow(ask Ask) *Grant {
+func (k *serviceState) acquireNow(ask Ask) *Grant {
 	use, ok := k.tryNow(ask)
 	if !ok {
 		return nil
@@ -138,7 +138,7 @@
 	return k.grant(ask, use)
 }
 
-func (k *desk) tryNow(ask Ask) (balance.Use, bool) {
+func (k *serviceState) tryNow(ask Ask) (balance.Use, bool) {
 	config := &k.dispatcher.config
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -150,7 +150,7 @@
 
 // abandon takes a request whose caller went away out of the queue. A grant
 // that came at the same moment goes back.
-func (k *desk) abandon(t *ticket, answers <-chan answer, cause error) error {
+func (k *serviceState) abandon(t *ticket, answers <-chan answer, cause error) error {
 	k.dispatcher.counters.abandoned.Inc(1)
 	waited := false
 	k.step(func(model.Instant) { waited = k.core.cancel(t) })
@@ -164,7 +164,7 @@
 }
 
 // grant wraps a slot in use. Only the first release counts.
-func (k *desk) grant(ask Ask, use balance.Use) *Grant {
+func (k *serviceState) grant(ask Ask, use balance.Use) *Grant {
 	k.dispatcher.counters.granted.Inc(1)
 	var released atomic.Bool
 	return NewGrant(use.Instance.Upstream, func(o Outcome) {
@@ -178,20 +178,20 @@
 }
 
 // free gives a slot back.
-func (k *desk) free(use balance.Use, o Outcome) {
+func (k *serviceState) free(use balance.Use, o Outcome) {
 	k.dispatcher.counters.outcome(o)
 	k.step(func(now model.Instant) { k.core.done(use, o, now) })
 }
 
 // idle reports whether nothing waits, is lent or is borrowed.
-func (k *desk) idle() bool {
+func (k *serviceState) idle() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.core.idle()
 }
 
 // tick takes in the manifest and the members, and moves time on.
-func (k *desk) tick(members []model.NodeID, confirmed bool) {
+func (k *serviceState) tick(members []model.NodeID, confirmed bool) {
 	service, known := k.dispatcher.config.Services.Service(k.id)
 	k.dropped.Store(!known)
 	k.step(func(now model.Instant) {
@@ -205,7 +205,7 @@
 
 // inspect counts and logs broken invariants, logs changes of state, and returns
 // the status.
-func (k *desk) inspect() status {
+func (k *serviceState) inspect() status {
 	k.mu.Lock()
 	broken := k.core.check()
 	before := k.seen
--- a/internal/slots/sim_test.go
+++ b/internal/slots/sim_test.go
@@ -66,7 +66,7 @@
 	draining bool
 	inUse    map[*simRequest]bool
 	queued   map[*simRequest]*ticket
-	parked   map[model.NodeID]func(lending.Reply, bool)
+	pending  map[model.NodeID]func(lending.Reply, bool)
 	tickAt   model.Instant
 }
 
@@ -160,7 +160,7 @@
 
 func scaledOptions() lending.Options {
 	o := lending.Options{}.WithDefaults()
-	for _, d := range []*time.Duration{&o.Lease, &o.Park, &o.KeepIdle, &o.Spacing, &o.HelpAfter, &o.Margin, &o.UrgentMargin} {
+	for _, d := range []*time.Duration{&o.Lease, &o.HoldReply, &o.KeepIdle, &o.Spacing, &o.HelpAfter, &o.Margin, &o.UrgentMargin} {
 		*d = scaled(*d)
 	}
 	return o
@@ -180,7 +180,7 @@
 	vm.alive = true
 	vm.draining = false
 	vm.queued = map[*simRequest]*ticket{}
-	vm.parked = map[model.NodeID]func(lending.Reply, bool){}
+	vm.pending = map[model.NodeID]func(lending.Reply, bool){}
 	vm.core = newCore(coreConfig{
 		self: s.nodes[vm.index], nodes: nodes, incarnation: vm.starts, lending: s.options,
 		admission: admission.Options{AgeingAfter: scaled(time.Second), Rules: s.queueRules},
@@ -217,8 +217,8 @@
 	f()
 	out := vm.core.effects()
 	for _, a := range out.answers {
-		if reply := vm.parked[a.Node]; reply != nil {
-			delete(vm.parked, a.Node)
+		if reply := vm.pending[a.Node]; reply != nil {
+			delete(vm.pending, a.Node)
 			reply(a.Reply, true)
 		}
 	}
@@ -251,7 +251,7 @@
 			switch {
 			case !ok:
 				from.core.failed(c.to, c.request.Number, s.now)
-			case len(c.request.Bequest) > 0:
+			case len(c.request.Handover) > 0:
 			case c.request.Recover:
 				from.core.recovered(c.to, r, s.now)
 			default:
@@ -269,18 +269,18 @@
 			back(to.core.holding(c.request), true)
 			return
 		}
-		if len(c.request.Bequest) > 0 {
-			s.step(to, func() { to.core.inheritFrom(c.request, s.now) })
+		if len(c.request.Handover) > 0 {
+			s.step(to, func() { to.core.receiveHandover(c.request, s.now) })
 			return
 		}
 		if to.core.ledger.Check(c.request) != nil {
 			back(lending.Reply{}, false)
 			return
 		}
-		if before := to.parked[c.request.Borrower]; before != nil {
+		if before := to.pending[c.request.Borrower]; before != nil {
 			before(lending.Reply{}, false)
 		}
-		to.parked[c.request.Borrower] = back
+		to.pending[c.request.Borrower] = back
 		s.step(to, func() { _ = to.core.receive(c.request, s.now) })
 	})
 }
--- a/internal/slots/status.go
+++ b/internal/slots/status.go
@@ -13,14 +13,14 @@
 type status struct {
 	waiting, inUse, lent, borrowed int
 	ejected                        []model.InstanceID
-	// inherited are the entry VMs whose share is used here.
-	inherited []model.NodeID
+	// takenOver are the entry VMs whose share is used here.
+	takenOver []model.NodeID
 }
 
 func (k *core) status() status {
 	return status{
 		waiting: k.queue.Len(), inUse: k.set.InUse(), lent: k.ledger.Total(), borrowed: k.book.Total(),
-		ejected: k.set.Ejected(), inherited: k.inheriting,
+		ejected: k.set.Ejected(), takenOver: k.takenOver,
 	}
 }
 
@@ -55,8 +55,8 @@
 func logChanges(l log.Interface, before, after status) {
 	logDifference(l, "instance", "instance ejected: it fails what others answer", before.ejected, after.ejected)
 	logDifference(l, "instance", "instance taken back", after.ejected, before.ejected)
-	logDifference(l, "entry_vm", "share of an entry VM that is gone is used here", before.inherited, after.inherited)
-	logDifference(l, "entry_vm", "share is left to its entry VM again", after.inherited, before.inherited)
+	logDifference(l, "entry_vm", "share of an entry VM that is gone is used here", before.takenOver, after.takenOver)
+	logDifference(l, "entry_vm", "share is left to its entry VM again", after.takenOver, before.takenOver)
 }
 
 func logDifference[T ~string](l log.Interface, field, line string, before, after []T) {
--- a/internal/slots/inherit.go
+++ b/internal/slots/takeover.go
@@ -45,33 +45,33 @@
 	return gone && now.Sub(at) >= d
 }
 
-// bequest is what an entry VM that stopped left to this one.
-type bequest struct {
+// handover is what an entry VM that stopped left to this one.
+type handover struct {
 	incarnation uint64
 	slots       []lending.Count
 }
 
-// heir names who uses the slots of a lost entry VM at an instance: one for each
-// by rendezvous hash, so that two don't take the same ones.
-func (k *core) heir(heirs []model.NodeID, lost model.NodeID, i model.InstanceID) model.NodeID {
-	return balance.Rank(heirs, k.key(i)+"/"+string(lost))[0]
+// successor names who uses the slots of a lost entry VM at an instance: one
+// for each by rendezvous hash, so that two don't take the same ones.
+func (k *core) successor(successors []model.NodeID, lost model.NodeID, i model.InstanceID) model.NodeID {
+	return balance.Rank(successors, k.key(i)+"/"+string(lost))[0]
 }
 
-// inherit uses the shares of entry VMs that stopped and left theirs, or are
+// takeOver uses the shares of entry VMs that stopped and left theirs, or are
 // lost for long while most entry VMs are in contact. Otherwise their slots
 // would lie idle until somebody repairs them.
-func (k *core) inherit(now model.Instant) {
-	if now.Sub(k.inherited) < k.config.lending.Lease/3 {
+func (k *core) takeOver(now model.Instant) {
+	if now.Sub(k.tookOverAt) < k.config.lending.Lease/3 {
 		return
 	}
-	k.inherited = now
-	k.inheriting = nil
-	heirs := k.heirs(now)
+	k.tookOverAt = now
+	k.takenOver = nil
+	successors := k.successors(now)
 	for _, n := range k.config.nodes {
-		left, stopped := k.bequests[n]
+		left, stopped := k.handovers[n]
 		switch {
-		case !slices.Contains(heirs, n):
-			k.take(n, k.estate(heirs, n), now)
+		case !slices.Contains(successors, n):
+			k.take(n, k.portion(successors, n), now)
 		case stopped && k.majority():
 			k.take(n, left.slots, now)
 		}
@@ -80,98 +80,98 @@
 
 // take uses slots of an entry VM that is gone.
 func (k *core) take(from model.NodeID, slots []lending.Count, now model.Instant) {
-	k.book.Inherit(from, slots, k.run(), now)
-	k.inheriting = append(k.inheriting, from)
+	k.book.TakeOver(from, slots, k.run(), now)
+	k.takenOver = append(k.takenOver, from)
 }
 
 // majority reports whether this entry VM is in contact with more than half of
 // all. One that is cut off leaves alone what others may use meanwhile.
 func (k *core) majority() bool { return k.confirmed && 2*len(k.live) > len(k.config.nodes) }
 
-// heirs are the entry VMs that are not lost for long.
-func (k *core) heirs(now model.Instant) []model.NodeID {
+// successors are the entry VMs that are not lost for long.
+func (k *core) successors(now model.Instant) []model.NodeID {
 	after := k.config.reclaimAfter
 	if after < 0 || len(k.lost.gone) == 0 || !k.majority() {
 		return k.config.nodes
 	}
 	after = max(after, k.waitOut())
-	var heirs []model.NodeID
+	var successors []model.NodeID
 	for _, n := range k.config.nodes {
 		if !k.lost.since(n, after, now) {
-			heirs = append(heirs, n)
+			successors = append(successors, n)
 		}
 	}
-	return heirs
+	return successors
 }
 
 // waitOut is when the loans that an entry VM gave or took have lapsed and the
 // requests on them have ended, whoever lost contact first.
 func (k *core) waitOut() time.Duration { return 2*k.config.lending.Lease + k.maxRun() }
 
-// estate is the part of a lost entry VM's share that falls to this one.
-func (k *core) estate(heirs []model.NodeID, lost model.NodeID) []lending.Count {
+// portion is the part of a lost entry VM's share that falls to this one.
+func (k *core) portion(successors []model.NodeID, lost model.NodeID) []lending.Count {
 	var out []lending.Count
 	for _, i := range k.set.Listed() {
 		id := i.Upstream.Instance
-		if k.heir(heirs, lost, id) == k.config.self {
+		if k.successor(successors, lost, id) == k.config.self {
 			out = append(out, lending.Count{Instance: id, Slots: k.shareOf(lost, i.Upstream)})
 		}
 	}
 	return out
 }
 
-// bequeath leaves the own share to the others when this entry VM stops. What is
+// handOver leaves the own share to the others when this entry VM stops. What is
 // lent or in use stays out of it.
-func (k *core) bequeath() {
-	var heirs []model.NodeID
+func (k *core) handOver() {
+	var successors []model.NodeID
 	for _, n := range k.config.nodes {
 		if n != k.config.self && slices.Contains(k.live, n) {
-			heirs = append(heirs, n)
+			successors = append(successors, n)
 		}
 	}
-	if len(heirs) == 0 {
+	if len(successors) == 0 {
 		return
 	}
 	left := map[model.NodeID][]lending.Count{}
 	for _, i := range k.set.Listed() {
 		id := i.Upstream.Instance
 		if n := k.own(id) - i.InUse; n > 0 {
-			heir := k.heir(heirs, k.config.self, id)
-			left[heir] = append(left[heir], lending.Count{Instance: id, Slots: n})
+			successor := k.successor(successors, k.config.self, id)
+			left[successor] = append(left[successor], lending.Count{Instance: id, Slots: n})
 		}
 	}
-	k.left = true
+	k.handedOver = true
 	k.recountAll()
-	for _, n := range heirs {
+	for _, n := range successors {
 		if len(left[n]) > 0 {
-			r := lending.Request{Service: k.service.ID, Borrower: k.config.self, Incarnation: k.config.incarnation, Bequest: left[n], Heir: k.processes[n]}
+			r := lending.Request{Service: k.service.ID, Borrower: k.config.self, Incarnation: k.config.incarnation, Handover: left[n], Receiver: k.processes[n]}
 			k.out.sends = append(k.out.sends, send{n, r})
 		}
 	}
 }
 
-// inheritFrom takes in what an entry VM left that stops.
-func (k *core) inheritFrom(r lending.Request, now model.Instant) {
-	if r.Heir != k.config.incarnation || !k.known(r) {
+// receiveHandover takes in what an entry VM left that stops.
+func (k *core) receiveHandover(r lending.Request, now model.Instant) {
+	if r.Receiver != k.config.incarnation || !k.known(r) {
 		return
 	}
-	k.bequests[r.Borrower] = bequest{r.Incarnation, r.Bequest}
-	k.inherited = 0
-	k.inherit(now)
+	k.handovers[r.Borrower] = handover{r.Incarnation, r.Handover}
+	k.tookOverAt = 0
+	k.takeOver(now)
 	k.recountAll()
 	k.settle(now)
 }
 
 // known takes note of the process that a message comes from, and reports
-// false when a later one was heard of: what an earlier process left ends with
-// its successor.
+// false when a later one was heard of: what an earlier process left ends when
+// a later one starts.
 func (k *core) known(r lending.Request) bool {
 	if r.Incarnation < k.processes[r.Borrower] {
 		return false
 	}
 	k.processes[r.Borrower] = r.Incarnation
-	if left, ok := k.bequests[r.Borrower]; ok && left.incarnation < r.Incarnation {
-		delete(k.bequests, r.Borrower)
+	if left, ok := k.handovers[r.Borrower]; ok && left.incarnation < r.Incarnation {
+		delete(k.handovers, r.Borrower)
 	}
 	return true
 }
