membership: a witness's report has a name that says what it is

Cause: "Hearing" and "hearings" read as a court's; a comment named a constant that does not exist (doubtIntervals).

Only names changed in the test.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -112,16 +112,16 @@
 func (c *Core) Beat(now model.Instant, to model.NodeID) Beat {
 	c.sequence++
 	b := Beat{
-		From:        c.config.Self,
-		Incarnation: c.incarnation,
-		Sequence:    c.sequence,
-		Applied:     c.local.Applied,
-		Ready:       c.ready(now),
-		Leaving:     c.local.Leaving,
-		Leader:      c.leader,
-		Term:        c.term,
-		View:        View{Term: c.view.Term, Version: c.view.Version},
-		Hearings:    c.hearings(now),
+		From:           c.config.Self,
+		Incarnation:    c.incarnation,
+		Sequence:       c.sequence,
+		Applied:        c.local.Applied,
+		Ready:          c.ready(now),
+		Leaving:        c.local.Leaving,
+		Leader:         c.leader,
+		Term:           c.term,
+		View:           View{Term: c.view.Term, Version: c.view.Version},
+		WitnessReports: c.witnessReports(now),
 	}
 	if c.ever {
 		b.Confirmed, b.Commit, b.Age = true, c.index, now.Sub(c.at)
@@ -179,7 +179,7 @@
 	c.learnLeader(b.Leader, b.Term)
 	c.adopt(b.View)
 	c.takeDoubts(now, b)
-	c.takeHearings(now, b)
+	c.takeWitnessReports(now, b)
 	c.review(now)
 }
 
--- a/internal/membership/review.go
+++ b/internal/membership/review.go
@@ -123,9 +123,9 @@
 	return false
 }
 
-// hearings answers the leader's doubts with what was heard directly.
-func (c *Core) hearings(now model.Instant) []Hearing {
-	var list []Hearing
+// witnessReports answers the leader's doubts with what was heard directly.
+func (c *Core) witnessReports(now model.Instant) []WitnessReport {
+	var list []WitnessReport
 	for _, name := range c.members {
 		at, asked := c.asked[name]
 		if !asked {
@@ -136,15 +136,15 @@
 			continue
 		}
 		if p := c.peers[name]; p.heardAt != 0 && now.Sub(p.heardAt) <= c.DownAfter() {
-			list = append(list, Hearing{Node: name, Incarnation: p.incarnation, Age: now.Sub(p.heardAt), Ready: p.ready})
+			list = append(list, WitnessReport{Node: name, Incarnation: p.incarnation, Age: now.Sub(p.heardAt), Ready: p.ready})
 		}
 	}
 	return list
 }
 
-// takeHearings counts what a witness heard as a sign of readiness.
-func (c *Core) takeHearings(now model.Instant, b Beat) {
-	for _, h := range b.Hearings {
+// takeWitnessReports counts what a witness heard as a sign of readiness.
+func (c *Core) takeWitnessReports(now model.Instant, b Beat) {
+	for _, h := range b.WitnessReports {
 		p := c.peers[h.Node]
 		if p == nil || !h.Ready || h.Age < 0 || h.Incarnation < p.incarnation || c.config.Rules.SkipWitness {
 			continue
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -17,7 +17,7 @@
 	fastInterval = 100 * time.Millisecond
 	// ConfirmLimit is how old the last confirmation of a ready process may be.
 	ConfirmLimit = 3 * time.Second
-	// doubtIntervals is after how many intervals (in quarters) without a word
+	// doubtQuarters is after how many quarters of an interval without a word
 	// the leader asks witnesses.
 	doubtQuarters = 9
 	// downQuarters is after how many quarters of an interval without a sign
@@ -98,8 +98,8 @@
 	return false
 }
 
-// Hearing says when a process was last heard directly.
-type Hearing struct {
+// WitnessReport says when a process was last heard directly.
+type WitnessReport struct {
 	Node        model.NodeID
 	Incarnation uint64
 	Age         time.Duration
@@ -125,9 +125,9 @@
 	Confirmed bool
 	Age       time.Duration
 	// View is the sender's; Live is set only when the receiver's is older.
-	View     View
-	Doubts   []model.NodeID
-	Hearings []Hearing
+	View           View
+	Doubts         []model.NodeID
+	WitnessReports []WitnessReport
 }
 
 // Local is what this process knows from its own part in the control log.
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -105,7 +105,7 @@
 
 // FuzzBeatReply gives a process any answer to its beat.
 func FuzzBeatReply(f *testing.F) {
-	body, err := proto.Marshal(&nodepb.Beat{Node: "n2", Incarnation: 3, Sequence: 1, Doubts: []string{"n1"}, Hearings: []*nodepb.Hearing{{Node: "n2"}}})
+	body, err := proto.Marshal(&nodepb.Beat{Node: "n2", Incarnation: 3, Sequence: 1, Doubts: []string{"n1"}, WitnessReports: []*nodepb.WitnessReport{{Node: "n2"}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -46,12 +46,12 @@
 	for _, name := range b.Doubts {
 		m.Doubts = append(m.Doubts, string(name))
 	}
-	for _, hearing := range b.Hearings {
-		m.Hearings = append(m.Hearings, &nodepb.Hearing{
-			Node:        string(hearing.Node),
-			Incarnation: hearing.Incarnation,
-			AgeMs:       uint64(max(hearing.Age, 0) / time.Millisecond),
-			Ready:       hearing.Ready,
+	for _, report := range b.WitnessReports {
+		m.WitnessReports = append(m.WitnessReports, &nodepb.WitnessReport{
+			Node:        string(report.Node),
+			Incarnation: report.Incarnation,
+			AgeMs:       uint64(max(report.Age, 0) / time.Millisecond),
+			Ready:       report.Ready,
 		})
 	}
 	if h.config.Spreader != nil {
@@ -62,7 +62,7 @@
 
 // fromWire checks a message and returns its beat.
 func fromWire(m *nodepb.Beat) (membership.Beat, error) {
-	if m.Node == "" || len(m.Node) > maxNameBytes || len(m.Members) > maxListed || len(m.Doubts) > maxListed || len(m.Hearings) > maxListed {
+	if m.Node == "" || len(m.Node) > maxNameBytes || len(m.Members) > maxListed || len(m.Doubts) > maxListed || len(m.WitnessReports) > maxListed {
 		return membership.Beat{}, errBadBeat
 	}
 	b := membership.Beat{
@@ -88,12 +88,12 @@
 	for _, name := range m.Doubts {
 		b.Doubts = append(b.Doubts, model.NodeID(name))
 	}
-	for _, hearing := range m.Hearings {
-		b.Hearings = append(b.Hearings, membership.Hearing{
-			Node:        model.NodeID(hearing.Node),
-			Incarnation: hearing.Incarnation,
-			Age:         age(hearing.AgeMs),
-			Ready:       hearing.Ready,
+	for _, report := range m.WitnessReports {
+		b.WitnessReports = append(b.WitnessReports, membership.WitnessReport{
+			Node:        model.NodeID(report.Node),
+			Incarnation: report.Incarnation,
+			Age:         age(report.AgeMs),
+			Ready:       report.Ready,
 		})
 	}
 	return b, nil
