--- a/internal/node/heartbeats.go
+++ b/internal/node/heartbeats.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -241,40 +240,6 @@
 	h.core.Update(now, local)
 }
 
-// report logs and counts changes, under the lock.
-func (h *Heartbeats) report(now model.Instant) {
-	standing := h.core.Standing(now)
-	h.ageGauge.Update(standing.Age.Milliseconds())
-	if standing.Ready != h.wasReady {
-		h.logReady(standing)
-	}
-	lost := !standing.Ready && standing.Age > 0
-	if (lost || standing.Behind > stuckAfter) && h.config.Unconfirmed != nil {
-		h.config.Unconfirmed()
-	}
-	if view := h.core.View(); view.Newer(h.lastView) {
-		h.lastView = view
-		h.liveGauge.Update(int64(len(view.Live)))
-		h.config.Logger.WithFields(log.Fields{"term": view.Term, "version": view.Version, "live": names(view.Live)}).Info("members changed")
-	}
-	if broken := h.core.Check(now); int64(len(broken)) > h.brokenCount.Count() {
-		h.brokenCount.Inc(int64(len(broken)) - h.brokenCount.Count())
-		h.config.Logger.WithField("broken", broken).Error("membership invariant broken")
-	}
-}
-
-func (h *Heartbeats) logReady(s membership.Standing) {
-	h.wasReady = s.Ready
-	if s.Ready {
-		h.readyGauge.Update(1)
-		h.config.Logger.Info("ready")
-		return
-	}
-	h.unready.Inc(1)
-	h.readyGauge.Update(0)
-	h.config.Logger.WithFields(log.Fields{"reason": s.Reason, "unheard": s.Unheard}).Warn("not ready")
-}
-
 // wake starts a round without waiting for its time.
 func (h *Heartbeats) wake() {
 	select {
@@ -294,12 +259,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func names(members []membership.Member) []model.NodeID {
-	list := make([]model.NodeID, 0, len(members))
-	for _, m := range members {
-		list = append(list, m.Node)
-	}
-	slices.Sort(list)
-	return list
-}
--- a/internal/node/log.go
+++ b/internal/node/log.go
@@ -168,9 +168,9 @@
 }
 
 // proposeOutcome maps a failed call: only one that never left, or that the
-// peer refused at its door, proves that nothing was proposed.
+// peer refused before handling it, proves that nothing was proposed.
 func proposeOutcome(err error) error {
-	if neverSent(err) || refusedAtDoor(err) {
+	if neverSent(err) || refusedUnhandled(err) {
 		return state.ErrNotProposed
 	}
 	return state.ErrOutcomeUnknown
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -293,7 +293,7 @@
 				_, err := learner.client.Lend(t.Context(), "n1", nil)
 				return err
 			}
-			is.True(refusedAtDoor(lend())) // opens the connection
+			is.True(refusedUnhandled(lend())) // opens the connection
 			s.network.silence()
 			silenced := time.Now()
 			// Well above what it takes, well below what a poll may wait.
--- a/internal/node/tries.go
+++ b/internal/node/tries.go
@@ -44,9 +44,9 @@
 	t.pause = min(2*t.pause, maxRetryPause)
 }
 
-// refusedAtDoor reports whether the peer answered that it did not look at the
+// refusedUnhandled reports whether the peer answered that it did not look at the
 // call: a wrong token or site, a malformed call, or no voter there.
-func refusedAtDoor(err error) bool {
+func refusedUnhandled(err error) bool {
 	var refusal twirp.Error
 	if !errors.As(err, &refusal) {
 		return false
