--- a/internal/datafolder/identity.go
+++ b/internal/datafolder/identity.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Founding is the birth record of a site: the disks that found it together.
+// Founding is the record of the disks that found a site together.
 type Founding struct {
 	// ID is random and names this founding.
 	ID string `cbor:"1,keyasint"`
@@ -86,7 +86,7 @@
 	}
 }
 
-// NewFounding returns the birth record of a site with the given voters.
+// NewFounding returns the founding of a site with the given voters.
 func NewFounding(voters []quorum.ID) Founding {
 	members := slices.Clone(voters)
 	slices.Sort(members)
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -12,7 +12,7 @@
 // votersKey is the key of [nodes] that is not a node's name.
 const votersKey = "voters"
 
-// maxNodes is the most VMs that may be set aside for control, by the users' letter 1.
+// maxNodes is the most VMs that a site may set aside as entry VMs.
 const maxNodes = 18
 
 func readNode(s *inifile.Section) Node {
