caller: standard terms for the circuit breaker, the tries and the byte budget

Cause: the circuit breaker for claims was a "gate", the tries of one request a "trail" (also the word for the audit trail), "insist" meant two things (repeat a command, read an answer to its end), and "budget" stood for held bytes next to retry budgets and availability budgets.

No behaviour and no test changes.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -21,9 +21,9 @@
 	// length is the length of the whole, -1 when the upstream did not say.
 	length  int64
 	trailer http.Header
-	// insist has a streamed answer read to its end even when the caller is
+	// readToEnd has a streamed answer read to its end even when the caller is
 	// gone, so that its outcome is known.
-	insist bool
+	readToEnd bool
 	// done is called once, when the answer came to its end; whole says that
 	// the upstream gave all of it.
 	done func(whole bool)
@@ -146,7 +146,7 @@
 // when the answer breaks off or the caller does not take it.
 func (s *Server) stream(w http.ResponseWriter, a *answer, taken bool) {
 	part := make([]byte, streamBuffer)
-	for taken || a.insist {
+	for taken || a.readToEnd {
 		n, err := a.stream.Read(part)
 		taken = taken && s.pass(w, part[:n])
 		if err == io.EOF {
--- a/internal/caller/attempt.go
+++ b/internal/caller/attempt.go
@@ -16,7 +16,7 @@
 const maxBusyWait = time.Minute
 
 // attempt sends the request to one instance and reads its answer.
-func (s *Server) attempt(ctx context.Context, q *request, t *trail, grant *slots.Grant) (*answer, *failure) {
+func (s *Server) attempt(ctx context.Context, q *request, t *tryHistory, grant *slots.Grant) (*answer, *failure) {
 	began := s.Now()
 	resp, sent, err := s.Sender.Send(ctx, grant.Upstream, s.outgoing(q, t))
 	if err != nil {
@@ -53,7 +53,7 @@
 	}
 }
 
-func (s *Server) outgoing(q *request, t *trail) *upstream.Request {
+func (s *Server) outgoing(q *request, t *tryHistory) *upstream.Request {
 	l := s.latency.of(q.service.ID)
 	out := &upstream.Request{
 		ID:           q.id,
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -35,8 +35,10 @@
 	return io.MultiReader(bytes.NewReader(b.kept), &restReader{b})
 }
 
+// restReader reads the part of a body that was not kept.
 type restReader struct{ b *body }
 
+// Read notes that the rest was touched: the body can't be sent again then.
 func (r *restReader) Read(p []byte) (int, error) {
 	r.b.taken.Store(true)
 	return r.b.rest.Read(p)
--- a/internal/caller/budget.go
+++ b/internal/caller/budget.go
@@ -7,14 +7,14 @@
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
-// budget bounds the bytes that are held at one time.
-type budget struct {
+// byteBudget bounds the bytes that are held at one time.
+type byteBudget struct {
 	limit int64
 	used  atomic.Int64
 }
 
 // take reserves n bytes or reports that there is no room.
-func (b *budget) take(n int64) bool {
+func (b *byteBudget) take(n int64) bool {
 	if b.used.Add(n) > b.limit {
 		b.used.Add(-n)
 		return false
@@ -22,7 +22,7 @@
 	return true
 }
 
-func (b *budget) give(n int64) { b.used.Add(-n) }
+func (b *byteBudget) give(n int64) { b.used.Add(-n) }
 
 const (
 	// retryCost is what one retry takes, in thousandths of a request, and
--- a/internal/caller/check.go
+++ b/internal/caller/check.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func (s *Server) checkSingle(q *request, t *trail) {
+func (s *Server) checkSingle(q *request, t *tryHistory) {
 	if !q.idempotent && t.verdict != model.NotRun {
 		s.report(InvariantSingle, q)
 	}
@@ -52,7 +52,7 @@
 
 // checkVerdict compares the failure with the tries: one that says not-run
 // after a try which may have run must have been widened by giveUp.
-func (s *Server) checkVerdict(q *request, t *trail, f *failure) {
+func (s *Server) checkVerdict(q *request, t *tryHistory, f *failure) {
 	if f.verdict == model.NotRun && t.verdict != model.NotRun && !q.idempotent {
 		s.report(InvariantVerdict, q)
 	}
--- a/internal/caller/claim.go
+++ b/internal/caller/claim.go
@@ -39,7 +39,7 @@
 		s.answerFromClaim(w, r, q.id, known, digest)
 		return
 	}
-	if !s.gate.pass(s.Now()) {
+	if !s.breaker.pass(s.Now()) {
 		s.writeFailure(w, q.id, overloaded(noClaims, time.Second))
 		return
 	}
@@ -75,7 +75,7 @@
 		s.settle(c.settlement(a, f))
 		return
 	}
-	a.insist = true
+	a.readToEnd = true
 	release := a.done
 	a.done = func(whole bool) {
 		release(whole)
@@ -142,7 +142,7 @@
 	defer cancel()
 	command := c.command()
 	result, err := c.propose(ctx, command)
-	c.server.gate.note(c.server.Now(), err == nil)
+	c.server.breaker.note(c.server.Now(), err == nil)
 	switch {
 	case errors.Is(err, state.ErrNotProposed):
 		return overloaded(noClaims, time.Second)
--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -10,8 +10,8 @@
 	"github.com/comfreyloom/comfreyloom/internal/slots"
 )
 
-// trail is what the tries of one request came to so far.
-type trail struct {
+// tryHistory is what the tries of one request came to so far.
+type tryHistory struct {
 	tries int
 	// last is the instance of the last try; empty before the first.
 	last model.InstanceID
@@ -28,13 +28,13 @@
 // the verdict over all tries, not that of the last one.
 func (s *Server) run(ctx context.Context, q *request) (*answer, *failure) {
 	s.budgets.of(q.service.ID).pay()
-	t := &trail{}
+	t := &tryHistory{}
 	for {
 		a, f := s.once(ctx, q, t)
 		if f != nil && !s.mayRetry(ctx, q, f, t) {
 			return s.giveUp(q, t, f)
 		}
-		if f == nil && !s.mayBetter(ctx, q, a, t) {
+		if f == nil && !s.mayImprove(ctx, q, a, t) {
 			t.dropFallback()
 			return a, nil
 		}
@@ -42,7 +42,7 @@
 }
 
 // giveUp ends a request without a further try.
-func (s *Server) giveUp(q *request, t *trail, f *failure) (*answer, *failure) {
+func (s *Server) giveUp(q *request, t *tryHistory, f *failure) (*answer, *failure) {
 	if t.fallback != nil {
 		return t.fallback, nil
 	}
@@ -51,14 +51,14 @@
 	return nil, f
 }
 
-func (t *trail) dropFallback() {
+func (t *tryHistory) dropFallback() {
 	if t.fallback != nil {
 		t.fallback.done(true)
 	}
 }
 
 // once makes one try. Its failure has no verdict over the earlier ones.
-func (s *Server) once(ctx context.Context, q *request, t *trail) (*answer, *failure) {
+func (s *Server) once(ctx context.Context, q *request, t *tryHistory) (*answer, *failure) {
 	grant, f := s.acquire(ctx, q, t.last)
 	if f != nil {
 		f.final = true
@@ -119,7 +119,7 @@
 // mayRetry decides whether a failed try may be followed by another: only if
 // a second run does no harm, another instance may do better, and the caller
 // still waits.
-func (s *Server) mayRetry(ctx context.Context, q *request, f *failure, t *trail) bool {
+func (s *Server) mayRetry(ctx context.Context, q *request, f *failure, t *tryHistory) bool {
 	harmless := q.idempotent || t.verdict == model.NotRun
 	if f.final || f.gone || !harmless || !q.body.resendable() {
 		return false
@@ -127,9 +127,9 @@
 	return s.mayTryAgain(ctx, q, t)
 }
 
-// mayBetter keeps a server error for the case that no other try does better,
+// mayImprove keeps a server error for the case that no other try does better,
 // and reports whether to try. It does so once for a request.
-func (s *Server) mayBetter(ctx context.Context, q *request, a *answer, t *trail) bool {
+func (s *Server) mayImprove(ctx context.Context, q *request, a *answer, t *tryHistory) bool {
 	if !q.idempotent || a.stream != nil || t.fallback != nil || !serverError(a.status) {
 		return false
 	}
@@ -150,7 +150,7 @@
 }
 
 // mayTryAgain checks what bounds every retry and charges the budget.
-func (s *Server) mayTryAgain(ctx context.Context, q *request, t *trail) bool {
+func (s *Server) mayTryAgain(ctx context.Context, q *request, t *tryHistory) bool {
 	if ctx.Err() != nil || t.tries >= s.limits.Attempts {
 		return false
 	}
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -56,12 +56,12 @@
 		if r.ContentLength != 0 {
 			setReadDeadline(w, time.Now().Add(s.limits.BodyTimeout))
 		}
-		defer s.contain()
+		defer s.recoverPanic()
 		next.ServeHTTP(w, r)
 	})
 }
 
-func (s *Server) contain() {
+func (s *Server) recoverPanic() {
 	cause := recover()
 	if cause == nil {
 		return
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -58,8 +58,8 @@
 	counters *counters
 	budgets  retryBudgets
 	latency  latencies
-	buffers  budget
-	gate     claimGate
+	buffers  byteBudget
+	breaker  claimBreaker
 	active   atomic.Int64
 	site     siteCache
 	confirms chan struct{}
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -105,7 +105,7 @@
 	if out.claim != nil && !s.learnClaim(ctx, *out.claim) {
 		return
 	}
-	_, err := s.insist(ctx, s.settleCommand(out, false))
+	_, err := s.proposeUntilApplied(ctx, s.settleCommand(out, false))
 	if err != nil {
 		s.counters.settleErrors.Inc(1)
 	}
@@ -113,7 +113,7 @@
 
 // learnClaim reports whether the claim was granted to this process.
 func (s *Server) learnClaim(ctx context.Context, command state.Command) bool {
-	result, err := s.insist(ctx, command)
+	result, err := s.proposeUntilApplied(ctx, command)
 	return err == nil && result.Claim != nil && result.Claim.Granted
 }
 
@@ -134,8 +134,8 @@
 	}
 }
 
-// insist proposes a command until it is applied or ctx ends.
-func (s *Server) insist(ctx context.Context, command state.Command) (state.Result, error) {
+// proposeUntilApplied proposes a command until it is applied or ctx ends.
+func (s *Server) proposeUntilApplied(ctx context.Context, command state.Command) (state.Result, error) {
 	for {
 		try, cancel := context.WithTimeout(ctx, settleTimeout)
 		result, err := s.Log.Propose(try, command)
