agent: one look-up for services and teams, clearer names

Cause: the binary search in the site's lists stood twice, the audit trail was closed in two places by a function called closeAll, the places of a bounded listener were called slots (the word for upstreams' slots), and quiet did not say what it makes quiet.

Change: find, closeTrail, semaphore, withoutError; an interface assertion about another package is gone. No behaviour and no test changes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/apex/log"
@@ -194,9 +193,7 @@
 	if a.listeners != nil {
 		a.listeners.close()
 	}
-	if a.trail != nil {
-		_ = a.trail.Close()
-	}
+	_ = a.closeTrail()
 }
 
 // Run serves until ctx ends, then stops gracefully. It returns nil after a
@@ -217,7 +214,7 @@
 	stopErr := a.stop(end)
 	err := <-failed
 	a.logger.WithField("node", a.settings.Node.Name).Info("stopped")
-	return errors.Join(stopErr, err, closeAll(a.trail))
+	return errors.Join(stopErr, err, a.closeTrail())
 }
 
 // stop drains in the order that cuts off no request: first the balancer is
@@ -251,11 +248,10 @@
 	}
 }
 
-func closeAll(trail *audit.Trail) error {
-	if trail == nil {
+// closeTrail closes the audit trail, if this VM has one.
+func (a *Agent) closeTrail() error {
+	if a.trail == nil {
 		return nil
 	}
-	return trail.Close()
+	return a.trail.Close()
 }
-
-var _ io.Closer = (*audit.Trail)(nil)
--- a/internal/agent/catalog.go
+++ b/internal/agent/catalog.go
@@ -1,7 +1,8 @@
 package agent
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -16,11 +17,7 @@
 	if site == nil {
 		return model.Service{}, false
 	}
-	i := sort.Search(len(site.Services), func(i int) bool { return site.Services[i].ID >= id })
-	if i == len(site.Services) || site.Services[i].ID != id {
-		return model.Service{}, false
-	}
-	return site.Services[i], true
+	return find(site.Services, id, func(s model.Service) model.ServiceID { return s.ID })
 }
 
 // Team implements slots.Services.
@@ -29,9 +26,15 @@
 	if site == nil {
 		return model.Team{}, false
 	}
-	i := sort.Search(len(site.Teams), func(i int) bool { return site.Teams[i].ID >= id })
-	if i == len(site.Teams) || site.Teams[i].ID != id {
-		return model.Team{}, false
+	return find(site.Teams, id, func(t model.Team) model.TeamID { return t.ID })
+}
+
+// find looks up an id in a list that is sorted by id, as those of a site are.
+func find[T any, K cmp.Ordered](sorted []T, id K, idOf func(T) K) (T, bool) {
+	i, found := slices.BinarySearchFunc(sorted, id, func(t T, wanted K) int { return cmp.Compare(idOf(t), wanted) })
+	if !found {
+		var none T
+		return none, false
 	}
-	return site.Teams[i], true
+	return sorted[i], true
 }
--- a/internal/agent/duties.go
+++ b/internal/agent/duties.go
@@ -40,14 +40,14 @@
 		a.heartbeats.Run,
 		a.spreader.Run,
 		a.dispatcher.Run,
-		quiet(a.callers.Run),
+		withoutError(a.callers.Run),
 		a.serveCallers,
 		a.serveNodes,
 		a.servePeer(a.upstreamHandler(), a.listeners.Upstreams),
 		a.servePeer(a.operatorHandler(), a.listeners.Operators),
 	}
 	if a.replica != nil {
-		all = append(all, a.replica.Run, quiet(a.controller.Run), quiet(a.retain))
+		all = append(all, a.replica.Run, withoutError(a.controller.Run), withoutError(a.retain))
 	} else {
 		all = append(all, a.follower.Run)
 	}
@@ -57,8 +57,8 @@
 	return all
 }
 
-// quiet makes a duty of a function that never fails.
-func quiet(run func(context.Context)) duty {
+// withoutError makes a duty of a function that never fails.
+func withoutError(run func(context.Context)) duty {
 	return func(ctx context.Context) error {
 		run(ctx)
 		return nil
@@ -83,7 +83,7 @@
 	return func(ctx context.Context) error {
 		server := boundedServer(h)
 		server.BaseContext = func(net.Listener) context.Context { return ctx }
-		return serveUntil(ctx, server, &boundedListener{Listener: l, slots: make(chan struct{}, peerConnections)})
+		return serveUntil(ctx, server, &boundedListener{Listener: l, semaphore: make(chan struct{}, peerConnections)})
 	}
 }
 
