agent: callers behind one balancer address may use all connections

Cause: an operator can raise caller_connections, but 4,096 connections from one address stayed the bound, and behind a balancer all callers may have one. Change: the bound of one address follows the setting. Measured result: go test ./internal/agent passes; not measured under load. Conclusion: kept; a flood from one address behind the balancer is bounded by the requests in progress.

--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -110,6 +110,8 @@
 		Limits: caller.Limits{
 			BodyBytes:   a.settings.Limits.RequestBody,
 			Connections: int64(a.settings.Limits.CallerConnections),
+			// Behind the balancer all callers may have one address.
+			ConnectionsPerIP: int64(a.settings.Limits.CallerConnections),
 		},
 		BalancerDelay: a.settings.Limits.BalancerDelay,
 		Metrics:       a.metrics, Logger: a.logger,
