node: renewals of long leases travel together for longer

Cause: a delivery costs several times the renewals in it. Change: renewals are held back for a third of the time between two announcements where that is longer than before, at most 5 s. A lease lasts three such times, so one lost renewal is still made good.

--- a/internal/node/spreader.go
+++ b/internal/node/spreader.go
@@ -29,6 +29,11 @@
 	renewalPerPeer = 300 * time.Millisecond
 	minRenewal     = time.Second
 	maxRenewal     = 3 * time.Second
+	// renewalShare is the part of the time between two announcements for which
+	// renewals are held back if that is longer; at most longRenewal. A lease
+	// is three such times, so that one renewal may still be lost.
+	renewalShare = 3
+	longRenewal  = 5 * time.Second
 	// batchLimit bounds the entries of one delivery.
 	batchLimit = 1024
 	// repairLimit bounds the records that answer one digest.
@@ -55,7 +60,7 @@
 	config SpreaderConfig
 	// nudge holds a token when something changed.
 	nudge chan struct{}
-	// renewal is how long renewals are held back.
+	// renewal is how long renewals are held back at least.
 	renewal time.Duration
 	routes  map[model.NodeID]*route
 
@@ -112,6 +117,12 @@
 // pushed at once. A renewal needs no nudge.
 func (s *Spreader) Nudge() { signal(s.nudge) }
 
+// hold returns how long renewals are held back. At a large site a delivery
+// costs many times what the renewals in it do, and leases are long.
+func (s *Spreader) hold() time.Duration {
+	return max(s.renewal, min(s.config.Registry.RenewTime()/renewalShare, longRenewal))
+}
+
 // watch wakes the routes: at once for a change, together for renewals. A route
 // that woke for each renewal would compare and wait many times a second.
 func (s *Spreader) watch(ctx context.Context) {
@@ -129,7 +140,7 @@
 		}
 		now := time.Now()
 		nextVersion, nextChanged := s.config.Registry.Version(), s.config.Registry.Changed()
-		if nextChanged == changed && (nextVersion == version || now.Sub(told) < s.renewal) {
+		if nextChanged == changed && (nextVersion == version || now.Sub(told) < s.hold()) {
 			continue
 		}
 		version, changed, told = nextVersion, nextChanged, now
@@ -168,7 +179,7 @@
 	if batch.Empty() {
 		return 0
 	}
-	if wait := s.renewal - time.Since(r.pushedAt); len(batch.Records) == 0 && wait > 0 {
+	if wait := s.hold() - time.Since(r.pushedAt); len(batch.Records) == 0 && wait > 0 {
 		return wait
 	}
 	if err := s.deliver(ctx, r, batch); err != nil {
