state: large commands are compressed

Cause: an accepted manifest is a command of 31 KB at 1,300 workers, 42 pools and 200 teams, and goes to every VM and every disk. Change: a command from 1 KB on is compressed with gzip; what it may grow to is bounded. A build from before this commit can't read such commands, so all VMs of a site are updated together. Proof: TestLargeCommandsAreCompressed fails without compression.

--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"compress/gzip"
+	"errors"
+	"io"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -44,18 +47,72 @@
 	return mode
 }
 
-// Encode returns the bytes of a command as they go into the control log.
-func Encode(c Command) ([]byte, error) { return encoder.Marshal(c) }
+const (
+	// compressFrom is the size from which a command is compressed, in bytes.
+	// Accepted manifests and plans of whole waves are; the others are too
+	// short to gain.
+	compressFrom = 1 << 10
+	// maxCommandBytes bounds what a compressed command may grow to.
+	maxCommandBytes = 16 << 20
+)
+
+// gzipMagic begins a compressed command. No CBOR map begins so.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// errTooLarge says that a compressed command grows beyond maxCommandBytes.
+var errTooLarge = errors.New("state: command is too large")
+
+// Encode returns the bytes of a command as they go into the control log. Each
+// byte of it goes to every VM and to every disk.
+func Encode(c Command) ([]byte, error) {
+	data, err := encoder.Marshal(c)
+	if err != nil || len(data) < compressFrom {
+		return data, err
+	}
+	var buffer bytes.Buffer
+	w := gzip.NewWriter(&buffer)
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
 
 // Decode is the inverse of Encode. It refuses unknown fields.
 func Decode(data []byte) (Command, error) {
 	var c Command
+	data, err := inflate(data)
+	if err != nil {
+		return Command{}, err
+	}
 	if err := decoder.Unmarshal(data, &c); err != nil {
 		return Command{}, err
 	}
 	return c, nil
 }
 
+// inflate returns a command as it was before it was compressed. The bound keeps
+// a few bytes of a faulty peer from filling the memory.
+func inflate(data []byte) ([]byte, error) {
+	if !bytes.HasPrefix(data, gzipMagic) {
+		return data, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	whole, err := io.ReadAll(io.LimitReader(r, maxCommandBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(whole) > maxCommandBytes {
+		return nil, errTooLarge
+	}
+	return whole, nil
+}
+
 // EncodeResult returns the bytes of a result as it travels between VMs.
 func EncodeResult(r Result) ([]byte, error) { return encoder.Marshal(r) }
 
--- a/internal/state/edge_test.go
+++ b/internal/state/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -186,6 +187,35 @@
 	readers.Wait()
 }
 
+// Symptom: a manifest of a large site, of which a line changed, costs each VM
+// more than all else that it does. Sequence: it goes to every VM and disk as it
+// is. Cause: its text repeats itself for each pool, service and team. A
+// compressed command that is cut short or grows without end is refused.
+func TestLargeCommandsAreCompressed(t *testing.T) {
+	is := is.New(t)
+	m := testManifest(2, "")
+	for i := range 200 {
+		m.Site.Teams = append(m.Site.Teams, model.Team{ID: model.TeamID(fmt.Sprintf("t%03d", i)), MaxJobs: 100})
+		m.Text = fmt.Appendf(m.Text, "[team t%03d]\nmax_jobs = 100\n", i)
+	}
+	c := Command{ID: "1", ApplyManifest: m}
+	data, err := Encode(c)
+	is.NoErr(err)
+	is.True(3*len(data) < len(m.Text))
+	again, err := Decode(data)
+	is.NoErr(err)
+	is.Equal(again, c)
+	_, err = Decode(data[:len(data)-1])
+	is.True(err != nil)
+	var bomb bytes.Buffer
+	w := gzip.NewWriter(&bomb)
+	_, err = w.Write(make([]byte, maxCommandBytes+1))
+	is.NoErr(err)
+	is.NoErr(w.Close())
+	_, err = Decode(bomb.Bytes())
+	is.True(errors.Is(err, errTooLarge))
+}
+
 // Any bytes are refused or applied; a machine never breaks on them.
 func FuzzApply(f *testing.F) {
 	for _, c := range []Command{
