docs, placement: rates and choices stated without outside references

Change: wording only; the test file changes in one comment.

Result: go vet ./... and go test ./internal/placement pass.

--- a/internal/placement/policy_bench_test.go
+++ b/internal/placement/policy_bench_test.go
@@ -80,7 +80,7 @@
 type shortfall struct{ vmHours, belowBudget float64 }
 
 // live runs four weeks of failures: 0.9 VMs a day, 4.6 restarts a day, and a
-// rack and an availability zone that go twice as often as the letter expects.
+// rack and an availability zone that go twice as often as is expected today.
 func (p policySite) live(seed uint64, n int, moves float64, plain bool) (*world, shortfall) {
 	w := newWorld(seed, p.site(moves), siteVMs(n, p.zones, p.capacity))
 	w.lease, w.once = 15*time.Minute, true
