controller: one spread start, cursors by one function, clearer names

Cause: the loop that starts instances beyond a service's number stood twice, as did the choice between a cursor and a whole list; rebootLost read as a predicate but always answered false and counted instead; waveGoesOn's comment named only half of its condition; defaults of Config were not named.

Change: startSpread and cursorAt; countLostReboot; fullEvery is a duration; comments. No change of behaviour.

Result: go vet ./... and go test ./internal/controller pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -55,11 +55,11 @@
 	Serving func() map[model.TaskID]bool
 	// Clock returns the time. Default: the system's clock.
 	Clock func() model.Instant
-	// Interval is the time between rounds in Run.
+	// Interval is the time between rounds in Run. Default DefaultInterval.
 	Interval time.Duration
-	// Lease is how long task leases last.
+	// Lease is how long task leases last. Default DefaultLease.
 	Lease time.Duration
-	// StaleAfter bounds the age of the platform's list.
+	// StaleAfter bounds the age of the platform's list. Default DefaultStaleAfter.
 	StaleAfter time.Duration
 	// RebootTimeout is how long a VM may show its old boot after a reboot was
 	// accepted before the reboot is commanded anew. Default 5 min.
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -207,8 +207,8 @@
 	return 5 * time.Minute
 }
 
-// waveGoesOn reports whether VMs of the pool are under maintenance now, so
-// that some will soon be done.
+// waveGoesOn reports whether a VM of the pool is done or under maintenance, so
+// that jobs have a VM to wait for.
 func waveGoesOn(ix *fleet.Index, p *fleet.Pool) bool {
 	return slices.ContainsFunc(p.VMs, func(v *fleet.VM) bool { return v.Permit != nil || v.Maintained })
 }
--- a/internal/controller/replace.go
+++ b/internal/controller/replace.go
@@ -77,6 +77,8 @@
 	return n
 }
 
+// startElsewhere starts missing instances beyond the service's number on VMs
+// other than v, spread as if the instances on v were gone.
 func (d *decided) startElsewhere(s *fleet.Service, v *fleet.VM, missing int) {
 	counts := d.byDomain(s)
 	for _, t := range append(slices.Clone(s.Tasks), s.Extra...) {
@@ -91,17 +93,5 @@
 			counts[domain]++
 		}
 	}
-	for i := 0; i < s.Spec.MaxSurge() && missing > 0; i++ {
-		ordinal := s.Spec.Instances + i
-		if hasOrdinal(s, ordinal) {
-			continue
-		}
-		place := d.emptiestBut(s, counts, v)
-		if place == nil {
-			return
-		}
-		counts[d.ledger.Domain(s.Spec.ID, place)]++
-		d.startSurgeOn(s, ordinal, place, "its instances on VM "+string(v.ID)+" are to go")
-		missing--
-	}
+	d.startSpread(s, counts, v, missing, "its instances on VM "+string(v.ID)+" are to go")
 }
--- a/internal/controller/send.go
+++ b/internal/controller/send.go
@@ -61,7 +61,8 @@
 	case !known:
 		return true
 	case before.accepted && command.Kind == platform.Reboot:
-		return c.rebootLost(command, before, now)
+		c.countLostReboot(command, before, now)
+		return false
 	case before.accepted:
 		return now.Sub(before.at) > shownAfter
 	case command.Kind.ForVM():
@@ -71,15 +72,14 @@
 	}
 }
 
-// rebootLost reports whether an accepted reboot had no effect for so long
-// that it is commanded under a new ID. The platform may have rebooted another
-// VM by mistake; the boot ID that the command names keeps this VM from being
-// rebooted twice.
-func (c *Controller) rebootLost(command platform.Command, before sent, now model.Instant) bool {
+// countLostReboot counts an attempt when an accepted reboot had no effect for
+// RebootTimeout: the next round then commands it under a new ID. The platform
+// may have rebooted another VM by mistake; the boot ID that the command names
+// keeps this VM from being rebooted twice.
+func (c *Controller) countLostReboot(command platform.Command, before sent, now model.Instant) {
 	if now.Sub(before.at) > c.config.RebootTimeout {
 		c.soft.attempts[command.VM]++
 	}
-	return false
 }
 
 func (c *Controller) notAnswered(due []platform.Command, now model.Instant, err error) {
--- a/internal/controller/surge.go
+++ b/internal/controller/surge.go
@@ -57,18 +57,24 @@
 			counts[d.ledger.Domain(s.Spec.ID, v)]++
 		}
 	}
-	for i := 0; i < s.Spec.MaxSurge() && missing > 0; i++ {
+	d.startSpread(s, counts, nil, missing, "the VM of another failed")
+}
+
+// startSpread starts up to n instances beyond the service's number, each in
+// the failure domain with the fewest by counts, none on the VM but.
+func (d *decided) startSpread(s *fleet.Service, counts map[string]int, but *fleet.VM, n int, why string) {
+	for i := 0; i < s.Spec.MaxSurge() && n > 0; i++ {
 		ordinal := s.Spec.Instances + i
 		if hasOrdinal(s, ordinal) {
 			continue
 		}
-		place := d.emptiest(s, counts)
+		place := d.emptiestBut(s, counts, but)
 		if place == nil {
 			return
 		}
 		counts[d.ledger.Domain(s.Spec.ID, place)]++
-		d.startSurgeOn(s, ordinal, place, "the VM of another failed")
-		missing--
+		d.startSurgeOn(s, ordinal, place, why)
+		n--
 	}
 }
 
--- a/internal/controller/world.go
+++ b/internal/controller/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/fleet"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -54,9 +55,18 @@
 	}
 }
 
-// fullEvery is how often, in milliseconds, whole lists are asked for though
-// only changes are needed, so that no lost change lasts.
-const fullEvery = 10 * 60 * 1000
+// fullEvery is how often whole lists are asked for though only changes are
+// needed, so that no lost change lasts.
+const fullEvery = 10 * time.Minute
+
+// cursorAt is the cursor to ask with: none, which asks for the whole list, when
+// the last whole list is older than fullEvery.
+func cursorAt(now, fullAt model.Instant, cursor platform.Cursor) platform.Cursor {
+	if now.Sub(fullAt) > fullEvery {
+		return ""
+	}
+	return cursor
+}
 
 // observe asks the platform what changed. What can't be had stays as it was.
 //
@@ -66,10 +76,7 @@
 func (c *Controller) observe(ctx context.Context) {
 	w := c.soft.world
 	now := c.config.Clock()
-	since := w.vmsCursor
-	if now-w.vmsFullAt > fullEvery {
-		since = ""
-	}
+	since := cursorAt(now, w.vmsFullAt, w.vmsCursor)
 	vms, err := c.config.Platform.VMs(ctx, since)
 	if !c.counts.observed(err) {
 		return // what does not answer now would only hold up the round
@@ -77,10 +84,7 @@
 	if vms.Since == since {
 		w.takeVMs(vms, now)
 	}
-	since = w.tasksCursor
-	if now-w.tasksFullAt > fullEvery {
-		since = ""
-	}
+	since = cursorAt(now, w.tasksFullAt, w.tasksCursor)
 	if list, err := c.config.Platform.Tasks(ctx, since); c.counts.observed(err) && list.Since == since {
 		w.takeTasks(list, now)
 	}
