wave: limits of correlated failures named one by one

Cause: the limit of a zone stood as the rack's plus one, which its comment did not say; grantAll checked again that there is a site, though Decide returns before without one.

Change: rackFailures and zoneFailures; the second check is gone. No change of behaviour.

Result: go vet ./... and go test ./internal/wave ./internal/controller pass.

--- a/internal/wave/grant.go
+++ b/internal/wave/grant.go
@@ -27,9 +27,6 @@
 // grantAll commits permits for the VMs that the budgets let go now.
 func (d *decider) grantAll() {
 	site := d.ix.Snap.View.Site
-	if site == nil {
-		return
-	}
 	held := d.correlated()
 	rooms := d.newRooms()
 	for i := range site.Waves {
--- a/internal/wave/hold.go
+++ b/internal/wave/hold.go
@@ -8,9 +8,12 @@
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
-// togetherLimit is how many VMs of one rack or availability zone must fail
-// within the hold time to count as one correlated failure.
-const togetherLimit = 2
+// How many VMs of one rack, or of one availability zone, must fail within the
+// hold time to count as one correlated failure.
+const (
+	rackFailures = 2
+	zoneFailures = 3
+)
 
 // correlated says which failure domain lost several VMs lately; empty for
 // none. While a rack or zone goes down VM by VM, the budgets still show room;
@@ -25,12 +28,12 @@
 		zones[v.Zone]++
 	}
 	for rack := range d.ix.Racks {
-		if racks[rack] >= togetherLimit {
+		if racks[rack] >= rackFailures {
 			return fmt.Sprintf("%d VMs of rack %s failed in the last %s", racks[rack], d.ix.Racks[rack], d.o.Hold)
 		}
 	}
 	for zone := range d.ix.Zones {
-		if zones[zone] >= togetherLimit+1 {
+		if zones[zone] >= zoneFailures {
 			return fmt.Sprintf("%d VMs of availability zone %s failed in the last %s", zones[zone], d.ix.Zones[zone], d.o.Hold)
 		}
 	}
--- a/internal/wave/room.go
+++ b/internal/wave/room.go
@@ -141,12 +141,12 @@
 	if !d.o.Ideas.SteerNew {
 		return
 	}
-	abreast := max(len(r.active), 1)
+	parallel := max(len(r.active), 1)
 	for i, v := range r.next {
 		if v.Permit != nil {
 			continue
 		}
-		rounds := 1 + i/abreast
+		rounds := 1 + i/parallel
 		d.soon[v.ID] = d.ix.Now().Add(time.Duration(rounds) * d.o.Cycle)
 	}
 }
