health: names without metaphors

Cause: the time after which a quarantine ends without a probe was called parole, and workers and jobs were said to convict each other.

No change of behaviour.

Result: go vet ./... and go test ./internal/health ./internal/placement pass.

--- a/internal/health/decide.go
+++ b/internal/health/decide.go
@@ -27,21 +27,22 @@
 	lastProbe  = 6 * time.Hour
 	// releaseProbes is how many probes must succeed before the release.
 	releaseProbes = 2
-	// leastFailures is the least number of distinct workers that convicts a
-	// job, in pools that have few.
+	// leastFailures is the least number of distinct workers on which a job must
+	// fail to be held, in pools that have few.
 	leastFailures = 2
 	// maxAttempts is after how many attempts a job is held even if none of
 	// the workers on which it failed is known to be good.
 	maxAttempts = 8
-	// parole ends a quarantine in which nothing could be probed: a pool
+	// releaseAfter ends a quarantine in which nothing could be probed: a pool
 	// without batch jobs has no probes, and the worker may have been repaired.
-	parole = 24 * time.Hour
+	releaseAfter = 24 * time.Hour
 )
 
 // Options bound the decisions. A zero field takes its default.
 type Options struct {
-	// Distinct is the number of distinct jobs, or workers, that convicts.
-	// Default 3.
+	// Distinct is the number of distinct jobs that must fail on a worker to
+	// quarantine it, and of distinct workers on which a job must fail to be
+	// held. Default 3.
 	Distinct int
 	// CapShare and PoolCapShare bound the quarantined share of all workers and
 	// of a pool's; at least one. Defaults 0.1 and 0.25.
@@ -128,7 +129,7 @@
 	switch {
 	case good >= releaseProbes:
 		d.release(q, fmt.Sprintf("%d jobs in a row succeeded on the worker", good))
-	case age >= parole && !d.m.failedSince(q):
+	case age >= releaseAfter && !d.m.failedSince(q):
 		d.release(q, fmt.Sprintf("nothing failed on the worker for %s, and nothing probed it", age.Round(time.Minute)))
 	case lastFailure > 0 && q.ProbeAt <= lastFailure:
 		next := *q
@@ -270,8 +271,8 @@
 	return good
 }
 
-// enough is the number of good workers that convicts a job; a pool with fewer
-// VMs convicts with all of them, at least two.
+// enough is the number of good workers on which a job must fail to be held; for a pool with fewer
+// VMs it is all of them, at least two.
 func (d *decider) enough(j *model.Job) int {
 	p := d.ix.Pool(j.Spec.Pool)
 	if p == nil {
