placement: the test of sharing between teams fails without its rule

Change: the second team comes last by name. Measured result: with the rule off TestTeamsShareTheQueue passed before and fails now. go test ./internal/placement -run TestDecisions -rapid.checks=6000 passes (170 s).

--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -216,10 +216,10 @@
 func TestTeamsShareTheQueue(t *testing.T) {
 	is := is.New(t)
 	s := board(1)
-	s.View.Site.Teams = []model.Team{{ID: "t"}, {ID: "late"}}
+	s.View.Site.Teams = []model.Team{{ID: "t"}, {ID: "zlate"}}
 	for i := range 50 {
 		queue(s, model.JobID(fmt.Sprintf("a%02d", i)), model.Batch, 4)
 	}
-	queue(s, "z", model.Batch, 4).Spec.Team = "late"
+	queue(s, "z", model.Batch, 4).Spec.Team = "zlate"
 	is.True(strings.Contains(jobsOf(s), "start z"))
 }
