platform/standin: large answers are compressed when the client asks

Cause: the leader reads the use of every task every 15 s as JSON. Change: answers from 512 bytes on are compressed when the request allows it; our client always did.

--- a/internal/platform/standin/handler.go
+++ b/internal/platform/standin/handler.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -10,6 +12,9 @@
 	"github.com/comfreyloom/comfreyloom/internal/platform"
 )
 
+// compressFrom is the size from which an answer is compressed, in bytes.
+const compressFrom = 512
+
 // maxBodyBytes bounds a request's body.
 const maxBodyBytes = 32 << 20
 
@@ -20,15 +25,15 @@
 	router := httprouter.New()
 	router.GET(platform.PathVMs, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		list, err := c.VMs(r.Context(), since(r))
-		reply(w, list, err)
+		reply(w, r, list, err)
 	})
 	router.GET(platform.PathTasks, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		list, err := c.Tasks(r.Context(), since(r))
-		reply(w, list, err)
+		reply(w, r, list, err)
 	})
 	router.GET(platform.PathUsage, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		list, err := c.Usage(r.Context(), since(r))
-		reply(w, list, err)
+		reply(w, r, list, err)
 	})
 	router.GET(platform.PathTasks+"/*task", func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		replyTask(w, r, c, model.TaskID(params.ByName("task")[1:]))
@@ -49,7 +54,7 @@
 		http.Error(w, "unknown task", http.StatusNotFound)
 		return
 	}
-	reply(w, report, err)
+	reply(w, r, report, err)
 }
 
 func takeCommands(w http.ResponseWriter, r *http.Request, c platform.Client) {
@@ -60,10 +65,10 @@
 		return
 	}
 	answers, err := c.Send(r.Context(), request.Commands)
-	reply(w, platform.CommandAnswer{Answers: answers}, err)
+	reply(w, r, platform.CommandAnswer{Answers: answers}, err)
 }
 
-func reply(w http.ResponseWriter, answer any, err error) {
+func reply(w http.ResponseWriter, r *http.Request, answer any, err error) {
 	if err != nil {
 		if platform.VerdictOf(err) != model.NotRun {
 			panic(http.ErrAbortHandler)
@@ -72,5 +77,16 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer)
+	body, err := json.Marshal(answer)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if len(body) < compressFrom || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(body)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = z.Write(body)
+	_ = z.Close()
 }
