placement, health: a large job that failed on every VM does not wait for ever

Cause: no VM on which a job had failed was held for it, so that instances on all VMs of its pool left it no room for another try; and failures older than six hours no longer counted for holding a job that still waits. Change: a VM where the job failed is held when there is no other; a waiting job's failures count however old they are.

--- a/internal/health/margins.go
+++ b/internal/health/margins.go
@@ -122,10 +122,13 @@
 }
 
 // addRecords adds what the jobs' own records say: on which workers they
-// failed, and that they were done in the end. A new leader has only these.
+// failed, and that they were done in the end. A new leader has only these. A
+// job that still waits counts however long ago it failed: it would wait for
+// ever if its failures were forgotten before it is held.
 func (m *margins) addRecords() {
 	for id, j := range m.ix.Snap.View.Jobs {
-		if len(j.FailedOn) == 0 || m.ix.Now().Sub(j.Changed) > Window {
+		old := j.State.Final() && m.ix.Now().Sub(j.Changed) > Window
+		if len(j.FailedOn) == 0 || old {
 			continue
 		}
 		subject := JobSubject(id)
--- a/internal/placement/decide_test.go
+++ b/internal/placement/decide_test.go
@@ -181,6 +181,24 @@
 	is.Equal(words(nil, placement.Relieve(fleet.NewIndex(s))), "") // use lags: not again at once
 }
 
+// Symptom: a large job waited for ever. Sequence: it fails on each VM in turn,
+// and instances lie on all of them. Cause: no VM on which it had failed was
+// held for its next try.
+func TestLargeJobThatFailedEverywhereGetsAVM(t *testing.T) {
+	is := is.New(t)
+	s := board(2)
+	s.View.Site.Services = []model.Service{{ID: "s", Pool: "p", Instances: 2, MinAvailable: 1, Size: model.Resources{MilliCPU: 2000, MemoryMB: 1000}}}
+	j := queue(s, "large", model.Normal, 15)
+	j.Submitted = now.Add(-time.Hour)
+	for i, v := range []model.VMID{"vm0000", "vm0001"} {
+		j.FailedOn = append(j.FailedOn, s.VMs[v].Worker)
+		id := model.TaskID(fmt.Sprint("i", i))
+		s.View.Tasks[id] = &model.Task{ID: id, Service: "s", Ordinal: i, VM: v, Size: s.View.Site.Services[0].Size, State: model.TaskRunning, LeaseUntil: now.Add(time.Minute)}
+		s.Serving[id] = true
+	}
+	is.Equal(words(nil, placement.Evacuate(fleet.NewIndex(s), placement.Options{})), "stop i0")
+}
+
 // Symptom: a rack took a service below its budget. Sequence: instances start
 // on an empty pool. Cause: they were packed, not spread.
 func TestInstancesSpread(t *testing.T) {
--- a/internal/placement/hold.go
+++ b/internal/placement/hold.go
@@ -62,16 +62,26 @@
 // instances leave the most; nil when the job has a choice, or can find none.
 //
 // The one VM must be held too: an instance that was moved off it for the job
-// would otherwise come back to it before the job starts.
+// would otherwise come back to it before the job starts. A VM on which the job
+// failed is held only when it failed on all: it tries one again in time.
 func (r *room) holdFor(ix *fleet.Index, j *model.Job, o Options) *hold {
 	size, no := r.fitShape(&j.Spec, o.Sizes)
 	if no != Placed {
 		return nil
 	}
-	var best *hold
+	if h, any := r.holdAmong(j, size, false); any {
+		return h
+	}
+	h, _ := r.holdAmong(j, size, true)
+	return h
+}
+
+// holdAmong looks at the VMs on which the job failed, or at the others. Any
+// says that there are some that could hold the job.
+func (r *room) holdAmong(j *model.Job, size model.Resources, failed bool) (best *hold, any bool) {
 	fitting := 0
 	for _, s := range r.slots {
-		if failedOn(j, s.vm) || !size.Fits(s.vm.Capacity()) {
+		if failedOn(j, s.vm) != failed || !size.Fits(s.vm.Capacity()) {
 			continue
 		}
 		h := &hold{job: j, vm: s.vm, size: size, left: s.vm.Capacity().Minus(instanceCharges(s.vm))}
@@ -83,10 +93,10 @@
 			best = h
 		}
 		if fitting > 1 {
-			return nil
+			return nil, true
 		}
 	}
-	return best
+	return best, best != nil
 }
 
 func (h *hold) fits() bool { return h.size.Fits(h.left) }
