controller: the guards of placement and fleet are reported

Cause: each planned action is guarded when it is planned (no over-commit, quotas, pool bounds, one task), but what the guards found was not counted or logged. Change: the controller reports it with its own checks. Measured result: go test ./internal/controller passes (10.1 s), so no guard broke in its randomised runs.

--- a/internal/controller/check.go
+++ b/internal/controller/check.go
@@ -152,6 +152,11 @@
 
 // checkDecided checks a round's decisions before they are committed.
 func (c *Controller) checkDecided(d *decided) {
+	var broken []Broken
+	for _, b := range d.ix.Broken() {
+		broken = append(broken, Broken(b))
+	}
+	c.report(broken)
 	taken := false
 	for i := range d.actions {
 		taken = taken || d.actions[i].Grant != nil || d.actions[i].BeginMove != nil
