--- /dev/null
+++ b/cmd/comfreyloom/member.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	stdlog "log"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"github.com/comfreyloom/comfreyloom/internal/settings"
+	"github.com/comfreyloom/comfreyloom/internal/telemetry"
+	"github.com/comfreyloom/comfreyloom/platform"
+)
+
+// serveMember runs a process of a site whose VMs find each other.
+func serveMember(path string, c console) exitCode {
+	s, problems, err := settings.LoadMember(path)
+	if err != nil {
+		fmt.Fprintln(c.err, "comfreyloom serve:", err)
+		return exitUsage
+	}
+	if len(problems) > 0 {
+		printProblems(c, problems)
+		return exitUsage
+	}
+	level, err := log.ParseLevel(s.Log.Level)
+	if err != nil {
+		fmt.Fprintln(c.err, "comfreyloom serve:", err)
+		return exitUsage
+	}
+	counters := telemetry.NewRegistry()
+	lines := telemetry.NewBounded(c.out, counters)
+	logger := &log.Logger{Handler: lines, Level: level}
+	stdlog.SetOutput(telemetry.NewStandardWriter(logger, counters))
+	stdlog.SetFlags(0)
+	m, err := platform.NewMember(s, logger, counters)
+	if err != nil {
+		fmt.Fprintln(c.err, "comfreyloom serve:", err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	writing, endWriting := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = lines.Run(writing) // it only ends when told to
+	}()
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	go m.Follow(ctx, path, changed)
+	err = m.Run(ctx)
+	if err != nil {
+		logger.WithError(err).Error("ended")
+	}
+	endWriting()
+	<-written
+	if err != nil {
+		return exitFailed
+	}
+	return exitDone
+}
--- a/cmd/comfreyloom/serve.go
+++ b/cmd/comfreyloom/serve.go
@@ -4,21 +4,29 @@
 	"context"
 	"fmt"
 	stdlog "log"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/comfreyloom/comfreyloom/internal/agent"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 	"github.com/comfreyloom/comfreyloom/internal/telemetry"
+	"github.com/comfreyloom/comfreyloom/platform"
 )
 
 type serveCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings of this VM"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of this VM; where it is left out, the variable COMFREYLOOM_SETTINGS names the file"`
 }
 
 // run serves until SIGTERM or SIGINT, then stops gracefully. A second signal
 // ends the process at once.
 func (k *serveCommand) run(c console) exitCode {
+	if k.Settings == "" {
+		k.Settings = os.Getenv(platform.SettingsVariable)
+	}
+	if text, err := os.ReadFile(k.Settings); err == nil && settings.IsMember(text) {
+		return serveMember(k.Settings, c)
+	}
 	s, problems, err := settings.Load(k.Settings)
 	if err != nil {
 		fmt.Fprintln(c.err, "comfreyloom serve:", err)
--- /dev/null
+++ b/internal/control/desk.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"context"
+
+	"github.com/comfreyloom/comfreyloom/internal/control/controlpb"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// Report is what a worker says of itself.
+type Report struct {
+	_      struct{} `cbor:",toarray"`
+	Worker workload.Worker
+	// Sequence grows with each report of one incarnation.
+	Sequence uint64
+	// ClockMS is the worker's steady clock.
+	ClockMS int64
+	// RemainingMS is how long a draining worker stays at least.
+	RemainingMS int64
+	// ColdMS is how much longer the worker is slow after its start.
+	ColdMS int64
+}
+
+// submit accepts a job. The answer comes once it is durable at a quorum.
+func (s *Server) submit(ctx context.Context, ask *controlpb.SubmitJob, reply *controlpb.Reply) error {
+	name := ask.GetJob()
+	var queue workload.QueueID
+	s.machine.Read(func(t *workload.Tables) {
+		if job := t.Jobs[workload.JobID(name.GetId())]; job != nil {
+			reply.Finding = controlpb.Finding_FINDING_OK
+			return
+		}
+		queue, reply.Finding = route(t, name.GetHost(), name.GetPath(), name.GetId())
+	})
+	if reply.Finding != controlpb.Finding_FINDING_OK || queue.Prefix == "" {
+		return nil
+	}
+	spec, err := workload.DecodeSpec(ask.GetSpec())
+	if err != nil {
+		reply.Finding = controlpb.Finding_FINDING_INVALID
+		return nil
+	}
+	accepted := workload.Submit{ID: workload.JobID(name.GetId()), Queue: queue, Spec: spec}
+	return s.log.Propose(ctx, &workload.Command{Submit: []workload.Submit{accepted}})
+}
+
+// route finds the queue that a path leads to; what follows the prefix must be
+// the job's ID.
+func route(t *workload.Tables, host, path, id string) (workload.QueueID, controlpb.Finding) {
+	if t.Config == nil {
+		return workload.QueueID{}, controlpb.Finding_FINDING_NO_CONFIG
+	}
+	q := t.Config.Route(host, path)
+	if q == nil || path[len(q.ID.Prefix):] != id {
+		return workload.QueueID{}, controlpb.Finding_FINDING_NOT_FOUND
+	}
+	return q.ID, controlpb.Finding_FINDING_OK
+}
+
+// known returns a job that was accepted under a host and path. It does not ask
+// the configuration: jobs of a queue that was removed are still answered for.
+func known(t *workload.Tables, name *controlpb.JobName) *workload.Job {
+	job := t.Jobs[workload.JobID(name.GetId())]
+	if job == nil || job.Queue.Host != name.GetHost() || job.Queue.Prefix+string(job.ID) != name.GetPath() {
+		return nil
+	}
+	return job
+}
+
+func (s *Server) cancel(ctx context.Context, name *controlpb.JobName, reply *controlpb.Reply) error {
+	live := false
+	s.machine.Read(func(t *workload.Tables) {
+		if job := known(t, name); job != nil {
+			reply.Finding, live = controlpb.Finding_FINDING_OK, !job.State.Final()
+			return
+		}
+		reply.Finding = missing(t)
+	})
+	if !live {
+		return nil
+	}
+	return s.log.Propose(ctx, &workload.Command{Cancel: []workload.JobID{workload.JobID(name.GetId())}})
+}
+
+func (s *Server) state(name *controlpb.JobName, reply *controlpb.Reply) error {
+	s.machine.Read(func(t *workload.Tables) {
+		if job := known(t, name); job != nil {
+			reply.Finding, reply.State = controlpb.Finding_FINDING_OK, uint32(job.State)
+			return
+		}
+		reply.Finding = missing(t)
+	})
+	return nil
+}
+
+func missing(t *workload.Tables) controlpb.Finding {
+	if t.Config == nil {
+		return controlpb.Finding_FINDING_NO_CONFIG
+	}
+	return controlpb.Finding_FINDING_NOT_FOUND
+}
+
+func (s *Server) pending(name *controlpb.QueueName, reply *controlpb.Reply) error {
+	s.machine.Read(func(t *workload.Tables) {
+		var queue workload.QueueID
+		queue, reply.Finding = route(t, name.GetHost(), name.GetPath(), "")
+		if reply.Finding == controlpb.Finding_FINDING_OK {
+			reply.Pending = uint64(t.Pending(queue))
+		}
+	})
+	return nil
+}
+
+// putConfig puts a configuration in force unless a version as high is.
+func (s *Server) putConfig(ctx context.Context, data []byte, reply *controlpb.Reply) error {
+	config, err := workload.DecodeConfig(data)
+	if err != nil {
+		reply.Finding = controlpb.Finding_FINDING_INVALID
+		return nil
+	}
+	reply.Finding = controlpb.Finding_FINDING_OK
+	newer := false
+	s.machine.Read(func(t *workload.Tables) { newer = t.Config == nil || t.Config.Version < config.Version })
+	if !newer {
+		return nil
+	}
+	return s.log.Propose(ctx, &workload.Command{Config: config})
+}
+
+func (s *Server) getConfig(reply *controlpb.Reply) error {
+	s.machine.Read(func(t *workload.Tables) {
+		if t.Config == nil {
+			reply.Finding = controlpb.Finding_FINDING_NO_CONFIG
+			return
+		}
+		reply.Finding, reply.Config = controlpb.Finding_FINDING_OK, t.Config.Text
+	})
+	return nil
+}
+
+func (s *Server) report(ctx context.Context, data []byte, reply *controlpb.Reply) error {
+	r, err := DecodeReport(data)
+	if err != nil {
+		reply.Finding = controlpb.Finding_FINDING_INVALID
+		return nil
+	}
+	reply.Finding = controlpb.Finding_FINDING_OK
+	return s.reporter.Report(ctx, r)
+}
+
+func (s *Server) startWave(ctx context.Context, data []byte, reply *controlpb.Reply) error {
+	wave, err := DecodeWave(data)
+	if err != nil {
+		reply.Finding = controlpb.Finding_FINDING_INVALID
+		return nil
+	}
+	reply.Finding = controlpb.Finding_FINDING_OK
+	exists := false
+	s.machine.Read(func(t *workload.Tables) { exists = t.Waves[wave.ID] != nil })
+	if exists {
+		return nil
+	}
+	return s.log.Propose(ctx, &workload.Command{Wave: wave})
+}
+
+func (s *Server) wave(id int64, reply *controlpb.Reply) error {
+	s.machine.Read(func(t *workload.Tables) {
+		reply.Finding = controlpb.Finding_FINDING_NOT_FOUND
+		if w := t.Waves[id]; w != nil {
+			reply.Finding, reply.Completed = controlpb.Finding_FINDING_OK, w.Completed()
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,208 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+
+	"github.com/comfreyloom/comfreyloom/internal/control"
+	"github.com/comfreyloom/comfreyloom/internal/schedule"
+	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// roundGap is the least time between two rounds: what happens meanwhile
+	// shares one commit.
+	roundGap = 10 * time.Millisecond
+	// roundEvery is the time between two rounds when nothing happens; it
+	// bounds how late a time that has come is noticed.
+	roundEvery = 100 * time.Millisecond
+	// standingEvery is how often a core VM looks whether it leads.
+	standingEvery = 20 * time.Millisecond
+	// proposeTimeout bounds one commit; leadership is long lost by then.
+	proposeTimeout = 5 * time.Second
+	// freshContact is how old the last word of a worker may be that gets new
+	// work: two reports in a row may be lost.
+	freshContact = 3500 * time.Millisecond
+	// refusedPause is how long a worker gets no new work after it refused some.
+	refusedPause = 500 * time.Millisecond
+	// maxStarts bounds the runs that one round commits.
+	maxStarts = 256
+	// orderDeadline is when a stop is sent again that has had no effect.
+	stopAgain = 800 * time.Millisecond
+)
+
+// Config sets up a Dispatcher.
+type Config struct {
+	// Self is this VM, the holder of orders to the platform.
+	Self    string
+	Log     control.Log
+	Machine *workload.Machine
+	Workers Workers
+	Fleet   Fleet
+	Advisor Advisor
+	// Lease is the length of a worker's lease; well below LeaseMax, the
+	// longest that a worker grants.
+	Lease, LeaseMax time.Duration
+	// TakeOver is how long a new leader waits with orders to the platform, so
+	// that they don't alternate with those of the last one.
+	TakeOver time.Duration
+	// Now is the steady clock, WallMS the time of day in Unix milliseconds.
+	Now    func() time.Duration
+	WallMS func() int64
+
+	Logger  log.Interface
+	Metrics metrics.Registry
+}
+
+// Dispatcher is the leader's duty on a core VM. It is safe for concurrent use.
+type Dispatcher struct {
+	config   Config
+	counters *counters
+	wake     chan struct{}
+
+	mu sync.Mutex
+	// term is that of the leadership which is acted on, 0 for none.
+	term  uint64
+	links map[workload.WorkerID]*link
+	// over remembers incarnations that ended, so that a late report of one
+	// does not bring it back.
+	over    map[workload.WorkerID]time.Duration
+	leading context.Context
+	group   *conc.WaitGroup
+	fleet   *fleetState
+	advice  *adviceCache
+}
+
+// New returns a dispatcher.
+func New(c Config) *Dispatcher {
+	return &Dispatcher{
+		config: c, counters: newCounters(c.Metrics), wake: make(chan struct{}, 1),
+		links: map[workload.WorkerID]*link{}, over: map[workload.WorkerID]time.Duration{},
+		leading: context.Background(),
+	}
+}
+
+func (d *Dispatcher) now() time.Duration { return d.config.Now() }
+
+func (d *Dispatcher) wakeUp() { poke(d.wake) }
+
+// Run leads whenever this VM is the confirmed leader, until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if s := d.config.Log.Standing(); s.Confirmed {
+			d.lead(ctx, s.Term)
+		}
+		pause(ctx, standingEvery)
+	}
+	return ctx.Err()
+}
+
+// lead acts as the leader of a term until it is lost.
+func (d *Dispatcher) lead(ctx context.Context, term uint64) {
+	if err := d.propose(ctx, &workload.Command{Term: term, StartTerm: true}); err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	d.begin(ctx, term, &group)
+	defer d.end()
+	d.config.Logger.WithField("term", term).Info("leading")
+	group.Go(func() { d.runFleet(ctx, term) })
+	group.Go(func() { d.runAdvice(ctx) })
+	ticker := time.NewTicker(roundEvery)
+	defer ticker.Stop()
+	for d.leads(term) && ctx.Err() == nil {
+		started := d.now()
+		d.round(ctx, term)
+		pause(ctx, roundGap-(d.now()-started))
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-d.wake:
+		case <-d.config.Machine.Changed():
+		}
+	}
+	d.config.Logger.WithField("term", term).Info("no longer leading")
+}
+
+func (d *Dispatcher) leads(term uint64) bool {
+	s := d.config.Log.Standing()
+	return s.Confirmed && s.Term == term
+}
+
+// begin takes over the workers that the tables hold.
+func (d *Dispatcher) begin(ctx context.Context, term uint64, group *conc.WaitGroup) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.term, d.leading, d.group = term, ctx, group
+	d.fleet, d.advice = newFleetState(d.now()), newAdviceCache()
+	d.config.Machine.Read(func(t *workload.Tables) {
+		for _, w := range t.Workers {
+			l := d.open(ctx, w)
+			for run := range t.Runs[w.ID] {
+				l.inherited[run] = true
+			}
+			l.wanted = len(t.Runs[w.ID]) > 0
+			// The last leader may have granted a lease until just now.
+			l.lease.lapsedAt = d.now() + time.Duration(float64(d.config.LeaseMax)/slowClock) + lapseMargin
+		}
+	})
+}
+
+func (d *Dispatcher) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.term = 0
+	for _, l := range d.links {
+		l.cancel()
+	}
+	d.links = map[workload.WorkerID]*link{}
+}
+
+// open starts the link of a worker.
+func (d *Dispatcher) open(ctx context.Context, w *workload.Worker) *link {
+	l := newLink(d, w, d.term)
+	d.links[w.ID] = l
+	l.run(ctx)
+	return l
+}
+
+// propose commits a command at this VM.
+func (d *Dispatcher) propose(ctx context.Context, c *workload.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	err := d.config.Log.Propose(ctx, c)
+	if err != nil && !errors.Is(err, state.ErrNotProposed) {
+		d.counters.unknown.Inc(1)
+	}
+	return err
+}
+
+// startOrder returns what a worker is told about a run; false when the run is
+// not wanted there any more.
+func (d *Dispatcher) startOrder(worker workload.WorkerID, run workload.RunRef) (o StartOrder, wanted bool) {
+	d.config.Machine.Read(func(t *workload.Tables) {
+		if _, stopping := t.Stopping[run]; stopping || !t.HasRun(worker, run) {
+			return
+		}
+		job, _, task := t.Task(run.Task)
+		if task == nil {
+			return
+		}
+		o = StartOrder{Run: run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint}
+		wanted = true
+	})
+	if wanted {
+		o.Ticket = d.advice.ticket(schedule.StepRef{Job: run.Task.Job, Occurrence: run.Task.Occurrence, Step: run.Task.Step}, worker)
+	}
+	return o, wanted
+}
--- /dev/null
+++ b/internal/dispatch/hold.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it answers. It
+	// bounds how old the progress of its tasks is, and must leave several
+	// tries within a lease.
+	holdWait = 1000 * time.Millisecond
+	// holdSlack is the time for the call besides the wait.
+	holdSlack = 700 * time.Millisecond
+	// holdRetry is the pause after a call without an answer.
+	holdRetry    = 150 * time.Millisecond
+	maxHoldRetry = 900 * time.Millisecond
+	// commitWait is how long the next call waits for the listed ends to be
+	// committed; until then the worker would list them again at once.
+	commitWait = 400 * time.Millisecond
+)
+
+// holdLeases is the duty that renews leases and asks for the lists, while
+// anything runs on the worker or must be known of it.
+func (l *link) holdLeases(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !l.mustHold() {
+			select {
+			case <-l.listen:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		if !l.hold(ctx) {
+			pause(ctx, l.retryPause())
+			continue
+		}
+		l.awaitCommit(ctx)
+	}
+}
+
+func (l *link) mustHold() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	doubted := l.failures > 0 && l.d.now()-l.reported < freshContact
+	return !l.gone && !l.outranked && (l.wanted || len(l.running) > 0 || doubted)
+}
+
+// retryPause grows with the calls in a row that got no answer.
+func (l *link) retryPause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(time.Duration(max(l.failures, 1))*holdRetry, maxHoldRetry)
+}
+
+// hold makes one call; false when it got no answer.
+func (l *link) hold(ctx context.Context) bool {
+	sentAt := l.d.now()
+	o := l.holdOrder(sentAt)
+	limit := time.Duration(o.WaitMS)*time.Millisecond + holdSlack
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	list, err := l.d.config.Workers.Hold(ctx, l.target, o)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.d.wakeUp()
+	if err != nil {
+		l.failed(err)
+		return false
+	}
+	// The clock was read when the answer was written; the wait lies before it.
+	l.heard(list.Answer, l.d.now()-time.Millisecond)
+	if list.Refusal != Accepted {
+		return true
+	}
+	l.takeList(list, sentAt)
+	return true
+}
+
+func (l *link) holdOrder(now time.Duration) HoldOrder {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := HoldOrder{Fence: l.fence, Acked: l.acked, LeaseUntilMS: l.grant(now)}
+	if l.listedAt > 0 && l.failures == 0 && !l.awaitsList() {
+		o.WaitMS = holdWait.Milliseconds()
+	}
+	return o
+}
+
+// awaitsList says whether an answered order waits for a newer list.
+func (l *link) awaitsList() bool {
+	for _, o := range l.orders {
+		if o.start.answered && o.refusal != Accepted && o.start.answeredAt >= l.listedAt {
+			return true
+		}
+		if o.stop.answered && o.stop.answeredAt >= l.listedAt {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *link) takeList(list List, sentAt time.Duration) {
+	now := l.d.now()
+	before := l.running
+	l.running = make(map[workload.RunRef]*observed, len(list.Running))
+	for _, r := range list.Running {
+		seen := &observed{Running: r, since: now, first: now}
+		if old := before[r.Run]; old != nil {
+			seen.first = old.first
+			if old.Percent == r.Percent {
+				seen.since = old.since
+			}
+		}
+		l.running[r.Run] = seen
+	}
+	l.ends = list.Ends
+	l.listedAt = sentAt
+}
+
+// awaitCommit waits until the ends that the worker listed are committed.
+func (l *link) awaitCommit(ctx context.Context) {
+	deadline := l.d.now() + commitWait
+	for l.hasEnds() && l.d.now() < deadline && ctx.Err() == nil {
+		select {
+		case <-l.listen:
+		case <-time.After(commitWait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (l *link) hasEnds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ends) > 0
+}
--- /dev/null
+++ b/internal/dispatch/link.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// link is the leader's side of one worker: two goroutines make the calls, one
+// orders and one holds leases and asks for lists. The round reads and fills it
+// under its lock.
+type link struct {
+	d      *Dispatcher
+	target Target
+	fence  uint64
+	cancel context.CancelFunc
+	// woken holds one token when there may be an order to send, listen one
+	// when the worker should be asked for its list.
+	woken, listen chan struct{}
+
+	mu     sync.Mutex
+	lease  lease
+	orders map[workload.RunRef]*order
+	queue  []call
+	// inherited holds runs that an earlier leader committed; they are ordered
+	// again only if the first list does not hold them.
+	inherited map[workload.RunRef]bool
+	// contact is when the worker last answered or reported, listedAt when the
+	// call was sent that the lists come from; 0 before the first.
+	contact, listedAt time.Duration
+	failures          int
+	running           map[workload.RunRef]*observed
+	ends              []workload.End
+	// wanted says that runs are committed on the worker, so that it is held.
+	wanted        bool
+	acked, judged uint64
+	// outranked: the worker follows a later leader. gone: the incarnation is over.
+	outranked, gone bool
+	closing         bool
+	// last sequence and announcement that the worker reported.
+	sequence  uint64
+	reported  time.Duration
+	suspicion suspicion
+	// refusedUntil is when a worker that refused for want of room or health is
+	// tried again.
+	refusedUntil time.Duration
+	paced        map[workload.RunRef]int
+}
+
+// observed is a run that the worker listed.
+type observed struct {
+	Running
+	// since is when the progress last changed, first when it was first listed.
+	since, first time.Duration
+}
+
+// order is what was asked of a worker about a run.
+type order struct {
+	start, stop progress
+	// refusal is the answer to the start.
+	refusal Refusal
+	// uncertain says that a start was sent that nobody answered: the worker
+	// may carry it out seconds later, whatever it answered to the next one.
+	uncertain bool
+	// dropped: the run is given up; it must not be sent any more.
+	dropped bool
+}
+
+// surelyNot says that the start was refused and can't be carried out later.
+func (o *order) surelyNot() bool {
+	return o.start.answered && !o.uncertain && o.refusal != Accepted && o.refusal != RefusedOld
+}
+
+// progress is how far one call has come.
+type progress struct {
+	queued, sent, answered bool
+	// answeredAt is when the answer came.
+	answeredAt time.Duration
+	queuedAt   time.Duration
+}
+
+// callKind is what a queued call does.
+type callKind uint8
+
+const (
+	callStart callKind = iota + 1
+	callStop
+	callPace
+)
+
+// call is a queued call about a run.
+type call struct {
+	kind    callKind
+	run     workload.RunRef
+	percent int
+}
+
+func newLink(d *Dispatcher, w *workload.Worker, fence uint64) *link {
+	return &link{
+		d: d, target: Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked,
+		woken: make(chan struct{}, 1), listen: make(chan struct{}, 1),
+		orders: map[workload.RunRef]*order{}, inherited: map[workload.RunRef]bool{},
+		running: map[workload.RunRef]*observed{}, paced: map[workload.RunRef]int{},
+		cancel: func() {},
+	}
+}
+
+// run makes the calls until ctx ends.
+func (l *link) run(ctx context.Context) {
+	ctx, l.cancel = context.WithCancel(ctx)
+	l.d.group.Go(func() { l.sendOrders(ctx) })
+	l.d.group.Go(func() { l.holdLeases(ctx) })
+}
+
+// usable says whether new work may go to the worker.
+func (l *link) usable(now time.Duration) bool {
+	return !l.gone && !l.outranked && l.lease.known && l.failures == 0 &&
+		now >= l.refusedUntil && now-l.contact < freshContact &&
+		(len(l.inherited) == 0 || l.listedAt > 0)
+}
+
+// heard notes an answer of the worker.
+func (l *link) heard(a Answer, sentAt time.Duration) {
+	now := l.d.now()
+	l.lease.hear(a.ClockMS, sentAt, now)
+	l.contact, l.failures = now, 0
+	switch a.Refusal {
+	case RefusedFence:
+		l.outranked = true
+	case RefusedIncarnation:
+		l.gone = true
+	case RefusedBusy, RefusedRoom:
+		l.refusedUntil = now + refusedPause
+	}
+}
+
+// enqueue queues a call unless it waits already.
+func (l *link) enqueue(c call) {
+	l.queue = append(l.queue, c)
+	poke(l.woken)
+}
+
+func (l *link) orderOf(run workload.RunRef) *order {
+	o := l.orders[run]
+	if o == nil {
+		o = &order{}
+		l.orders[run] = o
+	}
+	return o
+}
+
+// poke puts a token in a channel that holds one.
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/dispatch/logs.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/control"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// counters are the figures of the leader's duty.
+type counters struct {
+	unknown, callsFailed, standstills metrics.Counter
+	starts, ends, releases            metrics.Counter
+	roundTime                         metrics.Timer
+}
+
+func newCounters(r metrics.Registry) *counters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatch."+name, r) }
+	return &counters{
+		unknown: counter("unknown"), callsFailed: counter("calls_failed"), standstills: counter("standstills"),
+		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"),
+		roundTime: metrics.GetOrRegisterTimer("dispatch.round", r),
+	}
+}
+
+// logDecisions writes a line for each decision of a committed round.
+func (d *Dispatcher) logDecisions(c *workload.Command) {
+	d.counters.starts.Inc(int64(len(c.Starts)))
+	d.counters.ends.Inc(int64(len(c.Ends)))
+	d.counters.releases.Inc(int64(len(c.Releases)))
+	for _, s := range c.Starts {
+		d.line(c, s.Run.Task.Job, s.Worker).WithField("task", s.Run.Task.String()).WithField("attempt", s.Run.Attempt).Info("run committed")
+	}
+	for i := range c.Ends {
+		e := &c.Ends[i]
+		if e.Kind != workload.EndDone {
+			d.line(c, e.Run.Task.Job, e.Worker).WithField("task", e.Run.Task.String()).WithField("attempt", e.Run.Attempt).
+				WithField("end", e.Kind.String()).Info("run ended")
+		}
+	}
+	for _, r := range c.Releases {
+		d.line(c, r.Run.Task.Job, r.Worker).WithField("task", r.Run.Task.String()).WithField("attempt", r.Run.Attempt).Info("run released")
+	}
+	for _, id := range c.Gone {
+		d.line(c, "", id).Info("worker gone")
+	}
+}
+
+func (d *Dispatcher) line(c *workload.Command, job workload.JobID, worker workload.WorkerID) log.Interface {
+	return d.config.Logger.WithField("term", c.Term).WithField("job", string(job)).WithField("worker", string(worker))
+}
+
+func (d *Dispatcher) logRefusal(to Target, run workload.RunRef, a Answer) {
+	d.config.Logger.WithField("worker", string(to.ID)).WithField("task", run.Task.String()).
+		WithField("attempt", run.Attempt).WithField("refusal", a.Refusal.String()).Info("start refused")
+}
+
+// logSilent writes a line for the first call in a row without an answer.
+func (d *Dispatcher) logSilent(l *link, err error) {
+	if l.failures == 1 {
+		d.config.Logger.WithField("worker", string(l.target.ID)).WithField("address", l.target.Address).
+			WithField("age_ms", (d.now() - l.contact).Milliseconds()).WithError(err).Warn("worker does not answer")
+	}
+}
+
+func (d *Dispatcher) logStandstill(l *link, run workload.RunRef, seen *observed, now time.Duration) {
+	d.config.Logger.WithField("worker", string(l.target.ID)).WithField("task", run.Task.String()).
+		WithField("attempt", run.Attempt).WithField("percent", seen.Percent).
+		WithField("age_ms", (now - seen.since).Milliseconds()).Warn("run stands still")
+}
+
+func (d *Dispatcher) logWorker(r control.Report) {
+	d.config.Logger.WithField("worker", string(r.Worker.ID)).WithField("pool", r.Worker.Pool).
+		WithField("address", r.Worker.Address).WithField("draining", r.Worker.Draining).
+		WithField("sequence", r.Sequence).Info("worker announced")
+}
--- /dev/null
+++ b/internal/dispatch/round.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/schedule"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// round brings the tables and the workers together: it commits what the
+// workers listed and what is decided next, and queues the orders that follow
+// from what is committed.
+func (d *Dispatcher) round(ctx context.Context, term uint64) {
+	began := time.Now()
+	command := &workload.Command{Term: term}
+	d.mu.Lock()
+	d.syncLinks(ctx)
+	d.config.Machine.Read(func(t *workload.Tables) {
+		for _, l := range d.links {
+			d.reconcile(t, l, command)
+		}
+		d.schedule(t, command)
+	})
+	d.mu.Unlock()
+	d.counters.roundTime.UpdateSince(began)
+	if !isEmpty(command) {
+		sortCommand(command)
+		if d.propose(ctx, command) == nil {
+			d.logDecisions(command)
+		}
+	}
+}
+
+func isEmpty(c *workload.Command) bool {
+	return len(c.Ends)+len(c.Releases)+len(c.Gone)+len(c.Due)+len(c.Starts) == 0
+}
+
+// sortCommand puts the ends of each worker in the order of their numbers,
+// which is the only one in which they are taken.
+func sortCommand(c *workload.Command) {
+	slices.SortStableFunc(c.Ends, func(a, b workload.End) int {
+		if a.Worker != b.Worker {
+			return 0
+		}
+		return int(int64(a.Number) - int64(b.Number))
+	})
+}
+
+// syncLinks opens links for workers that are new and closes those of workers
+// that are gone from the tables.
+func (d *Dispatcher) syncLinks(ctx context.Context) {
+	d.config.Machine.Read(func(t *workload.Tables) {
+		for id, w := range t.Workers {
+			if d.links[id] == nil {
+				d.open(ctx, w)
+			}
+		}
+		for id, l := range d.links {
+			if t.Workers[id] == nil {
+				l.cancel()
+				delete(d.links, id)
+				d.over[id] = d.now()
+			}
+		}
+	})
+}
+
+// reconcile compares what is committed on a worker with what it listed.
+func (d *Dispatcher) reconcile(t *workload.Tables, l *link, c *workload.Command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := d.now()
+	worker := t.Workers[l.target.ID]
+	if worker == nil {
+		return
+	}
+	runs := t.Runs[worker.ID]
+	l.takeAcked(worker.Acked)
+	if l.gone {
+		c.Gone = append(c.Gone, worker.ID)
+		return
+	}
+	for _, e := range l.ends {
+		if e.Number > worker.Acked {
+			c.Ends = append(c.Ends, e)
+			l.judge(t, e, now)
+		}
+	}
+	for run := range runs {
+		_, stopping := t.Stopping[run]
+		if l.absent(run, stopping, now) {
+			c.Releases = append(c.Releases, workload.Release{Worker: worker.ID, Run: run})
+		}
+	}
+	l.stopForeign(runs, now)
+	l.forgetOrders(runs)
+	l.watch(t, now)
+	l.want(len(runs) > 0)
+	if len(runs) == 0 && now-l.contact > forgetWorker && l.contact > 0 {
+		c.Gone = append(c.Gone, worker.ID)
+	}
+}
+
+// forgetWorker is how long a worker may be silent, with nothing on it, before
+// it is dropped. It comes back with its next report.
+const forgetWorker = 2 * time.Minute
+
+// takeAcked drops the ends that are committed and lets the next list be asked for.
+func (l *link) takeAcked(acked uint64) {
+	l.acked = acked
+	before := len(l.ends)
+	l.ends = slices.DeleteFunc(l.ends, func(e workload.End) bool { return e.Number <= acked })
+	if before > 0 && len(l.ends) == 0 {
+		poke(l.listen)
+	}
+}
+
+func (l *link) want(wanted bool) {
+	if wanted && !l.wanted {
+		poke(l.listen)
+	}
+	l.wanted = wanted
+}
+
+// judge counts an end for or against the worker, once.
+func (l *link) judge(t *workload.Tables, e workload.End, now time.Duration) {
+	if l.judged >= e.Number {
+		return
+	}
+	l.judged = e.Number
+	switch e.Kind {
+	case workload.EndFailed:
+		l.suspicion.failed(now)
+	case workload.EndDone:
+		l.suspicion.done()
+	}
+}
+
+// absent orders what a committed run needs, and reports whether it is certain
+// that the run neither runs nor will.
+func (l *link) absent(run workload.RunRef, stopping bool, now time.Duration) bool {
+	if l.isEnding(run) {
+		return false
+	}
+	o := l.orderOf(run)
+	if l.surelyOver(run, o, now) {
+		o.dropped = true
+		return true
+	}
+	_, listed := l.running[run]
+	if listed {
+		delete(l.inherited, run)
+		o.start.answered, o.refusal = true, Accepted
+		if stopping {
+			l.orderStop(run, o, now)
+		}
+		return false
+	}
+	if o.surelyNot() {
+		return true
+	}
+	if l.inherited[run] {
+		if l.listedAt == 0 {
+			return false
+		}
+		delete(l.inherited, run)
+	}
+	newer := func(p progress) bool { return p.answered && l.listedAt > p.answeredAt }
+	switch {
+	case stopping || o.refusal != Accepted && o.uncertain:
+		l.orderStop(run, o, now)
+		return newer(o.stop)
+	case !o.start.answered:
+		l.orderStart(run, o, now)
+		return false
+	default:
+		return newer(o.start)
+	}
+}
+
+// surelyOver says whether a run on a worker that does not answer can't run any
+// more: it was never ordered, or every lease has passed.
+func (l *link) surelyOver(run workload.RunRef, o *order, now time.Duration) bool {
+	if l.failures == 0 && !o.dropped {
+		return false
+	}
+	if !o.start.sent && !l.inherited[run] {
+		return true
+	}
+	return l.lease.passed(now)
+}
+
+// isEnding says whether the worker listed an end of the run that is not
+// committed yet.
+func (l *link) isEnding(run workload.RunRef) bool {
+	return slices.ContainsFunc(l.ends, func(e workload.End) bool { return e.Run == run })
+}
+
+func (l *link) orderStart(run workload.RunRef, o *order, now time.Duration) {
+	if !o.start.queued {
+		o.start.queued, o.start.queuedAt = true, now
+		l.enqueue(call{kind: callStart, run: run})
+	}
+}
+
+// orderStop orders a stop, and once more when it was answered without effect.
+func (l *link) orderStop(run workload.RunRef, o *order, now time.Duration) {
+	if o.stop.queued || o.stop.answered && now-o.stop.queuedAt < stopAgain {
+		return
+	}
+	o.stop.queued, o.stop.queuedAt = true, now
+	l.enqueue(call{kind: callStop, run: run})
+}
+
+// stopForeign stops what runs on the worker and is not committed there.
+func (l *link) stopForeign(runs map[workload.RunRef]bool, now time.Duration) {
+	for run := range l.running {
+		if !runs[run] {
+			l.orderStop(run, l.orderOf(run), now)
+		}
+	}
+}
+
+// forgetOrders drops what is known of runs that are neither committed nor listed.
+func (l *link) forgetOrders(runs map[workload.RunRef]bool) {
+	for run := range l.orders {
+		if _, listed := l.running[run]; !listed && !runs[run] {
+			delete(l.orders, run)
+			delete(l.paced, run)
+		}
+	}
+}
+
+// schedule adds what is decided next.
+func (d *Dispatcher) schedule(t *workload.Tables, c *workload.Command) {
+	now := d.now()
+	workers := make(map[workload.WorkerID]schedule.Worker, len(d.links))
+	for id, l := range d.links {
+		l.mu.Lock()
+		workers[id] = schedule.Worker{
+			Usable:    l.usable(now) && !l.holdsForeign(t.Runs[id]),
+			Closing:   l.closing,
+			Suspicion: l.suspicion.level(now),
+		}
+		l.mu.Unlock()
+	}
+	plan := schedule.Make(schedule.Input{
+		Tables: t, Workers: workers, Advice: d.advice.get, NowMS: d.config.WallMS(), MaxStarts: maxStarts,
+	})
+	c.Starts, c.Due = plan.Starts, plan.Due
+	d.advice.ask(plan.Ask)
+}
+
+// holdsForeign says whether something takes room that the tables don't know.
+func (l *link) holdsForeign(runs map[workload.RunRef]bool) bool {
+	for run := range l.running {
+		if !runs[run] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/member/reload.go
@@ -0,0 +1,49 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/settings"
+)
+
+// lookEvery is how often the settings file is read: it may change without a
+// signal.
+const lookEvery = time.Second
+
+// Follow reads the settings file again at every signal and whenever it has
+// changed, and takes over what may change while the process runs: the seeds.
+func (m *Member) Follow(ctx context.Context, path string, signal <-chan os.Signal) {
+	var last []byte
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		if text, err := os.ReadFile(path); err != nil {
+			m.Logger.WithError(err).Warn("the settings file cannot be read; the last settings stay")
+		} else if !bytes.Equal(text, last) {
+			m.reload(path, text, last == nil)
+			last = text
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-signal:
+		}
+	}
+}
+
+func (m *Member) reload(path string, text []byte, first bool) {
+	if first {
+		return
+	}
+	s, problems := settings.ParseMember(path, text)
+	if len(problems) > 0 {
+		m.Logger.WithField("problem", problems[0].String()).Warn("the changed settings are not valid; the last ones stay")
+		return
+	}
+	m.directory.SetSeeds(m.seeds(s))
+	m.Logger.WithField("seeds", s.Seeds).Info("settings reloaded")
+}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -54,6 +54,7 @@
 // session is one generation of a link.
 type session struct {
 	node      nodepb.Node
+	caller    *authorizedCaller
 	transport *http.Transport
 }
 
@@ -114,7 +115,11 @@
 		},
 	}
 	caller := &authorizedCaller{credentials: l.credentials, client: &http.Client{Transport: transport}}
-	return &session{node: nodepb.NewNodeProtobufClient("http://"+l.address, caller), transport: transport}
+	return &session{
+		node:      nodepb.NewNodeProtobufClient("http://"+l.address, caller),
+		caller:    caller,
+		transport: transport,
+	}
 }
 
 // unencryptedHTTP2 makes peers speak HTTP/2 from the first byte.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -49,6 +49,8 @@
 	voter     atomic.Pointer[voterBox]
 	snapshots snapshotCache
 	badInput  metrics.Counter
+	// others are the services of other packages, by the prefix of their paths.
+	others map[string]http.Handler
 }
 
 type voterBox struct{ Voter }
@@ -66,9 +68,23 @@
 // SetVoter makes the server answer for a voter.
 func (s *Server) SetVoter(v Voter) { s.voter.Store(&voterBox{v}) }
 
+// Offer serves the paths that begin with prefix by another handler, behind the
+// same checks. It is called before Handler.
+func (s *Server) Offer(prefix string, h http.Handler) {
+	if s.others == nil {
+		s.others = map[string]http.Handler{}
+	}
+	s.others[prefix] = h
+}
+
 // Handler returns the HTTP handler with all checks in front.
 func (s *Server) Handler() http.Handler {
-	return newGuard(s.config, nodepb.NewNodeServer(s))
+	mux := http.NewServeMux()
+	mux.Handle("/", nodepb.NewNodeServer(s))
+	for prefix, h := range s.others {
+		mux.Handle(prefix, h)
+	}
+	return newGuard(s.config, mux)
 }
 
 // Exchange takes quorum messages and returns those that answer heartbeats.
@@ -177,7 +193,7 @@
 	if s.config.Client == nil {
 		return nil
 	}
-	return s.config.Client.peers[model.NodeID(name)]
+	return s.config.Client.lookup(model.NodeID(name))
 }
 
 func wallClock() model.Instant { return model.InstantOf(time.Now()) }
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/datafolder"
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/steady"
 )
 
 const (
@@ -35,8 +36,14 @@
 	Folder string
 	Site   string
 	Self   model.NodeID
-	// Members are the nodes that vote, this one included.
+	// Members are the nodes that vote, this one included. With Candidates set
+	// they are the nodes that may found the site together: empty on a process
+	// that must not, and without this node when it only joins.
 	Members []model.NodeID
+	// Candidates lists the nodes that may hold a disk, as far as this process
+	// knows now; nil when Members are all the voters there are. A leader then
+	// lets every candidate vote and removes voters that stay silent.
+	Candidates func() []model.NodeID
 
 	Machine      Machine
 	Transport    Transport
@@ -81,13 +88,16 @@
 
 	Log     log.Interface
 	Metrics metrics.Registry
+
+	// growing says that the voters are found while running (Candidates).
+	growing bool
 }
 
 func (c *Config) complete() error {
 	switch {
 	case c.Folder == "" || c.Self == "" || c.Site == "":
 		return errors.New("replica: config: Folder, Site and Self are needed")
-	case !slices.Contains(c.Members, c.Self):
+	case c.Candidates == nil && !slices.Contains(c.Members, c.Self):
 		return fmt.Errorf("replica: config: node %s is not among the voters %v", c.Self, c.Members)
 	case c.Machine == nil || c.Transport == nil || c.Bootstrapper == nil:
 		return errors.New("replica: config: Machine, Transport and Bootstrapper are needed")
@@ -113,7 +123,12 @@
 		c.Disk = datafolder.Disk{}
 	}
 	if c.Clock == nil {
-		c.Clock = systemClock
+		c.Clock = steady.Now
+	}
+	if c.Candidates == nil {
+		c.Candidates = func() []model.NodeID { return c.Members }
+	} else {
+		c.growing = true
 	}
 	if c.Random == nil {
 		c.Random = rand.IntN
--- a/internal/replica/enter.go
+++ b/internal/replica/enter.go
@@ -49,7 +49,7 @@
 	if identity.Phase == datafolder.PhaseAdopted {
 		return foundingNodes(identity)
 	}
-	return r.config.Members
+	return r.config.Candidates()
 }
 
 // logSilent tells which voters don't answer, when that has changed: without
--- a/internal/replica/reviewduty.go
+++ b/internal/replica/reviewduty.go
@@ -13,7 +13,7 @@
 		if _, err := d.reviews.Get(ctx); err != nil {
 			return err
 		}
-		known := d.askOthers(ctx, d.config.Members)
+		known := d.askOthers(ctx, d.config.Candidates())
 		known[d.config.Self] = d.Identity()
 		if err := d.control(ctx, func(d *driver) { d.changeVoters(known) }); err != nil {
 			return err
@@ -28,7 +28,7 @@
 	if s.Role != quorum.RoleLeader || !s.Ready || !s.Confirmed || s.VotersPending {
 		return
 	}
-	next, ok := nextVoters(s.Voters, d.Identity(), d.config.Members, known)
+	next, ok := d.nextVoters(s.Voters, known)
 	if !ok {
 		return
 	}
@@ -39,3 +39,11 @@
 	d.counters.voterChanges.Inc(1)
 	d.config.Log.WithField("from", s.Voters.Members).WithField("to", next.Members).Info("changing the voters")
 }
+
+// nextVoters picks the rule: voters by the settings, or found while running.
+func (d *driver) nextVoters(current quorum.Voters, known answers) (quorum.Voters, bool) {
+	if !d.config.growing {
+		return nextVoters(current, d.Identity(), d.config.Members, known)
+	}
+	return nextGrowing(current, d.Identity(), known, d.raft.Peers(), d.silenceLimits())
+}
--- /dev/null
+++ b/internal/schedule/place.go
@@ -0,0 +1,225 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// placement is one task on one candidate, before it is certain.
+type placement struct {
+	index     int
+	candidate *candidate
+}
+
+// placeStep starts as many tasks of a step as find room; all or none of a gang.
+func (p *planner) placeStep(w waitingStep) {
+	fit := p.filter(w)
+	if len(fit) == 0 {
+		return
+	}
+	if w.spec().SameRack {
+		fit = p.oneRack(w, fit)
+	}
+	placed := p.placeTasks(w, fit)
+	if w.spec().Gang && len(placed) < w.spec().Count {
+		p.undo(w, placed)
+		return
+	}
+	p.commit(w, placed)
+}
+
+// filter returns the workers that may run the step, whatever their room.
+func (p *planner) filter(w waitingStep) []*candidate {
+	spec := w.spec()
+	allowed := func(workload.WorkerID) bool { return true }
+	if w.queue.Advisor != nil {
+		ref := StepRef{Job: w.job.ID, Occurrence: w.occurrence.K, Step: w.step}
+		advice := p.Advice(ref)
+		if advice == nil {
+			p.plan.Ask = append(p.plan.Ask, ref)
+			return nil
+		}
+		allowed = func(id workload.WorkerID) bool { return advice.Tickets[id] != "" }
+	}
+	var fit []*candidate
+	for _, c := range p.pools[w.queue.Pool] {
+		if c.worker.Has(spec.Label) && allowed(c.worker.ID) {
+			fit = append(fit, c)
+		}
+	}
+	return fit
+}
+
+// oneRack keeps the candidates of one rack: where tasks of the step run
+// already, or the rack that has most room. When no rack holds all tasks the
+// step is spread: it is slower, but it runs.
+func (p *planner) oneRack(w waitingStep, fit []*candidate) []*candidate {
+	racks := map[string][]*candidate{}
+	for _, c := range fit {
+		racks[c.worker.Rack] = append(racks[c.worker.Rack], c)
+	}
+	if rack := rackOf(p.Tables, w); rack != "" && len(racks[rack]) > 0 {
+		return racks[rack]
+	}
+	best, most := fit, 0
+	for _, rack := range sortedKeys(racks) {
+		n := slots(racks[rack], w.spec())
+		if n >= w.spec().Count && n > most {
+			best, most = racks[rack], n
+		}
+	}
+	return best
+}
+
+func sortedKeys(m map[string][]*candidate) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// slots counts how many tasks of a step fit on the candidates.
+func slots(all []*candidate, spec *workload.StepSpec) int {
+	n := 0
+	for _, c := range all {
+		free, here := c.free, 0
+		for spec.Charge().Fits(free) && (spec.MaxPerWorker == 0 || here < spec.MaxPerWorker) && here < spec.Count {
+			free = free.Minus(spec.Charge())
+			here++
+		}
+		n += here
+	}
+	return n
+}
+
+// rackOf returns the rack on which tasks of the step run, empty when none do.
+func rackOf(t *workload.Tables, w waitingStep) string {
+	for i := range w.occurrence.Steps[w.step].Tasks {
+		for _, run := range w.occurrence.Steps[w.step].Tasks[i].Runs {
+			if worker := t.Workers[run.Worker]; worker != nil {
+				return worker.Rack
+			}
+		}
+	}
+	return ""
+}
+
+func (p *planner) placeTasks(w waitingStep, fit []*candidate) []placement {
+	spec := w.spec()
+	here := tasksOn(w)
+	var placed []placement
+	tasks := w.occurrence.Steps[w.step].Tasks
+	for i := range tasks {
+		if tasks[i].Done || len(tasks[i].Runs) > 0 {
+			continue
+		}
+		best := p.best(spec, fit, here, &tasks[i])
+		if best == nil {
+			break // the tasks of a step are alike: no other one fits either
+		}
+		best.free = best.free.Minus(spec.Charge())
+		here[best.worker.ID]++
+		placed = append(placed, placement{index: i, candidate: best})
+		if len(p.plan.Starts)+len(placed) >= p.MaxStarts && !spec.Gang {
+			break
+		}
+	}
+	return placed
+}
+
+// tasksOn counts the tasks of the step on each worker.
+func tasksOn(w waitingStep) map[workload.WorkerID]int {
+	here := map[workload.WorkerID]int{}
+	for i := range w.occurrence.Steps[w.step].Tasks {
+		for _, run := range w.occurrence.Steps[w.step].Tasks[i].Runs {
+			here[run.Worker]++
+		}
+	}
+	return here
+}
+
+// best returns the candidate with room that scores highest, nil when none has.
+func (p *planner) best(spec *workload.StepSpec, fit []*candidate, here map[workload.WorkerID]int, task *workload.Task) *candidate {
+	var best *candidate
+	var bestScore score
+	for _, c := range fit {
+		if !spec.Charge().Fits(c.free) || spec.MaxPerWorker > 0 && here[c.worker.ID] >= spec.MaxPerWorker {
+			continue
+		}
+		s := scoreOf(spec, c, here[c.worker.ID])
+		if best == nil || s.compare(bestScore) > 0 {
+			best, bestScore = c, s
+		}
+	}
+	return best
+}
+
+// score ranks a candidate; earlier fields decide first, higher is better.
+type score struct {
+	// trust is higher where fewer tasks failed lately.
+	trust int
+	// near says that the data lies on the candidate's rack.
+	near int
+	// apart says that no task disturbs another's latency.
+	apart int
+	// spread is higher where fewer lasting tasks of the step run: a worker
+	// that is lost takes fewer of them along.
+	spread int
+	// room is the processor time left over.
+	room int64
+}
+
+func scoreOf(spec *workload.StepSpec, c *candidate, here int) score {
+	s := score{trust: -c.soft.Suspicion, room: c.free.CPU - spec.Need.CPU}
+	if spec.DataRack != "" && c.worker.Rack == spec.DataRack {
+		s.near = 1
+	}
+	if (spec.Fills && c.serves) || (spec.TargetMS > 0 && c.fills) {
+		s.apart = -1
+	}
+	if spec.Lasting {
+		s.spread = -here
+	}
+	return s
+}
+
+func (s score) compare(o score) int {
+	return cmp.Or(
+		cmp.Compare(s.trust, o.trust),
+		cmp.Compare(s.near, o.near),
+		cmp.Compare(s.apart, o.apart),
+		cmp.Compare(s.spread, o.spread),
+		cmp.Compare(s.room, o.room),
+	)
+}
+
+// undo gives back the room of a gang that did not fit as a whole.
+func (p *planner) undo(w waitingStep, placed []placement) {
+	for _, pl := range placed {
+		pl.candidate.free = pl.candidate.free.Plus(w.spec().Charge())
+	}
+}
+
+func (p *planner) commit(w waitingStep, placed []placement) {
+	tasks := w.occurrence.Steps[w.step].Tasks
+	shared := 0
+	for i := range tasks {
+		shared = max(shared, tasks[i].Attempt)
+	}
+	for _, pl := range placed {
+		attempt := tasks[pl.index].Attempt + 1
+		if w.spec().Gang {
+			attempt = shared + 1
+		}
+		ref := workload.TaskRef{Job: w.job.ID, Occurrence: w.occurrence.K, Step: w.step, Index: pl.index}
+		p.plan.Starts = append(p.plan.Starts, workload.Start{
+			Worker: pl.candidate.worker.ID, Run: workload.RunRef{Task: ref, Attempt: attempt},
+		})
+		pl.candidate.serves = pl.candidate.serves || w.spec().TargetMS > 0
+		pl.candidate.fills = pl.candidate.fills || w.spec().Fills
+	}
+}
--- /dev/null
+++ b/internal/schedule/plan.go
@@ -0,0 +1,192 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// Worker is what the leader knows of a worker beyond its announcement.
+type Worker struct {
+	// Usable: it answered lately and follows this leader's fence.
+	Usable bool
+	// Closing: it is about to leave or to be maintained; nothing is started there.
+	Closing bool
+	// Suspicion counts recent failures of different tasks there; it makes a
+	// worker the last choice.
+	Suspicion int
+}
+
+// Advice is what the advisor of a queue said about one step.
+type Advice struct {
+	// Tickets holds the workers that may run the step, with their tickets.
+	Tickets map[workload.WorkerID]string
+}
+
+// StepRef names a step of one occurrence of a job.
+type StepRef struct {
+	Job        workload.JobID
+	Occurrence int
+	Step       int
+}
+
+// Input is the snapshot that a plan is made of.
+type Input struct {
+	Tables  *workload.Tables
+	Workers map[workload.WorkerID]Worker
+	// Advice returns what the advisor said, nil when it must be asked first.
+	Advice func(StepRef) *Advice
+	// NowMS is the time of day in Unix milliseconds.
+	NowMS int64
+	// MaxStarts bounds one plan; what is left comes in the next.
+	MaxStarts int
+}
+
+// Plan is what to commit next.
+type Plan struct {
+	Starts []workload.Start
+	Due    []workload.Occurring
+	// Ask lists the steps for which the advisor must be asked.
+	Ask []StepRef
+}
+
+// planner holds the room that is left while a plan is made.
+type planner struct {
+	Input
+	plan  Plan
+	pools map[string][]*candidate
+}
+
+// candidate is a worker that takes new work, with its room.
+type candidate struct {
+	worker *workload.Worker
+	soft   Worker
+	free   workload.Resources
+	// serves says that a task with a latency target runs here.
+	serves bool
+	// fills says that a task runs here that takes what others leave.
+	fills bool
+}
+
+// Make returns a plan.
+func Make(in Input) Plan {
+	p := &planner{Input: in, pools: map[string][]*candidate{}}
+	p.findDue()
+	p.findRoom()
+	for _, w := range p.waiting() {
+		if len(p.plan.Starts) >= in.MaxStarts {
+			break
+		}
+		p.placeStep(w)
+	}
+	return p.plan
+}
+
+// findDue lists the occurrences whose time has come.
+func (p *planner) findDue() {
+	for _, jobs := range p.Tables.Live {
+		for _, job := range jobs {
+			r := job.Spec.Repeat
+			if r != nil && job.Next < r.Times && r.Due(job.Next) <= p.NowMS {
+				p.plan.Due = append(p.plan.Due, workload.Occurring{Job: job.ID, K: job.Next})
+			}
+		}
+	}
+	slices.SortFunc(p.plan.Due, func(a, b workload.Occurring) int { return cmp.Compare(a.Job, b.Job) })
+}
+
+func (p *planner) findRoom() {
+	ids := make([]workload.WorkerID, 0, len(p.Tables.Workers))
+	for id := range p.Tables.Workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		w := p.Tables.Workers[id]
+		soft := p.Workers[id]
+		if w.Draining || soft.Closing || !soft.Usable {
+			continue
+		}
+		c := &candidate{worker: w, soft: soft, free: w.Capacity.Minus(p.Tables.Used[id])}
+		p.findNeighbours(c)
+		p.pools[w.Pool] = append(p.pools[w.Pool], c)
+	}
+}
+
+func (p *planner) findNeighbours(c *candidate) {
+	for run := range p.Tables.Runs[c.worker.ID] {
+		if spec := specOf(p.Tables, run.Task); spec != nil {
+			c.serves = c.serves || spec.TargetMS > 0
+			c.fills = c.fills || spec.Fills
+		}
+	}
+}
+
+func specOf(t *workload.Tables, ref workload.TaskRef) *workload.StepSpec {
+	job := t.Jobs[ref.Job]
+	if job == nil || ref.Step >= len(job.Spec.Steps) {
+		return nil
+	}
+	return &job.Spec.Steps[ref.Step]
+}
+
+// waitingStep is a step with tasks to start.
+type waitingStep struct {
+	job        *workload.Job
+	queue      *workload.Queue
+	occurrence *workload.Occurrence
+	step       int
+}
+
+func (w *waitingStep) spec() *workload.StepSpec { return &w.job.Spec.Steps[w.step] }
+
+// waiting lists the steps whose turn has come, the most urgent first: lasting
+// tasks serve users of their own and come before those that end.
+func (p *planner) waiting() []waitingStep {
+	var all []waitingStep
+	for id, jobs := range p.Tables.Live {
+		queue := p.Tables.Queues[id]
+		for _, job := range jobs {
+			all = appendReady(all, job, queue)
+		}
+	}
+	slices.SortFunc(all, func(a, b waitingStep) int {
+		return cmp.Or(
+			compareBools(b.spec().Lasting, a.spec().Lasting),
+			cmp.Compare(a.queue.Priority, b.queue.Priority),
+			cmp.Compare(a.job.Order, b.job.Order),
+			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(a.occurrence.K, b.occurrence.K),
+			cmp.Compare(a.step, b.step),
+		)
+	})
+	return all
+}
+
+func appendReady(all []waitingStep, job *workload.Job, queue *workload.Queue) []waitingStep {
+	for _, o := range job.Occurrences {
+		for i := range o.Steps {
+			step := &o.Steps[i]
+			// A gang starts again as a whole, once all of its last attempt ended.
+			if job.Spec.Steps[i].Gang && step.Active > 0 {
+				continue
+			}
+			if step.Done+step.Active < len(step.Tasks) && o.Ready(&job.Spec, i) {
+				all = append(all, waitingStep{job: job, queue: queue, occurrence: o, step: i})
+			}
+		}
+	}
+	return all
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/internal/settings/member.go
@@ -0,0 +1,170 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/comfreyloom/comfreyloom/internal/inifile"
+	"github.com/comfreyloom/comfreyloom/internal/model"
+)
+
+// Role is what a process does on a site whose VMs find each other.
+type Role string
+
+// The roles.
+const (
+	// RoleEntry answers callers and holds no state.
+	RoleEntry Role = "entry"
+	// RoleCore holds the control log and answers operators and workers.
+	RoleCore Role = "core"
+)
+
+// Member are the settings of a process on a site whose VMs find each other:
+// they name seeds instead of all VMs. They are immutable after LoadMember.
+type Member struct {
+	Node   MemberNode
+	Listen MemberListen
+	// Seeds are core VMs as they were when the file was written, by IP.
+	Seeds  []string
+	Bounds MemberBounds
+	// Fleet and Advisor are IP:port of outside services, empty for none.
+	Fleet, Advisor string
+	Log            Log
+}
+
+// MemberNode says who this process is.
+type MemberNode struct {
+	Name model.NodeID
+	Role Role
+	IP   string
+	Zone model.ZoneID
+	// DataFolder holds all files; empty on an entry VM.
+	DataFolder string
+	// MayFound says that the whole site starts for the first time.
+	MayFound bool
+}
+
+// MemberListen has an IP:port for each kind of peer.
+type MemberListen struct {
+	Callers, Readiness string
+	Operators          string
+	// Nodes is where the site's own processes call each other; the port is the
+	// same on all VMs. Metrics serves counters.
+	Nodes, Metrics string
+}
+
+// MemberBounds are the times that the site promises or is promised.
+type MemberBounds struct {
+	// LeaseMax is the longest lease that a worker grants.
+	LeaseMax time.Duration
+	// FleetTakeOver is how long two VMs must not alternate in orders for one VM
+	// of the platform.
+	FleetTakeOver time.Duration
+	// StopWithin is the time between a request to stop and the end by force.
+	StopWithin time.Duration
+	// MoveTakes and MaintenanceTakes are how long a VM is away for them.
+	MoveTakes, MaintenanceTakes time.Duration
+	// Notice is how long a lasting task counts as away after it was.
+	Notice time.Duration
+}
+
+// IsMember reports whether a settings file is that of a process with a role.
+func IsMember(text []byte) bool {
+	f := inifile.Load("settings", text)
+	return f.Has("node") && f.Section("node").Has("role")
+}
+
+// LoadMember reads and checks a file. The problems are empty when it is valid.
+func LoadMember(path string) (*Member, []inifile.Problem, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, oops.In("settings").With("file", path).Wrapf(err, "read settings")
+	}
+	m, problems := ParseMember(path, text)
+	return m, problems, nil
+}
+
+// ParseMember checks the text of a settings file and names every problem in it.
+func ParseMember(file string, text []byte) (*Member, []inifile.Problem) {
+	f := inifile.Load(file, text)
+	node, listen, bounds := f.Section("node"), f.Section("listen"), f.Section("bounds")
+	m := &Member{
+		Node: MemberNode{
+			Name: model.NodeID(node.String("name", inifile.Required)),
+			Role: Role(node.Choice("role", "", string(RoleEntry), string(RoleCore))),
+			IP:   node.String("ip", inifile.Required), Zone: model.ZoneID(node.String("availability_zone", inifile.Required)),
+			DataFolder: node.String("data_folder", ""),
+			MayFound:   node.Choice("may_found", "false", "true", "false") == "true",
+		},
+		Listen: MemberListen{
+			Callers: listen.Address("callers", ""), Readiness: listen.Address("readiness", ""),
+			Operators: listen.Address("operators", ""), Nodes: listen.Address("nodes", inifile.Required),
+			Metrics: listen.Address("metrics", ""),
+		},
+		Bounds: MemberBounds{
+			LeaseMax:         bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
+			FleetTakeOver:    bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
+			StopWithin:       bounds.Duration("stop_within", "6s", time.Second, time.Minute),
+			MoveTakes:        bounds.Duration("move_takes", "1500ms", 0, time.Hour),
+			MaintenanceTakes: bounds.Duration("maintenance_takes", "2s", 0, time.Hour),
+			Notice:           bounds.Duration("notice", "4500ms", 0, time.Minute),
+		},
+		Fleet:   f.Section("fleet").Address("address", ""),
+		Advisor: f.Section("advisor").Address("address", ""),
+		Log:     readLog(f.Section("log")),
+	}
+	m.readSeeds(f.Section("seeds"))
+	m.check(f)
+	return m, f.Problems()
+}
+
+// readSeeds takes IPs or IP:port; only the IP says which VM it is.
+func (m *Member) readSeeds(s *inifile.Section) {
+	for _, seed := range s.List("addresses", "") {
+		host, _, err := net.SplitHostPort(strings.TrimSpace(seed))
+		if err != nil {
+			host = strings.TrimSpace(seed)
+		}
+		if net.ParseIP(host) == nil {
+			s.Report("addresses", fmt.Sprintf("%q is not an IP or IP:port", seed))
+			continue
+		}
+		m.Seeds = append(m.Seeds, host)
+	}
+}
+
+func (m *Member) check(f *inifile.File) {
+	switch m.Node.Role {
+	case RoleCore:
+		if m.Node.DataFolder == "" {
+			f.Report("node", "data_folder", "is missing: a core VM needs a folder on a disk")
+		}
+		if m.Listen.Operators == "" {
+			f.Report("listen", "operators", "is missing: a core VM answers operators")
+		}
+	case RoleEntry:
+		if m.Listen.Callers == "" || m.Listen.Readiness == "" {
+			f.Report("listen", "callers", "callers and readiness are needed on an entry VM")
+		}
+	}
+}
+
+// NodeID names a process of the site by the address of its listener for nodes.
+func (m *Member) NodeID(ip string) model.NodeID {
+	return model.NodeID(net.JoinHostPort(ip, strconv.Itoa(m.nodesPort())))
+}
+
+func (m *Member) nodesPort() int {
+	_, port, err := net.SplitHostPort(m.Listen.Nodes)
+	if err != nil {
+		return 0
+	}
+	n, _ := strconv.Atoi(port) // checked when the settings were read
+	return n
+}
--- /dev/null
+++ b/internal/workload/apply.go
@@ -0,0 +1,293 @@
+package workload
+
+import "slices"
+
+// apply carries out a command. It returns why the command as a whole had no
+// effect, empty when it had.
+func (t *Tables) apply(index uint64, c *Command) string {
+	if c.Term != 0 && c.Term < t.Term {
+		return "a later leader has taken over"
+	}
+	if c.StartTerm {
+		t.Term = c.Term
+	}
+	t.applyConfig(c.Config)
+	for i := range c.Submit {
+		t.submit(index, &c.Submit[i], c.AtMS)
+	}
+	for _, id := range c.Cancel {
+		t.cancel(id, c.AtMS)
+	}
+	t.applyWorkers(c)
+	for _, d := range c.Due {
+		t.occur(d)
+	}
+	for i := range c.Starts {
+		t.start(&c.Starts[i])
+	}
+	t.applyWaves(c)
+	if c.ForgetBeforeMS != 0 {
+		t.forget(c.ForgetBeforeMS)
+	}
+	return ""
+}
+
+func (t *Tables) applyWorkers(c *Command) {
+	for i := range c.Workers {
+		t.putWorker(c.Workers[i])
+	}
+	for i := range c.Ends {
+		t.end(&c.Ends[i], c.AtMS)
+	}
+	for _, r := range c.Releases {
+		t.release(r.Worker, r.Run)
+	}
+	for _, id := range c.Gone {
+		t.gone(id)
+	}
+}
+
+// applyConfig puts a higher version in force; any other changes nothing.
+func (t *Tables) applyConfig(c *Config) {
+	if c == nil || (t.Config != nil && c.Version <= t.Config.Version) {
+		return
+	}
+	t.Config = c
+	for i := range c.Queues {
+		t.Queues[c.Queues[i].ID] = &c.Queues[i]
+	}
+}
+
+// submit enters a job unless it is known, so that a resend changes nothing.
+func (t *Tables) submit(index uint64, s *Submit, nowMS int64) {
+	if t.Jobs[s.ID] != nil || t.Queues[s.Queue] == nil {
+		return
+	}
+	job := &Job{ID: s.ID, Queue: s.Queue, Spec: s.Spec, Order: index, AcceptedMS: nowMS}
+	if s.Spec.Repeat == nil {
+		job.Occurrences = []*Occurrence{newOccurrence(&job.Spec, 0)}
+		job.Next = 1
+	}
+	t.Jobs[job.ID] = job
+	t.Live[job.Queue] = append(t.Live[job.Queue], job)
+	t.settle(job, nowMS)
+}
+
+func (t *Tables) cancel(id JobID, nowMS int64) {
+	if job := t.Jobs[id]; job != nil && !job.State.Final() {
+		t.finish(job, JobCancelled, nowMS)
+	}
+}
+
+// occur begins the next occurrence of a job; a repeated command changes nothing.
+func (t *Tables) occur(d Occurring) {
+	job := t.Jobs[d.Job]
+	if job == nil || job.State.Final() || job.Spec.Repeat == nil {
+		return
+	}
+	if d.K != job.Next || d.K >= job.Spec.Repeat.Times {
+		return
+	}
+	job.Occurrences = append(job.Occurrences, newOccurrence(&job.Spec, d.K))
+	job.Next++
+}
+
+// putWorker enters a worker or what changed about it. The number of committed
+// ends and a draining state stay.
+func (t *Tables) putWorker(w Worker) {
+	if old := t.Workers[w.ID]; old != nil {
+		w.Acked = max(w.Acked, old.Acked)
+		w.Draining = w.Draining || old.Draining
+	}
+	t.Workers[w.ID] = &w
+}
+
+// end takes note of an end. Ends come in the order of their numbers; one that
+// was noted before changes nothing.
+func (t *Tables) end(e *End, nowMS int64) {
+	worker := t.Workers[e.Worker]
+	if worker == nil || e.Number <= worker.Acked {
+		return
+	}
+	worker.Acked = e.Number
+	if job := t.Jobs[e.Run.Task.Job]; job != nil && job.Spec.Steps != nil {
+		t.endTask(job, e, nowMS)
+	}
+}
+
+func (t *Tables) endTask(job *Job, e *End, nowMS int64) {
+	_, step, task := t.Task(e.Run.Task)
+	if task == nil {
+		return
+	}
+	t.removeRun(e.Worker, e.Run)
+	spec := &job.Spec.Steps[e.Run.Task.Step]
+	if e.Checkpoint != "" && spec.Checkpoints {
+		keepCheckpoint(spec, step, task, e.Checkpoint)
+	}
+	if job.State.Final() {
+		t.shrink(job)
+		return
+	}
+	switch {
+	case e.Kind == EndDone && !spec.Lasting:
+		t.taskDone(job, spec, step, e.Run.Task)
+	case e.Kind == EndFailed && !spec.Lasting:
+		t.taskFailed(job, spec, step, task, nowMS)
+	}
+	t.settle(job, nowMS)
+}
+
+// keepCheckpoint stores progress. The members of a gang resume from one value.
+func keepCheckpoint(spec *StepSpec, step *Step, task *Task, value string) {
+	if !spec.Gang {
+		task.Checkpoint = value
+		return
+	}
+	for i := range step.Tasks {
+		step.Tasks[i].Checkpoint = value
+	}
+}
+
+// taskDone marks a task done; the end of one member of a gang stands for all.
+func (t *Tables) taskDone(job *Job, spec *StepSpec, step *Step, ref TaskRef) {
+	for i := range step.Tasks {
+		if (i != ref.Index && !spec.Gang) || step.Tasks[i].Done {
+			continue
+		}
+		step.Tasks[i].Done = true
+		step.Done++
+		member := ref
+		member.Index = i
+		t.stopRuns(member, &step.Tasks[i])
+	}
+	t.dropDone(job)
+}
+
+// dropDone takes off the occurrences that are done and of which nothing runs.
+func (t *Tables) dropDone(job *Job) {
+	if job.Spec.Repeat == nil {
+		return
+	}
+	job.Occurrences = slices.DeleteFunc(job.Occurrences, func(o *Occurrence) bool {
+		return o.isDone(&job.Spec) && !o.isActive()
+	})
+}
+
+func (o *Occurrence) isDone(spec *JobSpec) bool {
+	for i := range o.Steps {
+		if o.Steps[i].Done < spec.Steps[i].Count {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Occurrence) isActive() bool {
+	for i := range o.Steps {
+		if o.Steps[i].Active > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// taskFailed counts an attempt; a gang fails as a whole.
+func (t *Tables) taskFailed(job *Job, spec *StepSpec, step *Step, task *Task, nowMS int64) {
+	task.Failures++
+	if spec.Gang {
+		for i := range step.Tasks {
+			step.Tasks[i].Failures = task.Failures
+		}
+	}
+	queue := t.Queues[job.Queue]
+	if !task.Done && queue != nil && queue.MaxAttempts > 0 && task.Failures >= queue.MaxAttempts {
+		t.finish(job, JobFailed, nowMS)
+	}
+}
+
+// settle completes a job of which every task is done.
+func (t *Tables) settle(job *Job, nowMS int64) {
+	if job.State.Final() {
+		return
+	}
+	t.dropDone(job)
+	if r := job.Spec.Repeat; r != nil && job.Next < r.Times {
+		return
+	}
+	for _, o := range job.Occurrences {
+		if !o.isDone(&job.Spec) {
+			return
+		}
+	}
+	t.finish(job, JobCompleted, nowMS)
+}
+
+func (t *Tables) release(worker WorkerID, run RunRef) {
+	if !t.removeRun(worker, run) {
+		return
+	}
+	job := t.Jobs[run.Task.Job]
+	if job.State.Final() {
+		t.shrink(job)
+		return
+	}
+	t.dropDone(job)
+}
+
+// gone drops a worker whose incarnation is over, with all that ran on it.
+func (t *Tables) gone(id WorkerID) {
+	for run := range t.Runs[id] {
+		t.release(id, run)
+	}
+	delete(t.Workers, id)
+	delete(t.Runs, id)
+	delete(t.Used, id)
+}
+
+// start commits a run if the task still wants one. The leader decided on a
+// state that may have changed since.
+func (t *Tables) start(s *Start) {
+	job, step, task := t.Task(s.Run.Task)
+	worker := t.Workers[s.Worker]
+	if task == nil || worker == nil || job.State.Final() || task.Done || s.Run.Attempt <= task.Attempt {
+		return
+	}
+	spec := &job.Spec.Steps[s.Run.Task.Step]
+	if len(task.Runs) > 0 && (!spec.Speculative || len(task.Runs) > 1 || task.Runs[0].Worker == s.Worker) {
+		return
+	}
+	if !job.Find(s.Run.Task.Occurrence).Ready(&job.Spec, s.Run.Task.Step) {
+		return
+	}
+	task.Attempt = s.Run.Attempt
+	job.State = JobRunning
+	t.addRun(job, step, task, s.Run, s.Worker)
+}
+
+func (t *Tables) applyWaves(c *Command) {
+	if c.Wave != nil && t.Waves[c.Wave.ID] == nil {
+		c.Wave.AskedMS = c.AtMS
+		t.Waves[c.Wave.ID] = c.Wave
+	}
+	for _, b := range c.Begun {
+		w := t.Waves[b.Wave]
+		if w == nil {
+			continue
+		}
+		for i := range w.Machines {
+			if w.Machines[i].Machine == b.Machine {
+				w.Machines[i].Begun = true
+			}
+		}
+	}
+}
+
+// forget drops jobs that ended before an instant.
+func (t *Tables) forget(beforeMS int64) {
+	for id, job := range t.Jobs {
+		if job.State.Final() && job.EndedMS < beforeMS && !job.IsActive() {
+			delete(t.Jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/workload/command.go
@@ -0,0 +1,174 @@
+package workload
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Command is one entry of the control log. Its parts are applied in the order
+// of the fields.
+type Command struct {
+	// AtMS is the leader's time of day when it proposed, in Unix milliseconds.
+	AtMS int64 `cbor:"1,keyasint"`
+	// Term fences decisions: a command with a term is refused once one of a
+	// later term was applied. 0 for what callers and operators ask for.
+	Term uint64 `cbor:"2,keyasint,omitempty"`
+
+	StartTerm bool      `cbor:"3,keyasint,omitempty"`
+	Config    *Config   `cbor:"4,keyasint,omitempty"`
+	Submit    []Submit  `cbor:"5,keyasint,omitempty"`
+	Cancel    []JobID   `cbor:"6,keyasint,omitempty"`
+	Workers   []Worker  `cbor:"7,keyasint,omitempty"`
+	Ends      []End     `cbor:"8,keyasint,omitempty"`
+	Releases  []Release `cbor:"9,keyasint,omitempty"`
+	// Gone lists incarnations that are certainly over.
+	Gone   []WorkerID  `cbor:"10,keyasint,omitempty"`
+	Due    []Occurring `cbor:"11,keyasint,omitempty"`
+	Starts []Start     `cbor:"12,keyasint,omitempty"`
+	Wave   *Wave       `cbor:"13,keyasint,omitempty"`
+	Begun  []WaveBegun `cbor:"14,keyasint,omitempty"`
+	// ForgetBeforeMS drops jobs that ended before; 0 drops none.
+	ForgetBeforeMS int64 `cbor:"15,keyasint,omitempty"`
+}
+
+// Submit accepts a job. A job that is known stays as it is.
+type Submit struct {
+	_     struct{} `cbor:",toarray"`
+	ID    JobID
+	Queue QueueID
+	Spec  JobSpec
+}
+
+// EndKind says how a run ended.
+type EndKind uint8
+
+// The ends of a run.
+const (
+	// EndDone: the task is done.
+	EndDone EndKind = iota + 1
+	// EndFailed: by the task's own fault or the worker's; it counts as an attempt.
+	EndFailed
+	// EndStopped: we stopped it.
+	EndStopped
+	// EndLapsed: its lease ended.
+	EndLapsed
+	// EndBroken: another member of its gang ended.
+	EndBroken
+	// EndAlone: the other members of its gang did not come.
+	EndAlone
+)
+
+// String names the end for log lines.
+func (k EndKind) String() string {
+	names := [...]string{"?", "done", "failed", "stopped", "lapsed", "broken", "alone"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return fmt.Sprintf("end %d", uint8(k))
+}
+
+// End is an end that a worker listed.
+type End struct {
+	_      struct{} `cbor:",toarray"`
+	Worker WorkerID
+	// Number counts the ends of one incarnation from 1.
+	Number     uint64
+	Run        RunRef
+	Kind       EndKind
+	Checkpoint string
+}
+
+// Release takes a run off that neither runs nor ever will.
+type Release struct {
+	_      struct{} `cbor:",toarray"`
+	Worker WorkerID
+	Run    RunRef
+}
+
+// Occurring begins the next occurrence of a repeated job.
+type Occurring struct {
+	_   struct{} `cbor:",toarray"`
+	Job JobID
+	K   int
+}
+
+// Start commits a run before the worker is told.
+type Start struct {
+	_      struct{} `cbor:",toarray"`
+	Worker WorkerID
+	Run    RunRef
+}
+
+// WaveBegun notes that a machine of a wave has begun its maintenance.
+type WaveBegun struct {
+	_       struct{} `cbor:",toarray"`
+	Wave    int64
+	Machine MachineID
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// maxElements bounds one list of a command or snapshot.
+const maxElements = 1 << 20
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		IndefLength:       cbor.IndefLengthForbidden,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		UTF8:              cbor.UTF8DecodeInvalid,
+		MaxArrayElements:  maxElements,
+		MaxMapPairs:       maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+// Encode returns the bytes of a command for the control log.
+func Encode(c *Command) ([]byte, error) { return encMode.Marshal(c) }
+
+// Decode is the inverse of Encode; it refuses unknown fields.
+func Decode(data []byte) (*Command, error) {
+	var c Command
+	if err := decMode.Unmarshal(data, &c); err != nil {
+		return nil, fmt.Errorf("workload: decode command: %w", err)
+	}
+	return &c, nil
+}
+
+// EncodeSpec returns the bytes of a job for a call between VMs.
+func EncodeSpec(s *JobSpec) ([]byte, error) { return encMode.Marshal(s) }
+
+// DecodeSpec is the inverse of EncodeSpec.
+func DecodeSpec(data []byte) (JobSpec, error) {
+	var s JobSpec
+	err := decMode.Unmarshal(data, &s)
+	return s, err
+}
+
+// EncodeConfig returns the bytes of a configuration for a call between VMs.
+func EncodeConfig(c *Config) ([]byte, error) { return encMode.Marshal(c) }
+
+// DecodeConfig is the inverse of EncodeConfig.
+func DecodeConfig(data []byte) (*Config, error) {
+	c := &Config{}
+	err := decMode.Unmarshal(data, c)
+	return c, err
+}
+
+// SameText says whether two configurations are the same text.
+func SameText(a, b *Config) bool { return bytes.Equal(a.Text, b.Text) }
--- /dev/null
+++ b/internal/workload/validate.go
@@ -0,0 +1,78 @@
+package workload
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Validate says what is invalid about a configuration, nil when nothing is.
+func (c *Config) Validate() error {
+	pools := map[string]bool{}
+	for _, p := range c.Pools {
+		pools[p.Name] = true
+	}
+	seen := map[QueueID]bool{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		switch {
+		case q.ID.Host == "" || q.ID.Prefix == "":
+			return fmt.Errorf("queue %q: host and path prefix are needed", q.Name)
+		case !pools[q.Pool]:
+			return fmt.Errorf("queue %q: there is no pool %q", q.Name, q.Pool)
+		case seen[q.ID]:
+			return fmt.Errorf("queue %q: another one has host %q and prefix %q too", q.Name, q.ID.Host, q.ID.Prefix)
+		case q.TimeoutMS <= 0:
+			return fmt.Errorf("queue %q: the timeout must be above 0", q.Name)
+		}
+		seen[q.ID] = true
+	}
+	return nil
+}
+
+// Bounds of one job. They are far above what callers need and keep one request
+// from filling the memory of every core VM.
+const (
+	maxSteps       = 64
+	maxTasks       = 20_000
+	maxPayload     = 4_000
+	maxOccurrences = 1_000_000
+)
+
+// Validate says what is invalid about a job, nil when nothing is.
+func (s *JobSpec) Validate() error {
+	if len(s.Payload) > maxPayload {
+		return fmt.Errorf("the payload has %d bytes; at most %d are allowed", len(s.Payload), maxPayload)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return fmt.Errorf("the job has %d steps; 1 to %d are allowed", len(s.Steps), maxSteps)
+	}
+	if r := s.Repeat; r != nil && (r.Times < 1 || r.Times > maxOccurrences || r.IntervalMS < 0) {
+		return errors.New("the repetitions are out of bounds")
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		tasks += s.Steps[i].Count
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("the job has %d tasks; at most %d are allowed", tasks, maxTasks)
+	}
+	return nil
+}
+
+func (s *StepSpec) validate(number int) error {
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Errorf("%d tasks; 1 to %d are allowed", s.Count, maxTasks)
+	}
+	if s.Need.CPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPU < 0 {
+		return errors.New("needs must not be negative")
+	}
+	for _, before := range s.DependsOn {
+		if before < 0 || before >= number {
+			return fmt.Errorf("depends on step %d, which is not an earlier one", before)
+		}
+	}
+	return nil
+}
