capacity: VMs move to the pools that need them, waves are carried out

Change: package capacity decides by the demand of each pool which VM moves, parks and is maintained; lasting tasks are evicted one a step; work is packed so that VMs come free.

A listed run now counts as sent.

--- /dev/null
+++ b/internal/capacity/demand.go
@@ -0,0 +1,143 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// rateWindow is the time over which arriving work is averaged: long enough
+	// to hold several jobs, short enough to see a rise within a second.
+	rateWindow = 1500 * time.Millisecond
+	// catchUp is the time within which waiting work should have been started.
+	catchUp = 1200 * time.Millisecond
+	// headroom is added to what is needed: tasks don't fill a VM exactly.
+	headroom = 1.15
+	// typicalMS stands for the run time of a task without an estimate.
+	typicalMS = 1000
+)
+
+// arrival is work that came at one time, in core-milliseconds times 1000.
+type arrival struct {
+	at   time.Duration
+	work int64
+}
+
+// Demand follows what each pool is asked for.
+type Demand struct {
+	pools map[string]*poolDemand
+	// last is the order of the latest job that was counted.
+	last uint64
+}
+
+type poolDemand struct{ recent []arrival }
+
+// NewDemand returns a demand without a past. Jobs accepted up to the index
+// last are not counted as arriving.
+func NewDemand(last uint64) *Demand { return &Demand{pools: map[string]*poolDemand{}, last: last} }
+
+// Observe counts the jobs accepted since the last call.
+func (d *Demand) Observe(t *workload.Tables, now time.Duration) {
+	newest := d.last
+	for queue, jobs := range t.Live {
+		q := t.Queues[queue]
+		for i := len(jobs) - 1; i >= 0 && jobs[i].Order > d.last; i-- {
+			newest = max(newest, jobs[i].Order)
+			d.pool(q.Pool).add(now, workOf(&jobs[i].Spec))
+		}
+	}
+	d.last = newest
+	for _, p := range d.pools {
+		p.expire(now)
+	}
+}
+
+func (d *Demand) pool(name string) *poolDemand {
+	p := d.pools[name]
+	if p == nil {
+		p = &poolDemand{}
+		d.pools[name] = p
+	}
+	return p
+}
+
+func (p *poolDemand) add(now time.Duration, work int64) {
+	p.recent = append(p.recent, arrival{at: now, work: work})
+}
+
+func (p *poolDemand) expire(now time.Duration) {
+	for len(p.recent) > 0 && now-p.recent[0].at > rateWindow {
+		p.recent = p.recent[1:]
+	}
+}
+
+// rate returns the work that arrives, in thousandths of a core.
+func (p *poolDemand) rate() int64 {
+	var work int64
+	for _, a := range p.recent {
+		work += a.work
+	}
+	return work / rateWindow.Milliseconds()
+}
+
+// workOf estimates the work of a job that ends, in thousandths of a core
+// times milliseconds.
+func workOf(spec *workload.JobSpec) int64 {
+	var work int64
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		if !s.Lasting {
+			work += int64(s.Count) * s.Charge().CPU * runMS(s)
+		}
+	}
+	return work
+}
+
+func runMS(s *workload.StepSpec) int64 {
+	if s.EstimatedMS > 0 {
+		return s.EstimatedMS
+	}
+	return typicalMS
+}
+
+// Need returns the processor time that each pool should have: what lasting
+// tasks take, the rate at which work arrives or the work that runs and waits,
+// whichever is more.
+func (d *Demand) Need(t *workload.Tables) map[string]int64 {
+	lasting, now := map[string]int64{}, map[string]int64{}
+	for queue, jobs := range t.Live {
+		pool := t.Queues[queue].Pool
+		for _, job := range jobs {
+			addJob(job, pool, lasting, now)
+		}
+	}
+	need := map[string]int64{}
+	for queue := range t.Queues {
+		pool := t.Queues[queue].Pool
+		asked := max(d.pool(pool).rate(), now[pool])
+		need[pool] = lasting[pool] + int64(headroom*float64(asked))
+	}
+	return need
+}
+
+// addJob adds what the tasks of a job take whose turn has come. What waits is
+// spread over the time in which it should have started.
+func addJob(job *workload.Job, pool string, lasting, now map[string]int64) {
+	for _, o := range job.Occurrences {
+		for i := range o.Steps {
+			spec, step := &job.Spec.Steps[i], &o.Steps[i]
+			left := int64(len(step.Tasks) - step.Done)
+			if left == 0 || !o.Ready(&job.Spec, i) {
+				continue
+			}
+			if spec.Lasting {
+				lasting[pool] += left * spec.Charge().CPU
+				continue
+			}
+			active := int64(step.Active)
+			share := min(float64(runMS(spec))/float64(catchUp.Milliseconds()), 1)
+			now[pool] += active*spec.Charge().CPU + int64(share*float64((left-active)*spec.Charge().CPU))
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/moves.go
@@ -0,0 +1,169 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// giveUpMove is how long a worker is emptied for a move before it takes
+	// work again: the need has passed by then.
+	giveUpMove = 3 * time.Second
+	// parkAfter is how long a VM that its pool does not need is idle before it
+	// is put on standby: two moves cost as much as a VM does in this time.
+	parkAfter = 2500 * time.Millisecond
+	// maxMoves bounds the moves of one plan.
+	maxMoves = 24
+)
+
+// poolState is the balance of one pool.
+type poolState struct {
+	name    string
+	standby bool
+	// have is the processor time of the VMs that serve it or are on their way.
+	have, need int64
+	// spare are its VMs with nothing on them, the longest idle first.
+	spare []*VM
+}
+
+func (s *poolState) missing() int64 { return s.need - s.have }
+
+// planMoves brings VMs from where they are not needed to where they are.
+func (p *planner) planMoves() {
+	if p.Tables.Config == nil {
+		return
+	}
+	pools, standby := p.poolStates()
+	slices.SortFunc(pools, func(a, b *poolState) int {
+		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
+	})
+	moves := 0
+	for _, needy := range pools {
+		for needy.missing() > 0 && moves < maxMoves {
+			vm := p.takeSpare(pools, standby, needy)
+			if vm == nil {
+				break
+			}
+			p.move(vm, needy.name, "the pool needs more")
+			needy.have += vm.Capacity.CPU
+			moves++
+		}
+	}
+	p.park(pools, standby)
+}
+
+func (p *planner) poolStates() (pools []*poolState, standby *poolState) {
+	byName := map[string]*poolState{}
+	for _, c := range p.Tables.Config.Pools {
+		s := &poolState{name: c.Name, standby: c.Standby, need: p.Need[c.Name]}
+		byName[c.Name] = s
+		if c.Standby {
+			standby = s
+		} else {
+			pools = append(pools, s)
+		}
+	}
+	for i := range p.VMs {
+		p.count(byName, &p.VMs[i])
+	}
+	for _, s := range byName {
+		slices.SortFunc(s.spare, func(a, b *VM) int {
+			return cmp.Or(cmp.Compare(p.Idle(b.Worker), p.Idle(a.Worker)), cmp.Compare(a.Machine, b.Machine))
+		})
+	}
+	return pools, standby
+}
+
+// count adds a VM to the pool that it serves or will serve.
+func (p *planner) count(byName map[string]*poolState, vm *VM) {
+	pool := vm.Pool
+	if f, flying := p.Flights[vm.Machine]; flying && f.Order.Kind == Move {
+		pool = f.Order.Pool
+	}
+	if c, closing := p.Closing[vm.Machine]; closing && c.Order.Kind == Move {
+		pool = c.Order.Pool
+	}
+	s := byName[pool]
+	if s == nil || vm.State == Down && !s.standby {
+		return
+	}
+	s.have += vm.Capacity.CPU
+	if p.taken[vm.Machine] || vm.State == Moving || vm.State == Maintained {
+		return
+	}
+	if s.standby || p.isEmpty(vm) && p.isSettled(vm) {
+		s.spare = append(s.spare, vm)
+	}
+}
+
+// isSettled says whether a VM's worker is announced in the pool where the
+// platform lists the VM: before, a start may be on its way there.
+func (p *planner) isSettled(vm *VM) bool {
+	w := p.Tables.Workers[vm.Worker]
+	return w != nil && w.Pool == vm.Pool && !w.Draining
+}
+
+// takeSpare returns a VM that may go to a pool: one on standby, or one that a
+// pool does not need.
+func (p *planner) takeSpare(pools []*poolState, standby, needy *poolState) *VM {
+	if standby != nil && len(standby.spare) > 0 {
+		return standby.take()
+	}
+	var best *poolState
+	for _, s := range pools {
+		if s == needy || len(s.spare) == 0 || s.have-s.spare[0].Capacity.CPU < s.need {
+			continue
+		}
+		if best == nil || s.missing() < best.missing() {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.take()
+}
+
+func (s *poolState) take() *VM {
+	vm := s.spare[0]
+	s.spare = s.spare[1:]
+	s.have -= vm.Capacity.CPU
+	return vm
+}
+
+func (p *planner) move(vm *VM, pool, why string) {
+	p.taken[vm.Machine] = true
+	p.plan.Orders = append(p.plan.Orders, Order{Kind: Move, Machine: vm.Machine, Pool: pool, Why: why})
+}
+
+// park puts VMs on standby that have been idle and are not needed.
+func (p *planner) park(pools []*poolState, standby *poolState) {
+	if standby == nil {
+		return
+	}
+	for _, s := range pools {
+		for len(s.spare) > 0 {
+			vm := s.spare[0]
+			if s.have-vm.Capacity.CPU < s.need || p.Idle(vm.Worker) < parkAfter || p.inWave(vm.Machine) {
+				break
+			}
+			s.take()
+			p.move(vm, standby.name, "idle")
+		}
+	}
+}
+
+// inWave says whether a VM has a maintenance before it.
+func (p *planner) inWave(machine workload.MachineID) bool {
+	for _, w := range p.Tables.Waves {
+		for i := range w.Machines {
+			if w.Machines[i].Machine == machine && !w.Machines[i].Begun {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -144,7 +144,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.term, d.leading, d.group = term, ctx, group
-	d.fleet, d.advice = newFleetState(d.now()), newAdviceCache()
+	d.fleet, d.advice = newFleetState(d.now(), d.config.Machine.Applied()), newAdviceCache()
 	d.config.Machine.Read(func(t *workload.Tables) {
 		for _, w := range t.Workers {
 			l := d.open(ctx, w)
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -47,6 +47,48 @@
 	// tried again.
 	refusedUntil time.Duration
 	paced        map[workload.RunRef]int
+	// evicted holds runs that are stopped though their job goes on.
+	evicted map[workload.RunRef]bool
+	// idleSince is since when nothing is committed or listed here; 0 while
+	// something is.
+	idleSince time.Duration
+	// doomed: the VM has a maintenance before it.
+	doomed bool
+}
+
+func (l *link) isGone() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gone
+}
+
+func (l *link) reportedAt() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reported
+}
+
+func (l *link) evicts(run workload.RunRef) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evicted[run]
+}
+
+// evictRun has a run stopped in the next round.
+func (l *link) evictRun(run workload.RunRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evicted[run] = true
+	l.d.wakeUp()
+}
+
+// isAtWork says whether a lasting run was at work in the last list, while the
+// worker answers and the run is not being stopped.
+func (l *link) isAtWork(run workload.RunRef) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.running[run]
+	return seen != nil && seen.Percent >= atWork && l.failures == 0 && !l.gone && !l.evicted[run]
 }
 
 // observed is a run that the worker listed.
@@ -103,7 +145,8 @@
 		woken: make(chan struct{}, 1), listen: make(chan struct{}, 1),
 		orders: map[workload.RunRef]*order{}, inherited: map[workload.RunRef]bool{},
 		running: map[workload.RunRef]*observed{}, paced: map[workload.RunRef]int{},
-		cancel: func() {},
+		evicted: map[workload.RunRef]bool{},
+		cancel:  func() {},
 	}
 }
 
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -6,6 +6,7 @@
 
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
@@ -77,3 +78,25 @@
 		WithField("address", r.Worker.Address).WithField("draining", r.Worker.Draining).
 		WithField("sequence", r.Sequence).Info("worker announced")
 }
+
+func (d *Dispatcher) logFleet(o capacity.Order, what string) {
+	d.fleetLine(o).Info(what)
+}
+
+func (d *Dispatcher) fleetLine(o capacity.Order) log.Interface {
+	order := "move"
+	if o.Kind == capacity.Maintain {
+		order = "maintain"
+	}
+	return d.config.Logger.WithField("vm", string(o.Machine)).WithField("order", order).
+		WithField("pool", o.Pool).WithField("wave", o.Wave).WithField("why", o.Why).
+		WithField("list_age_ms", (d.now() - d.fleet.listedAt).Milliseconds())
+}
+
+func (d *Dispatcher) logFleetAnswer(o capacity.Order, a FleetAnswer) {
+	d.fleetLine(o).WithField("answer", a.String()).Info("order to the platform")
+}
+
+func (d *Dispatcher) logFleetError(what string, err error) {
+	d.config.Logger.WithError(err).Warn(what)
+}
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -90,7 +90,7 @@
 	}
 	for run := range runs {
 		_, stopping := t.Stopping[run]
-		if l.absent(run, stopping, now) {
+		if l.absent(run, stopping || l.evicted[run], now) {
 			c.Releases = append(c.Releases, workload.Release{Worker: worker.ID, Run: run})
 		}
 	}
@@ -98,6 +98,7 @@
 	l.forgetOrders(runs)
 	l.watch(t, now)
 	l.want(len(runs) > 0)
+	l.noteIdle(len(runs) == 0 && len(l.running) == 0, now)
 	if len(runs) == 0 && now-l.contact > forgetWorker && l.contact > 0 {
 		c.Gone = append(c.Gone, worker.ID)
 	}
@@ -124,6 +125,14 @@
 	l.wanted = wanted
 }
 
+func (l *link) noteIdle(idle bool, now time.Duration) {
+	if !idle {
+		l.idleSince = 0
+	} else if l.idleSince == 0 {
+		l.idleSince = now
+	}
+}
+
 // judge counts an end for or against the worker, once.
 func (l *link) judge(t *workload.Tables, e workload.End, now time.Duration) {
 	if l.judged >= e.Number {
@@ -152,7 +161,9 @@
 	_, listed := l.running[run]
 	if listed {
 		delete(l.inherited, run)
-		o.start.answered, o.refusal = true, Accepted
+		// Whoever ordered it, it was ordered: a run that was once listed must
+		// never count as one that was not sent.
+		o.start.sent, o.start.answered, o.refusal = true, true, Accepted
 		if stopping {
 			l.orderStop(run, o, now)
 		}
@@ -229,6 +240,7 @@
 		if _, listed := l.running[run]; !listed && !runs[run] {
 			delete(l.orders, run)
 			delete(l.paced, run)
+			delete(l.evicted, run)
 		}
 	}
 }
@@ -242,6 +254,7 @@
 		workers[id] = schedule.Worker{
 			Usable:    l.usable(now) && !l.holdsForeign(t.Runs[id]),
 			Closing:   l.closing,
+			Doomed:    l.doomed,
 			Suspicion: l.suspicion.level(now),
 		}
 		l.mu.Unlock()
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -122,6 +122,7 @@
 			break // the tasks of a step are alike: no other one fits either
 		}
 		best.free = best.free.Minus(spec.Charge())
+		best.lasts = best.lasts || spec.Lasting
 		here[best.worker.ID]++
 		placed = append(placed, placement{index: i, candidate: best})
 		if len(p.plan.Starts)+len(placed) >= p.MaxStarts && !spec.Gang {
@@ -150,7 +151,7 @@
 		if !spec.Charge().Fits(c.free) || spec.MaxPerWorker > 0 && here[c.worker.ID] >= spec.MaxPerWorker {
 			continue
 		}
-		s := scoreOf(spec, c, here[c.worker.ID])
+		s := scoreOf(spec, c)
 		if best == nil || s.compare(bestScore) > 0 {
 			best, bestScore = c, s
 		}
@@ -166,23 +167,29 @@
 	near int
 	// apart says that no task disturbs another's latency.
 	apart int
-	// spread is higher where fewer lasting tasks of the step run: a worker
-	// that is lost takes fewer of them along.
-	spread int
-	// room is the processor time left over.
-	room int64
+	// staying is lower where the VM will be maintained soon.
+	staying int
+	// pinned is higher for a lasting task where others run already: VMs with
+	// none can move to the pool that needs them.
+	pinned int
+	// tight is higher the less processor time is left over: work on few VMs
+	// leaves the others free.
+	tight int64
 }
 
-func scoreOf(spec *workload.StepSpec, c *candidate, here int) score {
-	s := score{trust: -c.soft.Suspicion, room: c.free.CPU - spec.Need.CPU}
+func scoreOf(spec *workload.StepSpec, c *candidate) score {
+	s := score{trust: -c.soft.Suspicion, tight: spec.Need.CPU - c.free.CPU}
 	if spec.DataRack != "" && c.worker.Rack == spec.DataRack {
 		s.near = 1
 	}
 	if (spec.Fills && c.serves) || (spec.TargetMS > 0 && c.fills) {
 		s.apart = -1
 	}
-	if spec.Lasting {
-		s.spread = -here
+	if spec.Lasting && c.soft.Doomed {
+		s.staying = -1
+	}
+	if spec.Lasting && c.lasts {
+		s.pinned = 1
 	}
 	return s
 }
@@ -192,8 +199,9 @@
 		cmp.Compare(s.trust, o.trust),
 		cmp.Compare(s.near, o.near),
 		cmp.Compare(s.apart, o.apart),
-		cmp.Compare(s.spread, o.spread),
-		cmp.Compare(s.room, o.room),
+		cmp.Compare(s.staying, o.staying),
+		cmp.Compare(s.pinned, o.pinned),
+		cmp.Compare(s.tight, o.tight),
 	)
 }
 
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -13,6 +13,9 @@
 	Usable bool
 	// Closing: it is about to leave or to be maintained; nothing is started there.
 	Closing bool
+	// Doomed: its VM will be maintained soon; lasting tasks had better not
+	// start there.
+	Doomed bool
 	// Suspicion counts recent failures of different tasks there; it makes a
 	// worker the last choice.
 	Suspicion int
@@ -67,6 +70,8 @@
 	serves bool
 	// fills says that a task runs here that takes what others leave.
 	fills bool
+	// lasts says that a lasting task runs here.
+	lasts bool
 }
 
 // Make returns a plan.
@@ -119,6 +124,7 @@
 		if spec := specOf(p.Tables, run.Task); spec != nil {
 			c.serves = c.serves || spec.TargetMS > 0
 			c.fills = c.fills || spec.Fills
+			c.lasts = c.lasts || spec.Lasting
 		}
 	}
 }
