capacity, schedule: lasting tasks find room beside a wave

Cause: all VMs of a pool were closed for the wave at once and counted as its capacity, so that evicted lasting tasks had nowhere to go and nothing moved in (LOST). Memory, which binds lasting tasks, was not part of a pool's need.

Change: VMs that leave for maintenance don't count; a pool's need takes the larger share of processor time and memory; lasting tasks of a step spread by two; three orders to one worker are on their way at once.

--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -29,6 +29,8 @@
 	pools map[string]*poolDemand
 	// last is the order of the latest job that was counted.
 	last uint64
+	// perMB is the processor time that comes with a MiB of memory.
+	perMB float64
 }
 
 type poolDemand struct{ recent []arrival }
@@ -39,12 +41,13 @@
 
 // Observe counts the jobs accepted since the last call.
 func (d *Demand) Observe(t *workload.Tables, now time.Duration) {
+	d.learnShape(t)
 	newest := d.last
 	for queue, jobs := range t.Live {
 		q := t.Queues[queue]
 		for i := len(jobs) - 1; i >= 0 && jobs[i].Order > d.last; i-- {
 			newest = max(newest, jobs[i].Order)
-			d.pool(q.Pool).add(now, workOf(&jobs[i].Spec))
+			d.pool(q.Pool).add(now, d.workOf(&jobs[i].Spec))
 		}
 	}
 	d.last = newest
@@ -83,17 +86,34 @@
 
 // workOf estimates the work of a job that ends, in thousandths of a core
 // times milliseconds.
-func workOf(spec *workload.JobSpec) int64 {
+func (d *Demand) workOf(spec *workload.JobSpec) int64 {
 	var work int64
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
 		if !s.Lasting {
-			work += int64(s.Count) * s.Charge().CPU * runMS(s)
+			work += int64(s.Count) * d.share(s.Charge()) * runMS(s)
 		}
 	}
 	return work
 }
 
+// share is what a task takes of a VM, in thousandths of a core: the memory that
+// it takes keeps as much processor time from others.
+func (d *Demand) share(r workload.Resources) int64 {
+	return max(r.CPU, int64(float64(r.MemoryMB)*d.perMB))
+}
+
+// learnShape notes how much processor time comes with the memory of a VM.
+func (d *Demand) learnShape(t *workload.Tables) {
+	var all workload.Resources
+	for _, w := range t.Workers {
+		all = all.Plus(w.Capacity)
+	}
+	if all.MemoryMB > 0 {
+		d.perMB = float64(all.CPU) / float64(all.MemoryMB)
+	}
+}
+
 func runMS(s *workload.StepSpec) int64 {
 	if s.EstimatedMS > 0 {
 		return s.EstimatedMS
@@ -109,7 +129,7 @@
 	for queue, jobs := range t.Live {
 		pool := t.Queues[queue].Pool
 		for _, job := range jobs {
-			addJob(job, pool, lasting, now)
+			d.addJob(job, pool, lasting, now)
 		}
 	}
 	need := map[string]int64{}
@@ -123,7 +143,7 @@
 
 // addJob adds what the tasks of a job take whose turn has come. What waits is
 // spread over the time in which it should have started.
-func addJob(job *workload.Job, pool string, lasting, now map[string]int64) {
+func (d *Demand) addJob(job *workload.Job, pool string, lasting, now map[string]int64) {
 	for _, o := range job.Occurrences {
 		for i := range o.Steps {
 			spec, step := &job.Spec.Steps[i], &o.Steps[i]
@@ -132,12 +152,12 @@
 				continue
 			}
 			if spec.Lasting {
-				lasting[pool] += left * spec.Charge().CPU
+				lasting[pool] += left * d.share(spec.Charge())
 				continue
 			}
-			active := int64(step.Active)
-			share := min(float64(runMS(spec))/float64(catchUp.Milliseconds()), 1)
-			now[pool] += active*spec.Charge().CPU + int64(share*float64((left-active)*spec.Charge().CPU))
+			active, each := int64(step.Active), d.share(spec.Charge())
+			soon := min(float64(runMS(spec))/float64(catchUp.Milliseconds()), 1)
+			now[pool] += active*each + int64(soon*float64((left-active)*each))
 		}
 	}
 }
--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -87,7 +87,7 @@
 		pool = c.Order.Pool
 	}
 	s := byName[pool]
-	if s == nil || vm.State == Down && !s.standby {
+	if s == nil || vm.State == Down && !s.standby || p.isLeaving(vm) {
 		return
 	}
 	s.have += vm.Capacity.CPU
@@ -99,6 +99,15 @@
 	}
 }
 
+// isLeaving says whether a VM is being emptied for its maintenance or away for
+// it. It takes no work meanwhile: the tasks that it must get rid of need room
+// elsewhere, or it never becomes empty.
+func (p *planner) isLeaving(vm *VM) bool {
+	f, flying := p.Flights[vm.Machine]
+	c, closing := p.Closing[vm.Machine]
+	return flying && f.Order.Kind == Maintain || closing && c.Order.Kind == Maintain || vm.State == Maintained
+}
+
 // isSettled says whether a VM's worker is announced in the pool where the
 // platform lists the VM: before, a start may be on its way there.
 func (p *planner) isSettled(vm *VM) bool {
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -150,10 +150,18 @@
 	}
 }
 
+// orderSenders is how many orders to one worker are on their way at once. A
+// step of many tasks that is packed on one worker would otherwise start over
+// many round trips. Orders may overtake each other: a stop that comes first
+// makes the worker refuse the start.
+const orderSenders = 3
+
 // run makes the calls until ctx ends.
 func (l *link) run(ctx context.Context) {
 	ctx, l.cancel = context.WithCancel(ctx)
-	l.d.group.Go(func() { l.sendOrders(ctx) })
+	for range orderSenders {
+		l.d.group.Go(func() { l.sendOrders(ctx) })
+	}
 	l.d.group.Go(func() { l.holdLeases(ctx) })
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -40,6 +40,9 @@
 	}
 	c := l.queue[0]
 	l.queue = l.queue[1:]
+	if len(l.queue) > 0 {
+		poke(l.woken) // another sender takes the next
+	}
 	return c, true
 }
 
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -151,7 +151,7 @@
 		if !spec.Charge().Fits(c.free) || spec.MaxPerWorker > 0 && here[c.worker.ID] >= spec.MaxPerWorker {
 			continue
 		}
-		s := scoreOf(spec, c)
+		s := scoreOf(spec, c, here[c.worker.ID])
 		if best == nil || s.compare(bestScore) > 0 {
 			best, bestScore = c, s
 		}
@@ -169,6 +169,9 @@
 	apart int
 	// staying is lower where the VM will be maintained soon.
 	staying int
+	// spread is lower where many lasting tasks of the step run: a VM that is
+	// lost should not take most of them along.
+	spread int
 	// pinned is higher for a lasting task where others run already: VMs with
 	// none can move to the pool that needs them.
 	pinned int
@@ -177,7 +180,11 @@
 	tight int64
 }
 
-func scoreOf(spec *workload.StepSpec, c *candidate) score {
+// lastingTogether is how many lasting tasks of a step may share a worker
+// before another one is preferred.
+const lastingTogether = 2
+
+func scoreOf(spec *workload.StepSpec, c *candidate, here int) score {
 	s := score{trust: -c.soft.Suspicion, tight: spec.Need.CPU - c.free.CPU}
 	if spec.DataRack != "" && c.worker.Rack == spec.DataRack {
 		s.near = 1
@@ -191,6 +198,9 @@
 	if spec.Lasting && c.lasts {
 		s.pinned = 1
 	}
+	if spec.Lasting {
+		s.spread = -max(here-lastingTogether+1, 0)
+	}
 	return s
 }
 
@@ -200,6 +210,7 @@
 		cmp.Compare(s.near, o.near),
 		cmp.Compare(s.apart, o.apart),
 		cmp.Compare(s.staying, o.staying),
+		cmp.Compare(s.spread, o.spread),
 		cmp.Compare(s.pinned, o.pinned),
 		cmp.Compare(s.tight, o.tight),
 	)
