--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"sync"
 	"time"
 
@@ -44,7 +45,7 @@
 	Self    string
 	Log     control.Log
 	Machine *workload.Machine
-	Workers Workers
+	Workers workers.Calls
 	Fleet   Fleet
 	Advisor Advisor
 	// Lease is the length of a worker's lease; well below LeaseMax, the
@@ -78,6 +79,8 @@
 	group   *conc.WaitGroup
 	fleet   *fleetState
 	advice  *adviceCache
+	// launch starts the goroutines of a link; tests make the calls themselves.
+	launch func(context.Context, *link)
 }
 
 // New returns a dispatcher.
@@ -86,6 +89,7 @@
 		config: c, counters: newCounters(c.Metrics), wake: make(chan struct{}, 1),
 		links: map[workload.WorkerID]*link{}, over: map[workload.WorkerID]time.Duration{},
 		leading: context.Background(),
+		launch:  func(ctx context.Context, l *link) { l.run(ctx) },
 	}
 }
 
@@ -172,7 +176,7 @@
 func (d *Dispatcher) open(ctx context.Context, w *workload.Worker) *link {
 	l := newLink(d, w, d.term)
 	d.links[w.ID] = l
-	l.run(ctx)
+	d.launch(ctx, l)
 	return l
 }
 
@@ -189,7 +193,7 @@
 
 // startOrder returns what a worker is told about a run; false when the run is
 // not wanted there any more.
-func (d *Dispatcher) startOrder(worker workload.WorkerID, run workload.RunRef) (o StartOrder, wanted bool) {
+func (d *Dispatcher) startOrder(worker workload.WorkerID, run workload.RunRef) (o workers.StartOrder, wanted bool) {
 	d.config.Machine.Read(func(t *workload.Tables) {
 		if _, stopping := t.Stopping[run]; stopping || !t.HasRun(worker, run) {
 			return
@@ -198,7 +202,7 @@
 		if task == nil {
 			return
 		}
-		o = StartOrder{Run: run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint}
+		o = workers.StartOrder{Run: run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint}
 		wanted = true
 	})
 	if wanted {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/workload"
@@ -73,17 +74,17 @@
 	}
 	// The clock was read when the answer was written; the wait lies before it.
 	l.heard(list.Answer, l.d.now()-time.Millisecond)
-	if list.Refusal != Accepted {
+	if list.Refusal != workers.Accepted {
 		return true
 	}
 	l.takeList(list, sentAt)
 	return true
 }
 
-func (l *link) holdOrder(now time.Duration) HoldOrder {
+func (l *link) holdOrder(now time.Duration) workers.HoldOrder {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := HoldOrder{Fence: l.fence, Acked: l.acked, LeaseUntilMS: l.grant(now)}
+	o := workers.HoldOrder{Fence: l.fence, Acked: l.acked, LeaseUntilMS: l.grant(now)}
 	if l.listedAt > 0 && l.failures == 0 && !l.awaitsList() {
 		o.WaitMS = holdWait.Milliseconds()
 	}
@@ -93,7 +94,7 @@
 // awaitsList says whether an answered order waits for a newer list.
 func (l *link) awaitsList() bool {
 	for _, o := range l.orders {
-		if o.start.answered && o.refusal != Accepted && o.start.answeredAt >= l.listedAt {
+		if o.start.answered && o.refusal != workers.Accepted && o.start.answeredAt >= l.listedAt {
 			return true
 		}
 		if o.stop.answered && o.stop.answeredAt >= l.listedAt {
@@ -103,7 +104,7 @@
 	return false
 }
 
-func (l *link) takeList(list List, sentAt time.Duration) {
+func (l *link) takeList(list workers.List, sentAt time.Duration) {
 	now := l.d.now()
 	before := l.running
 	l.running = make(map[workload.RunRef]*observed, len(list.Running))
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"sync"
 	"time"
 
@@ -13,7 +14,7 @@
 // under its lock.
 type link struct {
 	d      *Dispatcher
-	target Target
+	target workers.Target
 	fence  uint64
 	cancel context.CancelFunc
 	// woken holds one token when there may be an order to send, listen one
@@ -93,7 +94,7 @@
 
 // observed is a run that the worker listed.
 type observed struct {
-	Running
+	workers.Running
 	// since is when the progress last changed, first when it was first listed.
 	since, first time.Duration
 }
@@ -102,7 +103,7 @@
 type order struct {
 	start, stop progress
 	// refusal is the answer to the start.
-	refusal Refusal
+	refusal workers.Refusal
 	// uncertain says that a start was sent that nobody answered: the worker
 	// may carry it out seconds later, whatever it answered to the next one.
 	uncertain bool
@@ -112,7 +113,7 @@
 
 // surelyNot says that the start was refused and can't be carried out later.
 func (o *order) surelyNot() bool {
-	return o.start.answered && !o.uncertain && o.refusal != Accepted && o.refusal != RefusedOld
+	return o.start.answered && !o.uncertain && o.refusal != workers.Accepted && o.refusal != workers.RefusedOld
 }
 
 // progress is how far one call has come.
@@ -141,7 +142,7 @@
 
 func newLink(d *Dispatcher, w *workload.Worker, fence uint64) *link {
 	return &link{
-		d: d, target: Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked,
+		d: d, target: workers.Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked,
 		woken: make(chan struct{}, 1), listen: make(chan struct{}, 1),
 		orders: map[workload.RunRef]*order{}, inherited: map[workload.RunRef]bool{},
 		running: map[workload.RunRef]*observed{}, paced: map[workload.RunRef]int{},
@@ -173,16 +174,16 @@
 }
 
 // heard notes an answer of the worker.
-func (l *link) heard(a Answer, sentAt time.Duration) {
+func (l *link) heard(a workers.Answer, sentAt time.Duration) {
 	now := l.d.now()
 	l.lease.hear(a.ClockMS, sentAt, now)
 	l.contact, l.failures = now, 0
 	switch a.Refusal {
-	case RefusedFence:
+	case workers.RefusedFence:
 		l.outranked = true
-	case RefusedIncarnation:
+	case workers.RefusedIncarnation:
 		l.gone = true
-	case RefusedBusy, RefusedRoom:
+	case workers.RefusedBusy, workers.RefusedRoom:
 		l.refusedUntil = now + refusedPause
 	}
 }
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/apex/log"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/rcrowley/go-metrics"
 
 	"time"
@@ -54,7 +55,7 @@
 	return d.config.Logger.WithField("term", c.Term).WithField("job", string(job)).WithField("worker", string(worker))
 }
 
-func (d *Dispatcher) logRefusal(to Target, run workload.RunRef, a Answer) {
+func (d *Dispatcher) logRefusal(to workers.Target, run workload.RunRef, a workers.Answer) {
 	d.config.Logger.WithField("worker", string(to.ID)).WithField("task", run.Task.String()).
 		WithField("attempt", run.Attempt).WithField("refusal", a.Refusal.String()).Info("start refused")
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/workload"
@@ -79,10 +80,10 @@
 	defer l.mu.Unlock()
 	if err != nil {
 		l.failed(err)
-		if notSent(err) && !record.uncertain {
-			record.start.answered, record.start.answeredAt, record.refusal = true, l.d.now(), RefusedBusy
+		if workers.NotSent(err) && !record.uncertain {
+			record.start.answered, record.start.answeredAt, record.refusal = true, l.d.now(), workers.RefusedBusy
 			l.refusedUntil = l.d.now() + refusedPause
-		} else if !notSent(err) {
+		} else if !workers.NotSent(err) {
 			record.uncertain = true
 		}
 		l.d.wakeUp()
@@ -90,7 +91,7 @@
 	}
 	l.heard(answer, sentAt)
 	record.start.answered, record.start.answeredAt, record.refusal = true, l.d.now(), answer.Refusal
-	if answer.Refusal != Accepted {
+	if answer.Refusal != workers.Accepted {
 		l.d.logRefusal(l.target, run, answer)
 		poke(l.listen)
 		l.d.wakeUp()
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"slices"
 	"time"
 
@@ -163,7 +164,7 @@
 		delete(l.inherited, run)
 		// Whoever ordered it, it was ordered: a run that was once listed must
 		// never count as one that was not sent.
-		o.start.sent, o.start.answered, o.refusal = true, true, Accepted
+		o.start.sent, o.start.answered, o.refusal = true, true, workers.Accepted
 		if stopping {
 			l.orderStop(run, o, now)
 		}
@@ -180,7 +181,7 @@
 	}
 	newer := func(p progress) bool { return p.answered && l.listedAt > p.answeredAt }
 	switch {
-	case stopping || o.refusal != Accepted && o.uncertain:
+	case stopping || o.refusal != workers.Accepted && o.uncertain:
 		l.orderStop(run, o, now)
 		return newer(o.stop)
 	case !o.start.answered:
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,6 +20,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/replica"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 	"github.com/comfreyloom/comfreyloom/internal/steady"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -42,7 +43,7 @@
 	// Callers answers callers on an entry VM, Operators operators and workers on a core VM.
 	Callers   func(*Member) http.Handler
 	Operators func(*Member) http.Handler
-	Workers   dispatch.Workers
+	Workers   workers.Calls
 	Fleet     dispatch.Fleet
 	Advisor   dispatch.Advisor
 }
--- a/internal/dispatch/calls.go
+++ b/internal/workers/calls.go
@@ -1,4 +1,6 @@
-package dispatch
+// Package workers is what the product says to workers and hears from them:
+// orders, refusals and lists, and the calls that carry them.
+package workers
 
 import (
 	"context"
@@ -97,8 +99,8 @@
 	Ends    []workload.End
 }
 
-// Workers are the calls to workers. An error is a *CallError.
-type Workers interface {
+// Calls are the calls to workers. An error is a *CallError.
+type Calls interface {
 	Start(ctx context.Context, to Target, o StartOrder) (Answer, error)
 	Stop(ctx context.Context, to Target, run workload.RunRef, fence uint64) (Answer, error)
 	Hold(ctx context.Context, to Target, o HoldOrder) (List, error)
@@ -118,8 +120,8 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
-// notSent reports whether a call certainly did not reach the worker.
-func notSent(err error) bool {
+// NotSent reports whether a call certainly did not reach the worker.
+func NotSent(err error) bool {
 	var call *CallError
 	return errors.As(err, &call) && call.Verdict == model.NotRun
 }
