schedule: what can be in time and earns most for its work comes first

Cause: in the order of arrival every job of a peak waits for those that are lost already, and late jobs drew VMs that the next pool needed. At most 12 VMs were on their way at once, which held a ramp to 7 a second.

--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -14,8 +14,9 @@
 	catchUp = 1200 * time.Millisecond
 	// headroom is added to what is needed: tasks don't fill a VM exactly.
 	headroom = 1.15
-	// typicalMS stands for the run time of a task without an estimate.
-	typicalMS = 1000
+	// lateShare of what jobs ask that can't be in time any more counts as need:
+	// they are still done, but hardly earn anything.
+	lateShare = 0.25
 )
 
 // arrival is work that came at one time, in core-milliseconds times 1000.
@@ -47,7 +48,7 @@
 		q := t.Queues[queue]
 		for i := len(jobs) - 1; i >= 0 && jobs[i].Order > d.last; i-- {
 			newest = max(newest, jobs[i].Order)
-			d.pool(q.Pool).add(now, d.workOf(&jobs[i].Spec))
+			d.pool(q.Pool).add(now, jobs[i].Work())
 		}
 	}
 	d.last = newest
@@ -84,19 +85,6 @@
 	return work / rateWindow.Milliseconds()
 }
 
-// workOf estimates the work of a job that ends, in thousandths of a core
-// times milliseconds.
-func (d *Demand) workOf(spec *workload.JobSpec) int64 {
-	var work int64
-	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		if !s.Lasting {
-			work += int64(s.Count) * d.share(s.Charge()) * runMS(s)
-		}
-	}
-	return work
-}
-
 // share is what a task takes of a VM, in thousandths of a core: the memory that
 // it takes keeps as much processor time from others.
 func (d *Demand) share(r workload.Resources) int64 {
@@ -114,22 +102,14 @@
 	}
 }
 
-func runMS(s *workload.StepSpec) int64 {
-	if s.EstimatedMS > 0 {
-		return s.EstimatedMS
-	}
-	return typicalMS
-}
-
 // Need returns the processor time that each pool should have: what lasting
 // tasks take, the rate at which work arrives or the work that runs and waits,
 // whichever is more.
-func (d *Demand) Need(t *workload.Tables) map[string]int64 {
+func (d *Demand) Need(t *workload.Tables, nowMS int64) map[string]int64 {
 	lasting, now := map[string]int64{}, map[string]int64{}
 	for queue, jobs := range t.Live {
-		pool := t.Queues[queue].Pool
 		for _, job := range jobs {
-			d.addJob(job, pool, lasting, now)
+			d.addJob(job, t.Queues[queue], nowMS, lasting, now)
 		}
 	}
 	need := map[string]int64{}
@@ -143,7 +123,11 @@
 
 // addJob adds what the tasks of a job take whose turn has come. What waits is
 // spread over the time in which it should have started.
-func (d *Demand) addJob(job *workload.Job, pool string, lasting, now map[string]int64) {
+func (d *Demand) addJob(job *workload.Job, queue *workload.Queue, nowMS int64, lasting, now map[string]int64) {
+	pool, weight := queue.Pool, 1.0
+	if job.IsLate(queue, nowMS) {
+		weight = lateShare
+	}
 	for _, o := range job.Occurrences {
 		for i := range o.Steps {
 			spec, step := &job.Spec.Steps[i], &o.Steps[i]
@@ -156,7 +140,7 @@
 				continue
 			}
 			active, each := int64(step.Active), d.share(spec.Charge())
-			soon := min(float64(runMS(spec))/float64(catchUp.Milliseconds()), 1)
+			soon := weight * min(float64(spec.RunMS())/float64(catchUp.Milliseconds()), 1)
 			now[pool] += active*each + int64(soon*float64((left-active)*each))
 		}
 	}
--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -40,6 +40,9 @@
 	slices.SortFunc(pools, func(a, b *poolState) int {
 		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
 	})
+	for _, s := range pools {
+		p.plan.Pools = append(p.plan.Pools, Balance{Pool: s.name, Have: s.have, Need: s.need, Spare: len(s.spare)})
+	}
 	moves := 0
 	for _, needy := range pools {
 		for needy.missing() > 0 && moves < maxMoves {
--- a/internal/capacity/vm.go
+++ b/internal/capacity/vm.go
@@ -95,4 +95,14 @@
 	Open  []workload.MachineID
 	// Gone lists machines of waves that no longer exist.
 	Gone []workload.WaveBegun
+	// Pools is the balance that was found, for the log.
+	Pools []Balance
+}
+
+// Balance is what a pool has and needs, in thousandths of a core.
+type Balance struct {
+	Pool       string
+	Have, Need int64
+	// Spare counts its VMs with nothing on them.
+	Spare int
 }
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -20,8 +20,10 @@
 	fleetTimeout = 1200 * time.Millisecond
 	// fleetPause is the pause after an order that was refused or not answered.
 	fleetPause = 400 * time.Millisecond
-	// fleetOrders bounds the orders that are on their way at once.
-	fleetOrders = 12
+	// fleetOrders bounds the VMs that are on their way at once.
+	fleetOrders = 64
+	// balanceEvery is the time between two log lines on the balance of pools.
+	balanceEvery = time.Second
 	// emptyBy is how long short tasks may keep a VM from its maintenance; then
 	// they are stopped.
 	emptyBy = 6 * time.Second
@@ -71,6 +73,8 @@
 	// refused holds when a VM may be ordered again.
 	refused map[workload.MachineID]time.Duration
 	demand  *capacity.Demand
+	// balanced is when the balance of pools was last logged.
+	balanced time.Duration
 }
 
 // flight is an order on its way, or carried out while its VM is not back.
@@ -125,6 +129,7 @@
 		f.closing[c.Machine] = c
 		d.logFleet(c.Order, "worker closed")
 	}
+	d.logBalance(plan.Pools, now)
 	for _, o := range plan.Orders {
 		d.fly(ctx, term, o)
 	}
@@ -154,7 +159,7 @@
 		f.demand.Observe(t, now)
 		plan = capacity.Decide(capacity.Input{
 			Now: now, NowMS: d.config.WallMS(), Tables: t, VMs: f.vms, Flights: flights, Closing: f.closing,
-			Need: f.demand.Need(t), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
+			Need: f.demand.Need(t, d.config.WallMS()), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
 		})
 		d.evict(t, now)
 	})
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -101,3 +101,15 @@
 func (d *Dispatcher) logFleetError(what string, err error) {
 	d.config.Logger.WithError(err).Warn(what)
 }
+
+// logBalance writes what each pool has and needs, at most once in balanceEvery.
+func (d *Dispatcher) logBalance(pools []capacity.Balance, now time.Duration) {
+	if now-d.fleet.balanced < balanceEvery {
+		return
+	}
+	d.fleet.balanced = now
+	for _, b := range pools {
+		d.config.Logger.WithField("pool", b.Pool).WithField("have_mcpu", b.Have).WithField("need_mcpu", b.Need).
+			WithField("spare_vms", b.Spare).WithField("list_age_ms", (now - d.fleet.listedAt).Milliseconds()).Info("balance")
+	}
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -143,6 +143,10 @@
 	queue      *workload.Queue
 	occurrence *workload.Occurrence
 	step       int
+	// late: it can't be in time any more. density is what the job earns for
+	// the processor time that it still takes.
+	late    bool
+	density float64
 }
 
 func (w *waitingStep) spec() *workload.StepSpec { return &w.job.Spec.Steps[w.step] }
@@ -153,14 +157,18 @@
 	var all []waitingStep
 	for id, jobs := range p.Tables.Live {
 		queue := p.Tables.Queues[id]
+		from := len(all)
 		for _, job := range jobs {
 			all = appendReady(all, job, queue)
 		}
+		p.rank(all[from:], jobs)
 	}
 	slices.SortFunc(all, func(a, b waitingStep) int {
 		return cmp.Or(
 			compareBools(b.spec().Lasting, a.spec().Lasting),
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
+			compareBools(a.late, b.late),
+			cmp.Compare(b.density, a.density),
 			cmp.Compare(a.job.Order, b.job.Order),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.occurrence.K, b.occurrence.K),
@@ -170,6 +178,27 @@
 	return all
 }
 
+// baseWorth is the part of a job's worth that does not grow with its size.
+const baseWorth = 0.3
+
+// rank judges the steps of one queue. What can't be in time any more comes
+// last; the others by what they earn for the processor time that they still
+// take. Without it a peak makes every job late: in the order of their arrival
+// each waits for those that are lost already.
+func (p *planner) rank(steps []waitingStep, jobs []*workload.Job) {
+	var total int64
+	for _, job := range jobs {
+		total += job.Work()
+	}
+	mean := float64(total) / float64(max(len(jobs), 1))
+	for i := range steps {
+		w := &steps[i]
+		w.late = w.job.SlackMS(w.queue, w.occurrence, p.NowMS) < 0
+		worth := baseWorth*mean + (1-baseWorth)*float64(w.job.Work())
+		w.density = worth / float64(max(w.job.LeftWork(w.occurrence), 1))
+	}
+}
+
 func appendReady(all []waitingStep, job *workload.Job, queue *workload.Queue) []waitingStep {
 	for _, o := range job.Occurrences {
 		for i := range o.Steps {
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -64,6 +64,7 @@
 		return
 	}
 	job := &Job{ID: s.ID, Queue: s.Queue, Spec: s.Spec, Order: index, AcceptedMS: nowMS}
+	job.work = job.Spec.work()
 	if s.Spec.Repeat == nil {
 		job.Occurrences = []*Occurrence{newOccurrence(&job.Spec, 0)}
 		job.Next = 1
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -163,6 +163,34 @@
 	Occurrences []*Occurrence
 	// Next is the number of the first occurrence that has not begun.
 	Next int
+
+	// work is derived from the spec; see Work.
+	work int64
+}
+
+// Work estimates the processor time of one occurrence of the steps that end,
+// in thousandths of a core times milliseconds.
+func (j *Job) Work() int64 { return j.work }
+
+// typicalMS stands for the run time of a task without an estimate.
+const typicalMS = 1000
+
+// RunMS estimates the run time of a task, in milliseconds.
+func (s *StepSpec) RunMS() int64 {
+	if s.EstimatedMS > 0 {
+		return s.EstimatedMS
+	}
+	return typicalMS
+}
+
+func (s *JobSpec) work() int64 {
+	var work int64
+	for i := range s.Steps {
+		if !s.Steps[i].Lasting {
+			work += int64(s.Steps[i].Count) * s.Steps[i].Charge().CPU * s.Steps[i].RunMS()
+		}
+	}
+	return work
 }
 
 // Occurrence is one pass through the steps of a job.
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -148,6 +148,7 @@
 // derive computes what is derived, after the tables were read from a snapshot.
 func (t *Tables) derive() {
 	for _, job := range t.sortedJobs() {
+		job.work = job.Spec.work()
 		if !job.State.Final() {
 			t.Live[job.Queue] = append(t.Live[job.Queue], job)
 		}
