capacity: busy VMs are emptied for a move; the last leader's orders block by VM

Cause: a needy pool waited until VMs of others were idle by chance; a new leader gave no order at all for 3 s; VMs were parked before the first job.

Change: the least used VM of a pool with more than it needs is closed and moves when its tasks have ended; orders follow a committed intent, and a new leader leaves alone just the VMs ordered lately; parking begins 3 s after the first job.

--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -30,6 +30,8 @@
 	pools map[string]*poolDemand
 	// last is the order of the latest job that was counted.
 	last uint64
+	// first is when the first job came, 0 before.
+	first time.Duration
 	// perMB is the processor time that comes with a MiB of memory.
 	perMB float64
 }
@@ -48,6 +50,9 @@
 		q := t.Queues[queue]
 		for i := len(jobs) - 1; i >= 0 && jobs[i].Order > d.last; i-- {
 			newest = max(newest, jobs[i].Order)
+			if d.first == 0 && jobs[i].Work() > 0 {
+				d.first = now
+			}
 			d.pool(q.Pool).add(now, jobs[i].Work())
 		}
 	}
@@ -57,6 +62,12 @@
 	}
 }
 
+// settling is how long demand is watched before a VM counts as not needed.
+const settling = 3 * time.Second
+
+// MayPark says whether demand has been seen for long enough.
+func (d *Demand) MayPark(now time.Duration) bool { return d.first > 0 && now-d.first > settling }
+
 func (d *Demand) pool(name string) *poolDemand {
 	p := d.pools[name]
 	if p == nil {
--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -25,8 +25,9 @@
 	standby bool
 	// have is the processor time of the VMs that serve it or are on their way.
 	have, need int64
-	// spare are its VMs with nothing on them, the longest idle first.
-	spare []*VM
+	// spare are its VMs with nothing on them, the longest idle first; busy
+	// those with tasks that end, the least used first.
+	spare, busy []*VM
 }
 
 func (s *poolState) missing() int64 { return s.need - s.have }
@@ -54,6 +55,9 @@
 			needy.have += vm.Capacity.CPU
 			moves++
 		}
+		for needy.missing() > 0 && moves < maxMoves && p.emptyOne(pools, needy) {
+			moves++
+		}
 	}
 	p.park(pools, standby)
 }
@@ -73,6 +77,9 @@
 		p.count(byName, &p.VMs[i])
 	}
 	for _, s := range byName {
+		slices.SortFunc(s.busy, func(a, b *VM) int {
+			return cmp.Or(cmp.Compare(p.Tables.Used[a.Worker].CPU, p.Tables.Used[b.Worker].CPU), cmp.Compare(a.Machine, b.Machine))
+		})
 		slices.SortFunc(s.spare, func(a, b *VM) int {
 			return cmp.Or(cmp.Compare(p.Idle(b.Worker), p.Idle(a.Worker)), cmp.Compare(a.Machine, b.Machine))
 		})
@@ -97,9 +104,37 @@
 	if p.taken[vm.Machine] || vm.State == Moving || vm.State == Maintained {
 		return
 	}
-	if s.standby || p.isEmpty(vm) && p.isSettled(vm) {
+	switch {
+	case s.standby || p.isEmpty(vm) && p.isSettled(vm):
 		s.spare = append(s.spare, vm)
+	case p.isSettled(vm) && p.waitingOf(vm).lasting == 0:
+		s.busy = append(s.busy, vm)
+	}
+}
+
+// emptyOne closes the least used VM of a pool that has more than it needs, so
+// that it can move once its tasks have ended; false when there is none.
+func (p *planner) emptyOne(pools []*poolState, needy *poolState) bool {
+	var best *poolState
+	for _, s := range pools {
+		if s == needy || len(s.busy) == 0 || s.have-s.busy[0].Capacity.CPU < s.need {
+			continue
+		}
+		if best == nil || s.missing() < best.missing() {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
 	}
+	vm := best.busy[0]
+	best.busy = best.busy[1:]
+	best.have -= vm.Capacity.CPU
+	needy.have += vm.Capacity.CPU
+	order := Order{Kind: Move, Machine: vm.Machine, Pool: needy.name, Why: "the pool needs more"}
+	p.taken[vm.Machine] = true
+	p.plan.Close = append(p.plan.Close, Closing{Machine: vm.Machine, Order: order, Since: p.Now})
+	return true
 }
 
 // isLeaving says whether a VM is being emptied for its maintenance or away for
@@ -153,7 +188,7 @@
 
 // park puts VMs on standby that have been idle and are not needed.
 func (p *planner) park(pools []*poolState, standby *poolState) {
-	if standby == nil {
+	if standby == nil || !p.MayPark {
 		return
 	}
 	for _, s := range pools {
--- a/internal/capacity/vm.go
+++ b/internal/capacity/vm.go
@@ -81,6 +81,9 @@
 	// Need is the processor time that each pool should have, in thousandths
 	// of a core.
 	Need map[string]int64
+	// MayPark: demand has been seen for long enough that an idle VM tells
+	// something.
+	MayPark bool
 	// Listed says what a worker listed beyond what is committed on it.
 	Listed func(workload.WorkerID) bool
 	// Idle says for how long nothing has run on a worker.
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -73,6 +73,8 @@
 	// refused holds when a VM may be ordered again.
 	refused map[workload.MachineID]time.Duration
 	demand  *capacity.Demand
+	// respected says that the last leader's orders were looked at.
+	respected bool
 	// balanced is when the balance of pools was last logged.
 	balanced time.Duration
 }
@@ -117,9 +119,10 @@
 		return
 	}
 	d.listWhenDue(ctx)
-	if f.listedAt == 0 || now-f.since < d.config.TakeOver || !d.leads(term) {
+	if f.listedAt == 0 || !d.leads(term) {
 		return
 	}
+	d.respectLastLeader(now)
 	f.settleFlights(now)
 	plan := d.decideFleet(now)
 	for _, machine := range plan.Open {
@@ -141,6 +144,29 @@
 	d.closeLinks()
 }
 
+// orderedLately is how old an order of the last leader may be that must not be
+// followed by one of ours at once. Clocks differ between VMs by seconds.
+const orderedLately = 10 * time.Second
+
+// respectLastLeader leaves alone, for a while after this leader took over, the
+// VMs for which the last one may just have given an order: two holders must
+// not take turns.
+func (d *Dispatcher) respectLastLeader(now time.Duration) {
+	f := d.fleet
+	if f.respected {
+		return
+	}
+	f.respected = true
+	until := f.since + d.config.TakeOver
+	d.config.Machine.Read(func(t *workload.Tables) {
+		for machine, atMS := range t.Ordered {
+			if age := d.config.WallMS() - atMS; max(age, -age) < orderedLately.Milliseconds() && now < until {
+				f.refused[machine] = until
+			}
+		}
+	})
+}
+
 // decideFleet asks package capacity what to do.
 func (d *Dispatcher) decideFleet(now time.Duration) (plan capacity.Plan) {
 	f := d.fleet
@@ -159,7 +185,7 @@
 		f.demand.Observe(t, now)
 		plan = capacity.Decide(capacity.Input{
 			Now: now, NowMS: d.config.WallMS(), Tables: t, VMs: f.vms, Flights: flights, Closing: f.closing,
-			Need: f.demand.Need(t, d.config.WallMS()), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
+			Need: f.demand.Need(t, d.config.WallMS()), MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
 		})
 		d.evict(t, now)
 	})
@@ -296,6 +322,10 @@
 	if !d.emptyWorker(fl.Worker) {
 		return FleetBusy, nil
 	}
+	intent := &workload.Command{Term: term, Ordered: []workload.MachineID{o.Machine}}
+	if err := d.propose(ctx, intent); err != nil {
+		return FleetLimited, nil // nothing was ordered; it is decided anew
+	}
 	if o.Kind == capacity.Move {
 		return d.config.Fleet.Move(ctx, o.Machine, o.Pool, d.config.Self, term)
 	}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -26,6 +26,9 @@
 		t.start(&c.Starts[i])
 	}
 	t.applyWaves(c)
+	for _, machine := range c.Ordered {
+		t.Ordered[machine] = c.AtMS
+	}
 	if c.ForgetBeforeMS != 0 {
 		t.forget(c.ForgetBeforeMS)
 	}
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -29,6 +29,8 @@
 	Starts []Start     `cbor:"12,keyasint,omitempty"`
 	Wave   *Wave       `cbor:"13,keyasint,omitempty"`
 	Begun  []WaveBegun `cbor:"14,keyasint,omitempty"`
+	// Ordered lists the VMs for which an order to the platform follows.
+	Ordered []MachineID `cbor:"16,keyasint,omitempty"`
 	// ForgetBeforeMS drops jobs that ended before; 0 drops none.
 	ForgetBeforeMS int64 `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/workload/machine.go
+++ b/internal/workload/machine.go
@@ -102,6 +102,7 @@
 	Jobs    []*Job
 	Workers []*Worker
 	Waves   []*Wave
+	Ordered map[MachineID]int64
 }
 
 // Snapshot encodes the whole state as of Applied.
@@ -109,7 +110,7 @@
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	t := m.tables
-	picture := image{Version: snapshotVersion, Index: m.index, Term: t.Term, Config: t.Config, Jobs: t.sortedJobs()}
+	picture := image{Version: snapshotVersion, Index: m.index, Term: t.Term, Config: t.Config, Jobs: t.sortedJobs(), Ordered: t.Ordered}
 	for _, id := range slices.SortedFunc(maps.Keys(t.Queues), compareQueues) {
 		picture.Queues = append(picture.Queues, t.Queues[id])
 	}
@@ -161,6 +162,9 @@
 	for _, w := range p.Waves {
 		t.Waves[w.ID] = w
 	}
+	if p.Ordered != nil {
+		t.Ordered = p.Ordered
+	}
 	t.derive()
 	return t
 }
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -16,6 +16,9 @@
 	Jobs    map[JobID]*Job
 	Workers map[WorkerID]*Worker
 	Waves   map[int64]*Wave
+	// Ordered is when an order for a VM was last given to the platform, by the
+	// leader's time of day in Unix milliseconds.
+	Ordered map[MachineID]int64
 
 	// What follows is derived from the above.
 
@@ -31,7 +34,7 @@
 func newTables() *Tables {
 	return &Tables{
 		Queues: map[QueueID]*Queue{}, Jobs: map[JobID]*Job{},
-		Workers: map[WorkerID]*Worker{}, Waves: map[int64]*Wave{},
+		Workers: map[WorkerID]*Worker{}, Waves: map[int64]*Wave{}, Ordered: map[MachineID]int64{},
 		Live: map[QueueID][]*Job{}, Runs: map[WorkerID]map[RunRef]bool{},
 		Used: map[WorkerID]Resources{}, Stopping: map[RunRef]WorkerID{},
 	}
