--- a/internal/capacity/waves.go
+++ b/internal/capacity/waves.go
@@ -3,17 +3,10 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
-const (
-	// turnTakes estimates how long one VM of a wave takes, from closing its
-	// worker to the first report of the new one: short tasks end, maintenance.
-	turnTakes = 6 * time.Second
-)
-
 // planner holds what is left while a plan is made.
 type planner struct {
 	Input
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -59,6 +59,8 @@
 	Input
 	plan  Plan
 	pools map[string][]*candidate
+	// rescued is the processor time that late jobs ask for that come first.
+	rescued map[string]int64
 }
 
 // candidate is a worker that takes new work, with its room.
@@ -143,12 +145,26 @@
 	queue      *workload.Queue
 	occurrence *workload.Occurrence
 	step       int
-	// late: it can't be in time any more. density is what the job earns for
-	// the processor time that it still takes.
-	late    bool
+	// turn groups the steps of a queue; density is what the job earns for the
+	// processor time that it still takes.
+	turn    turn
 	density float64
 }
 
+// turn says how soon a step comes.
+type turn uint8
+
+const (
+	// turnRescue: it is late, and lost to its caller unless it starts now.
+	turnRescue turn = iota
+	// turnTimely: it can be in time.
+	turnTimely
+	// turnLate: it can't be in time any more.
+	turnLate
+	// turnLost: it is too late to be of use.
+	turnLost
+)
+
 func (w *waitingStep) spec() *workload.StepSpec { return &w.job.Spec.Steps[w.step] }
 
 // waiting lists the steps whose turn has come, the most urgent first: lasting
@@ -167,7 +183,7 @@
 		return cmp.Or(
 			compareBools(b.spec().Lasting, a.spec().Lasting),
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
-			compareBools(a.late, b.late),
+			cmp.Compare(a.turn, b.turn),
 			cmp.Compare(b.density, a.density),
 			cmp.Compare(a.job.Order, b.job.Order),
 			cmp.Compare(a.job.ID, b.job.ID),
@@ -181,6 +197,14 @@
 // baseWorth is the part of a job's worth that does not grow with its size.
 const baseWorth = 0.3
 
+const (
+	// rescueMS before a late job is lost to its caller it comes first.
+	rescueMS = 1500
+	// rescueShare of a pool at most is used by late jobs that come first: in a
+	// long overload all jobs would otherwise be late.
+	rescueShare = 0.25
+)
+
 // rank judges the steps of one queue. What can't be in time any more comes
 // last; the others by what they earn for the processor time that they still
 // take. Without it a peak makes every job late: in the order of their arrival
@@ -193,12 +217,50 @@
 	mean := float64(total) / float64(max(len(jobs), 1))
 	for i := range steps {
 		w := &steps[i]
-		w.late = w.job.SlackMS(w.queue, w.occurrence, p.NowMS) < 0
+		w.turn = p.turnOf(w)
 		worth := baseWorth*mean + (1-baseWorth)*float64(w.job.Work())
 		w.density = worth / float64(max(w.job.LeftWork(w.occurrence), 1))
 	}
 }
 
+func (p *planner) turnOf(w *waitingStep) turn {
+	if w.job.SlackMS(w.queue, w.occurrence, p.NowMS, 1) >= 0 {
+		return turnTimely
+	}
+	left := w.job.SlackMS(w.queue, w.occurrence, p.NowMS, workload.LateFactor)
+	switch {
+	case left < 0:
+		return turnLost
+	case left < rescueMS && p.mayRescue(w):
+		return turnRescue
+	default:
+		return turnLate
+	}
+}
+
+// mayRescue says whether late jobs that come first use little of the pool.
+func (p *planner) mayRescue(w *waitingStep) bool {
+	pool := w.queue.Pool
+	if p.rescued == nil {
+		p.rescued = map[string]int64{}
+	}
+	asks := int64(len(w.occurrence.Steps[w.step].Tasks)) * w.spec().Charge().CPU
+	if float64(p.rescued[pool]+asks) > rescueShare*float64(p.capacity(pool)) {
+		return false
+	}
+	p.rescued[pool] += asks
+	return true
+}
+
+// capacity is the processor time of the workers of a pool that take work.
+func (p *planner) capacity(pool string) int64 {
+	var all int64
+	for _, c := range p.pools[pool] {
+		all += c.worker.Capacity.CPU
+	}
+	return all
+}
+
 func appendReady(all []waitingStep, job *workload.Job, queue *workload.Queue) []waitingStep {
 	for _, o := range job.Occurrences {
 		for i := range o.Steps {
--- a/internal/workload/objective.go
+++ b/internal/workload/objective.go
@@ -10,20 +10,24 @@
 // starts as soon as it may: its longest chain of tasks that are not done.
 func (j *Job) LeftMS(o *Occurrence) int64 { return j.Spec.chain(o) }
 
-// SlackMS estimates how much longer an occurrence may wait and still be in
-// time; it is negative when it can't be.
-func (j *Job) SlackMS(q *Queue, o *Occurrence, nowMS int64) int64 {
+// LateFactor is how many times its objective a job may take and still be of
+// some use to its caller.
+const LateFactor = 3
+
+// SlackMS estimates how much longer an occurrence may wait and still end
+// within so many times its objective; it is negative when it can't.
+func (j *Job) SlackMS(q *Queue, o *Occurrence, nowMS int64, times int64) int64 {
 	began := j.AcceptedMS
 	if j.Spec.Repeat != nil {
 		began = j.Spec.Repeat.Due(o.K)
 	}
-	return began + j.Objective(q) - nowMS - j.LeftMS(o)
+	return began + times*j.Objective(q) - nowMS - j.LeftMS(o)
 }
 
 // IsLate says whether no occurrence of a job can be in time any more.
 func (j *Job) IsLate(q *Queue, nowMS int64) bool {
 	for _, o := range j.Occurrences {
-		if j.SlackMS(q, o, nowMS) >= 0 {
+		if j.SlackMS(q, o, nowMS, 1) >= 0 {
 			return false
 		}
 	}
