capacity: VMs move before the turn of a pool that is expected

Cause: a pool that waits for its peak to show loses three seconds of each: one until it is noticed, two for the move.

Change: the order and length of the pools' turns are learned from the accepted jobs, by a new leader too; from 3 s before the expected turn the pool counts the peak of its last one as need. Unit tests of capacity, workload, platform.

--- a/cmd/comfreyloom/serve.go
+++ b/cmd/comfreyloom/serve.go
@@ -15,7 +15,7 @@
 )
 
 type serveCommand struct {
-	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of this VM; where it is left out, the variable COMFREYLOOM_SETTINGS names the file"`
+	Settings string `arg:"--settings" placeholder:"FILE" help:"settings of this VM; where it is left out, a variable of the environment names the file, see deploy"`
 }
 
 // run serves until SIGTERM or SIGINT, then stops gracefully. A second signal
--- /dev/null
+++ b/internal/capacity/decide_test.go
@@ -0,0 +1,156 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	cores32 = 32_000
+	gib128  = 131_072
+)
+
+// site is a fleet with its tables.
+type site struct {
+	machine *workload.Machine
+	index   uint64
+	in      Input
+}
+
+func newSite(vms map[string]int) *site {
+	s := &site{machine: workload.NewMachine(), in: Input{
+		Now: time.Hour, Flights: map[workload.MachineID]Flight{}, Closing: map[workload.MachineID]Closing{},
+		Need: map[string]int64{}, Listed: func(workload.WorkerID) bool { return false },
+		Idle: func(workload.WorkerID) time.Duration { return time.Second },
+	}}
+	config := &workload.Config{Version: 1}
+	room := workload.Resources{CPU: cores32, MemoryMB: gib128}
+	var workers []workload.Worker
+	for _, pool := range []string{"a", "b", "spare"} {
+		config.Pools = append(config.Pools, workload.Pool{Name: pool, Standby: pool == "spare"})
+		config.Queues = append(config.Queues, workload.Queue{ID: workload.QueueID{Host: "h", Prefix: "/" + pool + "/"}, Pool: pool, TimeoutMS: 1})
+		for i := range vms[pool] {
+			name := fmt.Sprintf("%s-%d", pool, i)
+			vm := VM{Machine: workload.MachineID(name), Pool: pool, State: Up, Capacity: room, Worker: workload.WorkerID("i-" + name)}
+			if pool == "spare" {
+				vm.State, vm.Worker = Down, ""
+			} else {
+				workers = append(workers, workload.Worker{ID: vm.Worker, Pool: pool, Capacity: room})
+			}
+			s.in.VMs = append(s.in.VMs, vm)
+		}
+	}
+	s.apply(&workload.Command{Config: config, Workers: workers})
+	return s
+}
+
+func (s *site) apply(c *workload.Command) {
+	data, err := workload.Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	s.index++
+	s.machine.Apply(s.index, data)
+}
+
+func (s *site) decide() (plan Plan) {
+	s.machine.Read(func(t *workload.Tables) {
+		s.in.Tables = t
+		plan = Decide(s.in)
+	})
+	return plan
+}
+
+// runOn commits a run of a job with one task on a worker.
+func (s *site) runOn(worker string, step workload.StepSpec) {
+	step.Count = 1
+	id := workload.JobID("job-" + worker)
+	queue := workload.QueueID{Host: "h", Prefix: "/" + worker[2:3] + "/"}
+	s.apply(&workload.Command{Submit: []workload.Submit{{ID: id, Queue: queue, Spec: workload.JobSpec{Steps: []workload.StepSpec{step}}}}})
+	s.apply(&workload.Command{Starts: []workload.Start{{Worker: workload.WorkerID(worker), Run: workload.RunRef{Task: workload.TaskRef{Job: id}, Attempt: 1}}}})
+}
+
+func TestStandbyVMsGoFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 1, "b": 3, "spare": 2})
+	s.in.Need = map[string]int64{"a": 3 * cores32, "b": cores32}
+	plan := s.decide()
+	is.Equal(len(plan.Orders), 2)
+	for _, o := range plan.Orders {
+		is.Equal(o.Pool, "a")
+		is.Equal(string(o.Machine)[:5], "spare")
+	}
+}
+
+// Symptom: a task's worker is taken away under it. Sequence: a pool needs a VM,
+// the only one that another pool can give has a task. Cause: moved while it runs.
+func TestOnlyEmptyVMsMove(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 1, "b": 1})
+	s.in.Need = map[string]int64{"a": 2 * cores32}
+	s.runOn("i-b-0", workload.StepSpec{Need: workload.Resources{CPU: 1000}})
+	plan := s.decide()
+	is.Equal(len(plan.Orders), 0)
+	is.Equal(len(plan.Close), 1)
+	is.Equal(plan.Close[0].Machine, workload.MachineID("b-0"))
+
+	s.in.Closing[plan.Close[0].Machine] = plan.Close[0]
+	is.Equal(len(s.decide().Orders), 0) // the task still runs
+	s.apply(&workload.Command{Ends: []workload.End{{Worker: "i-b-0", Number: 1, Kind: workload.EndDone,
+		Run: workload.RunRef{Task: workload.TaskRef{Job: "job-i-b-0"}, Attempt: 1}}}})
+	orders := s.decide().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Pool, "a")
+}
+
+// Symptom: a lasting task waits for minutes though the site has room. Sequence:
+// all VMs of its pool are closed for a wave at once, it is evicted, no VM of the
+// pool takes work. Cause: VMs that leave counted as what the pool has.
+func TestClosedVMsDontCountAsCapacity(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 1, "b": 2})
+	s.in.Need = map[string]int64{"a": 10_000}
+	s.runOn("i-a-0", workload.StepSpec{Need: workload.Resources{CPU: 10_000}, Lasting: true})
+	s.in.Closing["a-0"] = Closing{Machine: "a-0", Order: Order{Kind: Maintain, Machine: "a-0", Wave: 1}, Since: s.in.Now}
+	orders := s.decide().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, Move)
+	is.Equal(orders[0].Pool, "a")
+}
+
+func TestWaveKeepsItsBound(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 4})
+	s.in.Need = map[string]int64{"a": 4 * cores32}
+	wave := &workload.Wave{ID: 7, Most: 2, ForMS: 60_000}
+	for i := range 4 {
+		wave.Machines = append(wave.Machines, workload.WaveMachine{Machine: workload.MachineID(fmt.Sprintf("a-%d", i))})
+	}
+	s.apply(&workload.Command{Wave: wave})
+	plan := s.decide()
+	is.Equal(len(plan.Orders), 2)
+	for _, o := range plan.Orders {
+		is.Equal(o.Kind, Maintain)
+		s.in.Flights[o.Machine] = Flight{Order: o, Sent: s.in.Now}
+	}
+	is.Equal(len(s.decide().Orders), 0) // both are away
+	delete(s.in.Flights, plan.Orders[0].Machine)
+	s.apply(&workload.Command{Begun: []workload.WaveBegun{{Wave: 7, Machine: plan.Orders[0].Machine}}})
+	is.Equal(len(s.decide().Orders), 1)
+}
+
+func TestNothingIsParkedBeforeDemandIsKnown(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 3, "spare": 1})
+	s.in.Idle = func(workload.WorkerID) time.Duration { return time.Minute }
+	is.Equal(len(s.decide().Orders), 0)
+	s.in.MayPark = true
+	orders := s.decide().Orders
+	is.Equal(len(orders), 3)
+	is.Equal(orders[0].Pool, "spare")
+}
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/workload"
@@ -32,34 +34,65 @@
 	last uint64
 	// first is when the first job came, 0 before.
 	first time.Duration
+	turns turns
 	// perMB is the processor time that comes with a MiB of memory.
 	perMB float64
 }
 
 type poolDemand struct{ recent []arrival }
 
-// NewDemand returns a demand without a past. Jobs accepted up to the index
-// last are not counted as arriving.
-func NewDemand(last uint64) *Demand { return &Demand{pools: map[string]*poolDemand{}, last: last} }
+// NewDemand returns the demand as the accepted jobs tell it: a new leader knows
+// the past as well as the last one did. Times of day are only compared with
+// each other, by clocks that differ between leaders; what comes out of it is
+// an expectation, no promise.
+func NewDemand(t *workload.Tables, now time.Duration, nowMS int64) *Demand {
+	d := &Demand{pools: map[string]*poolDemand{}, turns: newTurns()}
+	jobs := make([]*workload.Job, 0, len(t.Jobs))
+	for _, job := range t.Jobs {
+		jobs = append(jobs, job)
+	}
+	slices.SortFunc(jobs, func(a, b *workload.Job) int {
+		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.ID, b.ID))
+	})
+	for _, job := range jobs {
+		at := now - time.Duration(max(nowMS-job.AcceptedMS, 0))*time.Millisecond
+		d.arrive(t, job, at)
+		d.observeTurns(at)
+	}
+	return d
+}
 
 // Observe counts the jobs accepted since the last call.
 func (d *Demand) Observe(t *workload.Tables, now time.Duration) {
 	d.learnShape(t)
-	newest := d.last
-	for queue, jobs := range t.Live {
-		q := t.Queues[queue]
-		for i := len(jobs) - 1; i >= 0 && jobs[i].Order > d.last; i-- {
-			newest = max(newest, jobs[i].Order)
-			if d.first == 0 && jobs[i].Work() > 0 {
-				d.first = now
-			}
-			d.pool(q.Pool).add(now, jobs[i].Work())
+	before := d.last
+	for _, jobs := range t.Live {
+		for i := len(jobs) - 1; i >= 0 && jobs[i].Order > before; i-- {
+			d.arrive(t, jobs[i], now)
 		}
 	}
-	d.last = newest
-	for _, p := range d.pools {
+	d.observeTurns(now)
+}
+
+func (d *Demand) arrive(t *workload.Tables, job *workload.Job, at time.Duration) {
+	d.last = max(d.last, job.Order)
+	queue := t.Queues[job.Queue]
+	if queue == nil || job.Work() == 0 {
+		return
+	}
+	if d.first == 0 {
+		d.first = at
+	}
+	d.pool(queue.Pool).add(at, job.Work())
+}
+
+func (d *Demand) observeTurns(now time.Duration) {
+	rates := map[string]int64{}
+	for name, p := range d.pools {
 		p.expire(now)
+		rates[name] = p.rate()
 	}
+	d.turns.observe(rates, now)
 }
 
 // settling is how long demand is watched before a VM counts as not needed.
@@ -116,25 +149,30 @@
 // Need returns the processor time that each pool should have: what lasting
 // tasks take, the rate at which work arrives or the work that runs and waits,
 // whichever is more.
-func (d *Demand) Need(t *workload.Tables, nowMS int64) map[string]int64 {
-	lasting, now := map[string]int64{}, map[string]int64{}
+func (d *Demand) Need(t *workload.Tables, now time.Duration, nowMS int64) map[string]int64 {
+	lasting, asked := map[string]int64{}, map[string]int64{}
 	for queue, jobs := range t.Live {
 		for _, job := range jobs {
-			d.addJob(job, t.Queues[queue], nowMS, lasting, now)
+			d.addJob(job, t.Queues[queue], nowMS, lasting, asked)
 		}
 	}
-	need := map[string]int64{}
+	var pools []string
 	for queue := range t.Queues {
-		pool := t.Queues[queue].Pool
-		asked := max(d.pool(pool).rate(), now[pool])
-		need[pool] = lasting[pool] + int64(headroom*float64(asked))
+		if pool := t.Queues[queue].Pool; !slices.Contains(pools, pool) {
+			pools = append(pools, pool)
+		}
+	}
+	need, expected := map[string]int64{}, d.turns.expect(pools, now)
+	for _, pool := range pools {
+		most := max(d.pool(pool).rate(), asked[pool], expected[pool])
+		need[pool] = lasting[pool] + int64(headroom*float64(most))
 	}
 	return need
 }
 
 // addJob adds what the tasks of a job take whose turn has come. What waits is
 // spread over the time in which it should have started.
-func (d *Demand) addJob(job *workload.Job, queue *workload.Queue, nowMS int64, lasting, now map[string]int64) {
+func (d *Demand) addJob(job *workload.Job, queue *workload.Queue, nowMS int64, lasting, asked map[string]int64) {
 	pool, weight := queue.Pool, 1.0
 	if job.IsLate(queue, nowMS) {
 		weight = lateShare
@@ -152,7 +190,7 @@
 			}
 			active, each := int64(step.Active), d.share(spec.Charge())
 			soon := weight * min(float64(spec.RunMS())/float64(catchUp.Milliseconds()), 1)
-			now[pool] += active*each + int64(soon*float64((left-active)*each))
+			asked[pool] += active*each + int64(soon*float64((left-active)*each))
 		}
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
+	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -148,8 +149,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.term, d.leading, d.group = term, ctx, group
-	d.fleet, d.advice = newFleetState(d.now(), d.config.Machine.Applied()), newAdviceCache()
+	d.advice = newAdviceCache()
 	d.config.Machine.Read(func(t *workload.Tables) {
+		d.fleet = newFleetState(d.now(), capacity.NewDemand(t, d.now(), d.config.WallMS()))
 		for _, w := range t.Workers {
 			l := d.open(ctx, w)
 			for run := range t.Runs[w.ID] {
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -87,10 +87,10 @@
 	retryAt time.Duration
 }
 
-func newFleetState(now time.Duration, accepted uint64) *fleetState {
+func newFleetState(now time.Duration, demand *capacity.Demand) *fleetState {
 	return &fleetState{
 		since: now, flights: map[workload.MachineID]*flight{}, closing: map[workload.MachineID]capacity.Closing{},
-		refused: map[workload.MachineID]time.Duration{}, demand: capacity.NewDemand(accepted),
+		refused: map[workload.MachineID]time.Duration{}, demand: demand,
 	}
 }
 
@@ -185,7 +185,7 @@
 		f.demand.Observe(t, now)
 		plan = capacity.Decide(capacity.Input{
 			Now: now, NowMS: d.config.WallMS(), Tables: t, VMs: f.vms, Flights: flights, Closing: f.closing,
-			Need: f.demand.Need(t, d.config.WallMS()), MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
+			Need: f.demand.Need(t, now, d.config.WallMS()), MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
 		})
 		d.evict(t, now)
 	})
