--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -17,7 +17,7 @@
 const (
 	// attemptTimeout bounds one try at one process: several times what a
 	// commit takes on a slow disk, and well below a caller's deadline.
-	attemptTimeout = 900 * time.Millisecond
+	attemptTimeout = 600 * time.Millisecond
 	// retryPause is the pause after the first try that failed; it doubles up
 	// to maxRetryPause, so that an election is not flooded with questions.
 	retryPause    = 5 * time.Millisecond
@@ -80,7 +80,7 @@
 			failure = ErrUnknown
 		}
 		c.retries.Inc(1)
-		if err != nil || reply.Leader == "" || model.NodeID(reply.Leader) == asked {
+		if err != nil || c.mustWait(asked, model.NodeID(reply.Leader)) {
 			wait(ctx, pause)
 		}
 	}
@@ -90,13 +90,18 @@
 	return nil, failure
 }
 
+// mustWait says whether asking on at once is of no use.
+func (c *Client) mustWait(asked, leader model.NodeID) bool {
+	return leader == "" || leader == asked || c.directory.IsSilent(leader)
+}
+
 // next chooses whom to ask: the leader as last heard, else one core VM after
 // the other. A leader that was asked last is passed over once.
 func (c *Client) next(asked model.NodeID, turn int) (model.NodeID, int) {
-	if leader, _ := c.directory.Leader.Get(); leader != "" && leader != asked {
+	if leader, _ := c.directory.Leader.Get(); leader != "" && leader != asked && !c.directory.IsSilent(leader) {
 		return leader, turn
 	}
-	cores := c.directory.Cores()
+	cores := slices.DeleteFunc(c.directory.Cores(), c.directory.IsSilent)
 	if len(cores) == 0 {
 		return "", turn
 	}
@@ -107,7 +112,8 @@
 }
 
 func (c *Client) try(ctx context.Context, to model.NodeID, r *controlpb.Request) (*controlpb.Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	outer := ctx
+	ctx, cancel := context.WithTimeout(outer, attemptTimeout)
 	defer cancel()
 	if to == c.self && c.here != nil {
 		reply, err := c.here.Ask(ctx, r)
@@ -122,8 +128,11 @@
 	}
 	reply, err := s.calls.Ask(ctx, r)
 	if err != nil {
-		c.directory.Leader.Doubt(to)
-		s.caller.Failed(err)
+		if outer.Err() == nil { // a caller that left says nothing about the leader
+			c.directory.Leader.Doubt(to)
+			c.directory.DidNotAnswer(to)
+			s.caller.Failed(err)
+		}
 		return nil, err
 	}
 	c.hear(to, reply.Leader, reply.Term)
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -23,12 +23,15 @@
 	mu    sync.Mutex
 	seeds []model.NodeID
 	heard map[model.NodeID]time.Duration
+	// silent holds until when a core VM that did not answer is not asked.
+	silent map[model.NodeID]time.Duration
 }
 
 // NewDirectory returns a directory that knows the seeds. The clock is the time
 // since some instant.
 func NewDirectory(seeds []model.NodeID, now func() time.Duration) *Directory {
-	return &Directory{now: now, seeds: slices.Clone(seeds), heard: map[model.NodeID]time.Duration{}}
+	return &Directory{now: now, seeds: slices.Clone(seeds), heard: map[model.NodeID]time.Duration{},
+		silent: map[model.NodeID]time.Duration{}}
 }
 
 // SetSeeds replaces the seeds after the settings changed.
@@ -57,6 +60,25 @@
 	}
 }
 
+// silentFor is how long a core VM that did not answer is left alone. Others go
+// on naming it as the leader until they elect another; each request that goes
+// there waits for nothing, and its outcome is unknown.
+const silentFor = 400 * time.Millisecond
+
+// DidNotAnswer notes that a core VM gave no answer in time.
+func (d *Directory) DidNotAnswer(core model.NodeID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent[core] = d.now() + silentFor
+}
+
+// IsSilent says whether a core VM did not answer lately.
+func (d *Directory) IsSilent(core model.NodeID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now() < d.silent[core]
+}
+
 // Cores returns the seeds and all other core VMs that are remembered, sorted.
 func (d *Directory) Cores() []model.NodeID {
 	d.mu.Lock()
--- a/internal/control/hello.go
+++ b/internal/control/hello.go
@@ -70,6 +70,7 @@
 	reply, err := s.calls.Hello(ctx, &controlpb.HelloRequest{Node: string(g.client.self), Core: g.core})
 	if err != nil {
 		g.client.directory.Leader.Doubt(to)
+		g.client.directory.DidNotAnswer(to)
 		s.caller.Failed(err)
 		return false
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -105,6 +105,7 @@
 }
 
 func (m *Member) openCore(self model.NodeID) error {
+	m.awaitRoom()
 	m.machine = workload.NewMachine()
 	opened, err := replica.Open(m.replicaConfig(self))
 	if err != nil {
@@ -129,6 +130,30 @@
 	return nil
 }
 
+const (
+	// roomEvery is the time between two looks at a full disk, roomWithin how
+	// long a process waits for room before it goes on and fails.
+	roomEvery  = 500 * time.Millisecond
+	roomWithin = 5 * time.Minute
+)
+
+// awaitRoom waits while the disk is full. Without it the process would end at
+// its first write and be started again, several times a second, and each start
+// would cost the others a connection and a round of questions.
+func (m *Member) awaitRoom() {
+	disk := datafolder.Disk{}
+	for waited := time.Duration(0); waited < roomWithin; waited += roomEvery {
+		err := datafolder.HasRoom(disk, m.Settings.Node.DataFolder)
+		if err == nil || !datafolder.IsFull(err) {
+			return
+		}
+		if waited == 0 {
+			m.Logger.WithError(err).Warn("the disk is full; waiting for room")
+		}
+		time.Sleep(roomEvery)
+	}
+}
+
 // replicaConfig lets the seeds found the site together, on the first start
 // only: a seed that lost its disk must never found another one.
 func (m *Member) replicaConfig(self model.NodeID) replica.Config {
--- a/internal/member/patience.go
+++ b/internal/member/patience.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// patience is how long a request is tried at one core VM after another:
-	// an election with the first commit of the new leader takes that long.
-	patience = 1800 * time.Millisecond
-	// patienceShare of the caller's deadline is used at most, so that there is
-	// time left for another try.
-	patienceShare = 0.6
+	// patience is how long a request is tried at one core VM after another.
+	// What is not run by then is refused at once, with a time to come back: the
+	// caller can use the rest of its deadline.
+	patience = 1200 * time.Millisecond
+	// patienceShare of the caller's deadline is used at most.
+	patienceShare = 0.35
 	// retryAfter is when a caller whose request was not run should come back.
 	retryAfter = time.Second
 	// operatorPatience is a little less than the second after which operators
