capacity, schedule: VMs of the kind or rack that tasks ask for; waiting for room near the data

Cause: on a changed site file (kinds a and b, racks with data, gangs, timed jobs) 76 jobs were never served: a pool's need was a sum, and it had no VM of the kind asked for.

--- a/internal/capacity/decide_test.go
+++ b/internal/capacity/decide_test.go
@@ -154,3 +154,21 @@
 	is.Equal(len(orders), 3)
 	is.Equal(orders[0].Pool, "spare")
 }
+
+// Symptom: tasks that ask for a kind of worker wait for ever. Sequence: their
+// pool has room enough, the only VMs of the kind serve another pool. Cause: a
+// pool's need known only as a sum.
+func TestVMsOfTheKindAskedForMove(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 2, "b": 3})
+	s.in.Need = map[string]int64{"a": cores32, "b": 0}
+	for i := range s.in.VMs {
+		s.in.VMs[i].Kind = "plain"
+	}
+	s.in.VMs[3].Kind = "fast"
+	s.in.NeedOf = map[string]map[string]int64{"a": {"fast": 1000}}
+	orders := s.decide().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Machine, s.in.VMs[3].Machine)
+	is.Equal(orders[0].Pool, "a")
+}
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -194,3 +194,37 @@
 		}
 	}
 }
+
+// NeedOf returns what each pool should have of VMs with one label: what the
+// tasks take whose turn has come and that ask for it. A rack that holds a
+// step's data counts like a label.
+func (d *Demand) NeedOf(t *workload.Tables) map[string]map[string]int64 {
+	all := map[string]map[string]int64{}
+	for queue, jobs := range t.Live {
+		pool := t.Queues[queue].Pool
+		for _, job := range jobs {
+			d.addLabels(job, pool, all)
+		}
+	}
+	return all
+}
+
+func (d *Demand) addLabels(job *workload.Job, pool string, all map[string]map[string]int64) {
+	for _, o := range job.Occurrences {
+		for i := range o.Steps {
+			spec := &job.Spec.Steps[i]
+			left := int64(len(o.Steps[i].Tasks) - o.Steps[i].Done)
+			if left == 0 || spec.Label == "" && spec.DataRack == "" || !o.Ready(&job.Spec, i) {
+				continue
+			}
+			if all[pool] == nil {
+				all[pool] = map[string]int64{}
+			}
+			for _, label := range []string{spec.Label, spec.DataRack} {
+				if label != "" {
+					all[pool][label] += left * d.share(spec.Charge())
+				}
+			}
+		}
+	}
+}
--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	standby bool
 	// have is the processor time of the VMs that serve it or are on their way.
 	have, need int64
+	// haveOf and needOf are the same for the VMs with one label, their kind or
+	// their rack.
+	haveOf, needOf map[string]int64
 	// spare are its VMs with nothing on them, the longest idle first; busy
 	// those with tasks that end, the least used first.
 	spare, busy []*VM
@@ -32,6 +36,26 @@
 
 func (s *poolState) missing() int64 { return s.need - s.have }
 
+// add counts a VM that serves the pool, or takes it off with sign -1.
+func (s *poolState) add(vm *VM, sign int64) {
+	s.have += sign * vm.Capacity.CPU
+	s.haveOf[vm.Kind] += sign * vm.Capacity.CPU
+	s.haveOf[vm.Rack] += sign * vm.Capacity.CPU
+}
+
+// canGive says whether the pool has all that it needs without a VM.
+func (s *poolState) canGive(vm *VM) bool {
+	if s.standby {
+		return true
+	}
+	for _, label := range []string{vm.Kind, vm.Rack} {
+		if need := s.needOf[label]; need > 0 && s.haveOf[label]-vm.Capacity.CPU < need {
+			return false
+		}
+	}
+	return s.have-vm.Capacity.CPU >= s.need
+}
+
 // planMoves brings VMs from where they are not needed to where they are.
 func (p *planner) planMoves() {
 	if p.Tables.Config == nil {
@@ -52,20 +76,58 @@
 				break
 			}
 			p.move(vm, needy.name, "the pool needs more")
-			needy.have += vm.Capacity.CPU
+			needy.add(vm, 1)
 			moves++
 		}
 		for needy.missing() > 0 && moves < maxMoves && p.emptyOne(pools, needy) {
 			moves++
 		}
 	}
+	p.planLabels(pools, standby)
 	p.park(pools, standby)
 }
 
+// planLabels brings VMs of a kind or rack to the pools whose tasks ask for it.
+// A pool with room enough may have none that its tasks can run on.
+func (p *planner) planLabels(pools []*poolState, standby *poolState) {
+	for _, needy := range pools {
+		for _, label := range slices.Sorted(maps.Keys(needy.needOf)) {
+			for needy.haveOf[label] < needy.needOf[label] {
+				vm := p.takeLabelled(pools, standby, needy, label)
+				if vm == nil {
+					break
+				}
+				p.move(vm, needy.name, "the pool needs label "+label)
+				needy.add(vm, 1)
+			}
+		}
+	}
+}
+
+func (p *planner) takeLabelled(pools []*poolState, standby, needy *poolState, label string) *VM {
+	givers := pools
+	if standby != nil {
+		givers = append([]*poolState{standby}, pools...)
+	}
+	for _, s := range givers {
+		for i, vm := range s.spare {
+			if s != needy && (vm.Kind == label || vm.Rack == label) && s.canGive(vm) {
+				s.spare = slices.Delete(s.spare, i, i+1)
+				s.add(vm, -1)
+				return vm
+			}
+		}
+	}
+	return nil
+}
+
 func (p *planner) poolStates() (pools []*poolState, standby *poolState) {
 	byName := map[string]*poolState{}
 	for _, c := range p.Tables.Config.Pools {
-		s := &poolState{name: c.Name, standby: c.Standby, need: p.Need[c.Name]}
+		s := &poolState{
+			name: c.Name, standby: c.Standby, need: p.Need[c.Name],
+			haveOf: map[string]int64{}, needOf: p.NeedOf[c.Name],
+		}
 		byName[c.Name] = s
 		if c.Standby {
 			standby = s
@@ -100,7 +162,7 @@
 	if s == nil || vm.State == Down && !s.standby || p.isLeaving(vm) {
 		return
 	}
-	s.have += vm.Capacity.CPU
+	s.add(vm, 1)
 	if p.taken[vm.Machine] || vm.State == Moving || vm.State == Maintained {
 		return
 	}
@@ -117,7 +179,7 @@
 func (p *planner) emptyOne(pools []*poolState, needy *poolState) bool {
 	var best *poolState
 	for _, s := range pools {
-		if s == needy || len(s.busy) == 0 || s.have-s.busy[0].Capacity.CPU < s.need {
+		if s == needy || len(s.busy) == 0 || !s.canGive(s.busy[0]) {
 			continue
 		}
 		if best == nil || s.missing() < best.missing() {
@@ -129,8 +191,8 @@
 	}
 	vm := best.busy[0]
 	best.busy = best.busy[1:]
-	best.have -= vm.Capacity.CPU
-	needy.have += vm.Capacity.CPU
+	best.add(vm, -1)
+	needy.add(vm, 1)
 	order := Order{Kind: Move, Machine: vm.Machine, Pool: needy.name, Why: "the pool needs more"}
 	p.taken[vm.Machine] = true
 	p.plan.Close = append(p.plan.Close, Closing{Machine: vm.Machine, Order: order, Since: p.Now})
@@ -161,7 +223,7 @@
 	}
 	var best *poolState
 	for _, s := range pools {
-		if s == needy || len(s.spare) == 0 || s.have-s.spare[0].Capacity.CPU < s.need {
+		if s == needy || len(s.spare) == 0 || !s.canGive(s.spare[0]) {
 			continue
 		}
 		if best == nil || s.missing() < best.missing() {
@@ -177,7 +239,7 @@
 func (s *poolState) take() *VM {
 	vm := s.spare[0]
 	s.spare = s.spare[1:]
-	s.have -= vm.Capacity.CPU
+	s.add(vm, -1)
 	return vm
 }
 
@@ -194,7 +256,7 @@
 	for _, s := range pools {
 		for len(s.spare) > 0 {
 			vm := s.spare[0]
-			if s.have-vm.Capacity.CPU < s.need || p.Idle(vm.Worker) < parkAfter || p.inWave(vm.Machine) {
+			if !s.canGive(vm) || p.Idle(vm.Worker) < parkAfter || p.inWave(vm.Machine) {
 				break
 			}
 			s.take()
--- a/internal/capacity/vm.go
+++ b/internal/capacity/vm.go
@@ -81,6 +81,8 @@
 	// Need is the processor time that each pool should have, in thousandths
 	// of a core.
 	Need map[string]int64
+	// NeedOf is what each pool should have of VMs with one label.
+	NeedOf map[string]map[string]int64
 	// MayPark: demand has been seen for long enough that an idle VM tells
 	// something.
 	MayPark bool
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -185,7 +185,7 @@
 		f.demand.Observe(t, now)
 		plan = capacity.Decide(capacity.Input{
 			Now: now, NowMS: d.config.WallMS(), Tables: t, VMs: f.vms, Flights: flights, Closing: f.closing,
-			Need: f.demand.Need(t, now, d.config.WallMS()), MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
+			Need: f.demand.Need(t, now, d.config.WallMS()), NeedOf: f.demand.NeedOf(t), MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
 		})
 		d.evict(t, now)
 	})
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -22,6 +22,7 @@
 	if w.spec().SameRack {
 		fit = p.oneRack(w, fit)
 	}
+	fit = p.nearData(w, fit)
 	placed := p.placeTasks(w, fit)
 	if w.spec().Gang && len(placed) < w.spec().Count {
 		p.undo(w, placed)
@@ -73,6 +74,44 @@
 	return best
 }
 
+const (
+	// farFactor is how many times as long a task takes away from its data.
+	farFactor = 3
+	// busyShare of a pool must be in use for a task to wait for room near its data.
+	busyShare = 0.5
+)
+
+// nearData keeps the workers on the rack of a step's data if the job would be
+// late away from it and is not when it waits a little. A task never waits in a
+// pool that is mostly idle: there is no sign that room comes soon.
+func (p *planner) nearData(w waitingStep, fit []*candidate) []*candidate {
+	spec := w.spec()
+	if spec.DataRack == "" {
+		return fit
+	}
+	var near []*candidate
+	for _, c := range fit {
+		if c.worker.Rack == spec.DataRack {
+			near = append(near, c)
+		}
+	}
+	slack := w.job.SlackMS(w.queue, w.occurrence, p.NowMS, 1)
+	lateAway := slack >= 0 && slack < (farFactor-1)*spec.RunMS()
+	if len(near) == 0 || !lateAway || !p.isBusy(w.queue.Pool) {
+		return fit
+	}
+	return near
+}
+
+func (p *planner) isBusy(pool string) bool {
+	var free, all int64
+	for _, c := range p.pools[pool] {
+		free += c.free.CPU
+		all += c.worker.Capacity.CPU
+	}
+	return float64(all-free) >= busyShare*float64(all)
+}
+
 func sortedKeys(m map[string][]*candidate) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
