dispatch: orders to the platform up to its rate; what fills is slowed beside a task near its target

Cause: at most 64 VMs on their way kept a site of 349 VMs from following a peak; the platform's own bound is a rate, now a setting and a token bucket.

--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -17,7 +17,7 @@
 	// is put on standby: two moves cost as much as a VM does in this time.
 	parkAfter = 2500 * time.Millisecond
 	// maxMoves bounds the moves of one plan.
-	maxMoves = 24
+	maxMoves = 64
 )
 
 // poolState is the balance of one pool.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,6 +55,8 @@
 	// TakeOver is how long a new leader waits with orders to the platform, so
 	// that they don't alternate with those of the last one.
 	TakeOver time.Duration
+	// FleetRate is how many orders a second the platform takes from the site.
+	FleetRate float64
 	// Now is the steady clock, WallMS the time of day in Unix milliseconds.
 	Now    func() time.Duration
 	WallMS func() int64
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -20,8 +20,9 @@
 	fleetTimeout = 1200 * time.Millisecond
 	// fleetPause is the pause after an order that was refused or not answered.
 	fleetPause = 400 * time.Millisecond
-	// fleetOrders bounds the VMs that are on their way at once.
-	fleetOrders = 64
+	// fleetShare of the platform's rate of orders is used: a lost answer makes
+	// an order count twice.
+	fleetShare = 0.9
 	// balanceEvery is the time between two log lines on the balance of pools.
 	balanceEvery = time.Second
 	// emptyBy is how long short tasks may keep a VM from its maintenance; then
@@ -73,6 +74,9 @@
 	// refused holds when a VM may be ordered again.
 	refused map[workload.MachineID]time.Duration
 	demand  *capacity.Demand
+	// tokens are the orders that may be given at once, as of tokensAt.
+	tokens   float64
+	tokensAt time.Duration
 	// respected says that the last leader's orders were looked at.
 	respected bool
 	// balanced is when the balance of pools was last logged.
@@ -285,8 +289,8 @@
 // fly begins an order. The worker stays closed until the VM is back.
 func (d *Dispatcher) fly(ctx context.Context, term uint64, o capacity.Order) {
 	f := d.fleet
-	if len(f.flights) >= fleetOrders && o.Kind == capacity.Move || f.flights[o.Machine] != nil {
-		return
+	if f.flights[o.Machine] != nil || !f.takeToken(d.now(), d.config.FleetRate) {
+		return // it is decided anew in the next round
 	}
 	fl := &flight{Flight: capacity.Flight{Order: o, Sent: d.now()}}
 	for i := range f.vms {
@@ -298,6 +302,19 @@
 	d.callFleet(ctx, term, fl)
 }
 
+// takeToken says whether one more order keeps within the platform's rate, in
+// orders a second for the whole site.
+func (f *fleetState) takeToken(now time.Duration, rate float64) bool {
+	rate *= fleetShare
+	f.tokens = min(f.tokens+rate*(now-f.tokensAt).Seconds(), rate/2)
+	f.tokensAt = now
+	if f.tokens < 1 {
+		return false
+	}
+	f.tokens--
+	return true
+}
+
 // callFleet sends an order in the background. Nothing may run on the worker:
 // it was closed under the lock before, so no start is decided any more, and
 // one that was decided is committed and seen.
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -47,7 +47,9 @@
 	// refusedUntil is when a worker that refused for want of room or health is
 	// tried again.
 	refusedUntil time.Duration
-	paced        map[workload.RunRef]int
+	// paced holds the pace of tasks that fill where it was changed, in percent.
+	paced   map[workload.RunRef]int
+	pacedAt time.Duration
 	// evicted holds runs that are stopped though their job goes on.
 	evicted map[workload.RunRef]bool
 	// idleSince is since when nothing is committed or listed here; 0 while
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -113,3 +113,8 @@
 			WithField("spare_vms", b.Spare).WithField("list_age_ms", (now - d.fleet.listedAt).Milliseconds()).Info("balance")
 	}
 }
+
+func (d *Dispatcher) logPace(l *link, run workload.RunRef, pressure float64, percent int) {
+	d.config.Logger.WithField("worker", string(l.target.ID)).WithField("task", run.Task.String()).
+		WithField("pressure", pressure).WithField("percent", percent).Info("pace changed")
+}
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -98,6 +98,7 @@
 	l.stopForeign(runs, now)
 	l.forgetOrders(runs)
 	l.watch(t, now)
+	l.steerPace(t, now)
 	l.want(len(runs) > 0)
 	l.noteIdle(len(runs) == 0 && len(l.running) == 0, now)
 	if len(runs) == 0 && now-l.contact > forgetWorker && l.contact > 0 {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		spec := &job.Spec.Steps[run.Task.Step]
-		if spec.Gang || spec.Fills || spec.Lasting && seen.Percent >= atWork || l.paced[run] != 0 {
+		if spec.Gang || spec.Fills || spec.Lasting && seen.Percent >= atWork {
 			continue
 		}
 		if o := l.orderOf(run); !o.stop.queued && !o.stop.answered {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -121,7 +121,8 @@
 		Workers: m.outside.Workers, Fleet: m.outside.Fleet, Advisor: m.outside.Advisor,
 		Lease:    time.Duration(leaseShare * float64(m.Settings.Bounds.LeaseMax)),
 		LeaseMax: m.Settings.Bounds.LeaseMax, TakeOver: m.Settings.Bounds.FleetTakeOver,
-		Now: steady.Now, WallMS: wallMS, Logger: m.Logger, Metrics: m.Metrics,
+		FleetRate: m.Settings.FleetRate,
+		Now:       steady.Now, WallMS: wallMS, Logger: m.Logger, Metrics: m.Metrics,
 	})
 	server := control.NewServer(controlled, m.machine, m.directory, m.dispatcher)
 	m.nodeServer.Offer(controlpb.ControlPathPrefix, controlpb.NewControlServer(server))
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -35,7 +35,10 @@
 	Bounds MemberBounds
 	// Fleet and Advisor are IP:port of outside services, empty for none.
 	Fleet, Advisor string
-	Log            Log
+	// FleetRate is how many orders a second the fleet service takes from the
+	// whole site.
+	FleetRate float64
+	Log       Log
 }
 
 // MemberNode says who this process is.
@@ -115,9 +118,10 @@
 			MaintenanceTakes: bounds.Duration("maintenance_takes", "2s", 0, time.Hour),
 			Notice:           bounds.Duration("notice", "4500ms", 0, time.Minute),
 		},
-		Fleet:   f.Section("fleet").Address("address", ""),
-		Advisor: f.Section("advisor").Address("address", ""),
-		Log:     readLog(f.Section("log")),
+		Fleet:     f.Section("fleet").Address("address", ""),
+		FleetRate: f.Section("fleet").Float("orders_per_second", "20", 0.1, 10_000),
+		Advisor:   f.Section("advisor").Address("address", ""),
+		Log:       readLog(f.Section("log")),
 	}
 	m.readSeeds(f.Section("seeds"))
 	m.check(f)
