dispatch: one lost answer does not make a worker silent; short waits after a lost one

Cause: with orders held up, each lost answer made its worker unusable until the next list came, up to a second later, and took what was not sent off it.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -13,8 +13,13 @@
 	// bounds how old the progress of its tasks is, and must leave several
 	// tries within a lease.
 	holdWait = 1000 * time.Millisecond
+	// shortWait is the wait after a call got no answer: each lost one costs its
+	// wait before the ends of the worker's tasks are known.
+	shortWait = 250 * time.Millisecond
+	// shortFor is how long waits stay short after that.
+	shortFor = 5 * time.Second
 	// holdSlack is the time for the call besides the wait.
-	holdSlack = 700 * time.Millisecond
+	holdSlack = 300 * time.Millisecond
 	// holdRetry is the pause after a call without an answer.
 	holdRetry    = 150 * time.Millisecond
 	maxHoldRetry = 900 * time.Millisecond
@@ -70,6 +75,7 @@
 	defer l.d.wakeUp()
 	if err != nil {
 		l.failed(err)
+		l.lostHoldAt = l.d.now()
 		return false
 	}
 	// The clock was read when the answer was written; the wait lies before it.
@@ -85,12 +91,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := workers.HoldOrder{Fence: l.fence, Acked: l.acked, LeaseUntilMS: l.grant(now)}
-	if l.listedAt > 0 && l.failures == 0 && !l.awaitsList() {
-		o.WaitMS = holdWait.Milliseconds()
+	if l.listedAt > 0 && !l.silent(now) && !l.awaitsList() {
+		o.WaitMS = l.waitNow(now).Milliseconds()
 	}
 	return o
 }
 
+func (l *link) waitNow(now time.Duration) time.Duration {
+	if l.lostHoldAt > 0 && now-l.lostHoldAt < shortFor {
+		return shortWait
+	}
+	return holdWait
+}
+
 // awaitsList says whether an answered order waits for a newer list.
 func (l *link) awaitsList() bool {
 	for _, o := range l.orders {
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -31,9 +31,14 @@
 	// contact is when the worker last answered or reported, listedAt when the
 	// call was sent that the lists come from; 0 before the first.
 	contact, listedAt time.Duration
-	failures          int
-	running           map[workload.RunRef]*observed
-	ends              []workload.End
+	// answered is when it last answered a call, failures the calls since that
+	// got no answer.
+	answered time.Duration
+	failures int
+	// lostHoldAt is when a call for the lists last got no answer; 0 for never.
+	lostHoldAt time.Duration
+	running    map[workload.RunRef]*observed
+	ends       []workload.End
 	// wanted says that runs are committed on the worker, so that it is held.
 	wanted        bool
 	acked, judged uint64
@@ -91,7 +96,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := l.running[run]
-	return seen != nil && seen.Percent >= atWork && l.failures == 0 && !l.gone && !l.evicted[run]
+	return seen != nil && seen.Percent >= atWork && !l.silent(l.d.now()) && !l.gone && !l.evicted[run]
 }
 
 // observed is a run that the worker listed.
@@ -109,6 +114,8 @@
 	// uncertain says that a start was sent that nobody answered: the worker
 	// may carry it out seconds later, whatever it answered to the next one.
 	uncertain bool
+	// tries counts the calls about the run.
+	tries int
 	// dropped: the run is given up; it must not be sent any more.
 	dropped bool
 }
@@ -168,9 +175,24 @@
 	l.d.group.Go(func() { l.holdLeases(ctx) })
 }
 
+const (
+	// silentCalls without an answer make a worker count as silent if it has not
+	// answered any for silentSoon, a single one if it has not for silentAfter.
+	// One lost answer says little: others come over the next connection.
+	silentCalls = 3
+	silentSoon  = 400 * time.Millisecond
+	silentAfter = holdWait + 300*time.Millisecond
+)
+
+// silent says whether the worker does not answer.
+func (l *link) silent(now time.Duration) bool {
+	since := now - l.answered
+	return l.failures >= silentCalls && since > silentSoon || l.failures > 0 && since > silentAfter
+}
+
 // usable says whether new work may go to the worker.
 func (l *link) usable(now time.Duration) bool {
-	return !l.gone && !l.outranked && l.lease.known && l.failures == 0 &&
+	return !l.gone && !l.outranked && l.lease.known && !l.silent(now) &&
 		now >= l.refusedUntil && now-l.contact < freshContact &&
 		(len(l.inherited) == 0 || l.listedAt > 0)
 }
@@ -179,7 +201,7 @@
 func (l *link) heard(a workers.Answer, sentAt time.Duration) {
 	now := l.d.now()
 	l.lease.hear(a.ClockMS, sentAt, now)
-	l.contact, l.failures = now, 0
+	l.contact, l.answered, l.failures = now, now, 0
 	switch a.Refusal {
 	case workers.RefusedFence:
 		l.outranked = true
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -62,7 +62,7 @@
 
 // logSilent writes a line for the first call in a row without an answer.
 func (d *Dispatcher) logSilent(l *link, err error) {
-	if l.failures == 1 {
+	if l.failures == silentCalls {
 		d.config.Logger.WithField("worker", string(l.target.ID)).WithField("address", l.target.Address).
 			WithField("age_ms", (d.now() - l.contact).Milliseconds()).WithError(err).Warn("worker does not answer")
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// orderTimeout bounds one call to a worker that should answer at once.
-	orderTimeout = 700 * time.Millisecond
+	// orderTimeout bounds the first call about a run; a worker answers within a
+	// few milliseconds. Each further one may take twice as long, up to
+	// maxOrderTimeout, so that a slow worker is not flooded.
+	orderTimeout    = 300 * time.Millisecond
+	maxOrderTimeout = 1200 * time.Millisecond
 	// orderPause is the pause after a call without an answer.
-	orderPause = 100 * time.Millisecond
+	orderPause = 30 * time.Millisecond
 )
 
 // sendOrders is the duty that starts and stops runs, one call after another.
@@ -49,7 +52,7 @@
 
 // perform makes one call; false when it got no answer.
 func (l *link) perform(ctx context.Context, c call) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.orderLimit(c.run))
 	defer cancel()
 	switch c.kind {
 	case callStart:
@@ -61,6 +64,16 @@
 	}
 }
 
+// orderLimit bounds the next call about a run.
+func (l *link) orderLimit(run workload.RunRef) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.orderOf(run)
+	limit := min(orderTimeout<<min(o.tries, 4), maxOrderTimeout)
+	o.tries++
+	return limit
+}
+
 func (l *link) performStart(ctx context.Context, run workload.RunRef) bool {
 	o, wanted := l.d.startOrder(l.target.ID, run)
 	sentAt := l.d.now()
@@ -106,7 +119,7 @@
 	if !l.lease.known {
 		return 0
 	}
-	if l.failures > 0 {
+	if l.silent(now) {
 		return l.lease.grantedMS
 	}
 	return l.lease.until(now, l.d.config.Lease)
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -196,7 +196,7 @@
 // surelyOver says whether a run on a worker that does not answer can't run any
 // more: it was never ordered, or every lease has passed.
 func (l *link) surelyOver(run workload.RunRef, o *order, now time.Duration) bool {
-	if l.failures == 0 && !o.dropped {
+	if !l.silent(now) && !o.dropped {
 		return false
 	}
 	if !o.start.sent && !l.inherited[run] {
