--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -123,6 +123,10 @@
 	d.begin(ctx, term, &group)
 	defer d.end()
 	d.config.Logger.WithField("term", term).Info("leading")
+	group.Go(func() {
+		defer cancel()
+		d.awaitLoss(ctx, term)
+	})
 	group.Go(func() { d.runFleet(ctx, term) })
 	group.Go(func() { d.runAdvice(ctx) })
 	ticker := time.NewTicker(roundEvery)
@@ -141,6 +145,15 @@
 	d.config.Logger.WithField("term", term).Info("no longer leading")
 }
 
+// awaitLoss returns once this VM no longer leads. A round may wait for a commit
+// that can't come; the links must not go on with orders meanwhile, as the next
+// leader counts the last possible lease from its own beginning.
+func (d *Dispatcher) awaitLoss(ctx context.Context, term uint64) {
+	for ctx.Err() == nil && d.leads(term) {
+		pause(ctx, standingEvery)
+	}
+}
+
 func (d *Dispatcher) leads(term uint64) bool {
 	s := d.config.Log.Standing()
 	return s.Confirmed && s.Term == term
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -32,6 +32,9 @@
 // anything runs on the worker or must be known of it.
 func (l *link) holdLeases(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !l.d.leads(l.fence) {
+			return
+		}
 		if !l.mustHold() {
 			select {
 			case <-l.listen:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -21,6 +21,9 @@
 // sendOrders is the duty that starts and stops runs, one call after another.
 func (l *link) sendOrders(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !l.d.leads(l.fence) {
+			return
+		}
 		c, ok := l.nextCall()
 		if !ok {
 			select {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -10,7 +10,7 @@
 	// standstill is how long a run may show no progress before it is stopped
 	// and started elsewhere. A task of many seconds moves by one in a hundred
 	// several times in this time.
-	standstill = 3 * time.Second
+	standstill = 2 * time.Second
 	// atWork is the progress at which a lasting task is at work.
 	atWork = 100
 )
