cmd, dispatch: the whole path with real processes; a link is prepared before it starts

A scenario of five processes on loopback that find each other (founding, invalid and valid configuration, jobs, a killed leader, a lost disk, a planned stop) against stand-in workers after the published protocol: each task starts once, nothing accepted is lost. It failed first by the race detector: a new leader filled a link (runs to take over, the last leader's longest lease) after its goroutines had begun. Without the lease a run could have counted as over too early.

--- /dev/null
+++ b/cmd/comfreyloom/member_test.go
@@ -0,0 +1,315 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/platform/standin"
+)
+
+const (
+	memberCores   = 3
+	memberEntries = 2
+	// memberPatience bounds each wait for something that must happen; the steps
+	// themselves take a few seconds at most.
+	memberPatience = 60 * time.Second
+)
+
+// memberSite is a site of real processes that find each other, each with an
+// IP of its own on loopback and the same ports.
+type memberSite struct {
+	t         *testing.T
+	dir       string
+	network   string
+	ports     [5]int
+	processes map[string]*exec.Cmd
+	workers   []*standin.Worker
+	client    *http.Client
+}
+
+func newMemberSite(t *testing.T) *memberSite {
+	s := &memberSite{
+		t: t, dir: t.TempDir(), processes: map[string]*exec.Cmd{},
+		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	s.network = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, time.Now().UnixNano()/1000%250)
+	for i := range s.ports {
+		s.ports[i] = freePort(t, s.network+".1")
+	}
+	for range memberCores + memberEntries {
+		places <- struct{}{}
+	}
+	t.Cleanup(s.end)
+	return s
+}
+
+func freePort(t *testing.T, ip string) int {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (s *memberSite) end() {
+	for name := range s.processes {
+		s.kill(name)
+	}
+	for _, w := range s.workers {
+		w.Close()
+	}
+	for range memberCores + memberEntries {
+		<-places
+	}
+}
+
+func (s *memberSite) ip(name string) string {
+	number := int(name[len(name)-1]-'0') + 1
+	if strings.HasPrefix(name, "entry") {
+		number += 100
+	}
+	return fmt.Sprintf("%s.%d", s.network, number)
+}
+
+func (s *memberSite) address(name string, port int) string {
+	return fmt.Sprintf("%s:%d", s.ip(name), s.ports[port])
+}
+
+// start writes the settings of a process and starts it.
+func (s *memberSite) start(name string, mayFound bool) {
+	role, listen := "core", "operators = "+s.address(name, 1)
+	data := "data_folder = " + filepath.Join(s.dir, name)
+	if strings.HasPrefix(name, "entry") {
+		role, data = "entry", ""
+		listen = "callers = " + s.address(name, 2) + "\nreadiness = " + s.address(name, 3)
+	}
+	text := fmt.Sprintf(`[node]
+name = %s
+role = %s
+ip = %s
+availability_zone = z
+%s
+may_found = %v
+[listen]
+%s
+nodes = %s
+metrics = %s
+[seeds]
+addresses = %s,%s,%s
+[bounds]
+stop_within = 5s
+`, name, role, s.ip(name), data, mayFound, listen, s.address(name, 0), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"))
+	file := filepath.Join(s.dir, name+".ini")
+	s.must(os.WriteFile(file, []byte(text), 0o600))
+	output, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	s.must(err)
+	defer func() { _ = output.Close() }()
+	process := exec.Command("comfreyloom", "serve")
+	process.Env = append(os.Environ(), "COMFREYLOOM_SETTINGS="+file, "GORACE=log_path="+filepath.Join(s.dir, "race"))
+	process.Stdout, process.Stderr = output, output
+	s.must(process.Start())
+	s.processes[name] = process
+}
+
+func (s *memberSite) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *memberSite) kill(name string) {
+	if p := s.processes[name]; p != nil {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+		delete(s.processes, name)
+	}
+}
+
+// terminate asks a process to stop and returns how it ended.
+func (s *memberSite) terminate(name string) error {
+	p := s.processes[name]
+	delete(s.processes, name)
+	s.must(p.Process.Signal(syscall.SIGTERM))
+	return p.Wait()
+}
+
+// call makes one request; status 0 when there was no answer.
+func (s *memberSite) call(method, address, path, body string) (int, string) {
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	s.must(err)
+	request.Host = "plans.example"
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+// until repeats a step until it says that it is done.
+func (s *memberSite) until(what string, step func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(memberPatience)
+	for !step() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s\n%s", what, s.tails())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *memberSite) tails() string {
+	files, _ := filepath.Glob(filepath.Join(s.dir, "race.*"))
+	logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
+	files = append(files, logs...)
+	all := ""
+	for _, file := range files {
+		text, _ := os.ReadFile(file)
+		all += fmt.Sprintf("== %s\n%s\n", filepath.Base(file), text[max(len(text)-3000, 0):])
+	}
+	return all
+}
+
+// submit hands a job in at any entry VM until it is accepted.
+func (s *memberSite) submit(id string, count int, ms int) {
+	body := fmt.Sprintf(`{"spec":"%d","phases":[{"count":%d,"cpu":500,"mem-mb":64,"estimated-ms":%d},{"count":1,"cpu":500,"mem-mb":64,"depends-on":[0]}]}`, ms, count, ms)
+	turn := 0
+	s.until("job "+id+" is accepted", func() bool {
+		turn++
+		status, _ := s.call(http.MethodPost, s.address(fmt.Sprintf("entry%d", turn%memberEntries), 2), "/q/"+id, body)
+		return status == http.StatusOK
+	})
+}
+
+func (s *memberSite) awaitState(id, state string) {
+	turn := 0
+	s.until("job "+id+" is "+state, func() bool {
+		turn++
+		status, text := s.call(http.MethodGet, s.address(fmt.Sprintf("entry%d", turn%memberEntries), 2), "/q/"+id, "")
+		return status == http.StatusOK && strings.Contains(text, state)
+	})
+}
+
+// leader returns the core VM that leads, by its log.
+func (s *memberSite) leader() string {
+	name, last := "", time.Time{}
+	for i := range memberCores {
+		core := fmt.Sprintf("core%d", i)
+		text, _ := os.ReadFile(filepath.Join(s.dir, core+".log"))
+		for line := range strings.SplitSeq(string(text), "\n") {
+			var entry struct {
+				Time    time.Time `json:"time"`
+				Message string    `json:"message"`
+			}
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Message == "leading" && entry.Time.After(last) {
+				name, last = core, entry.Time
+			}
+		}
+	}
+	return name
+}
+
+// TestSiteOfProcesses plays the whole path with real processes: found from
+// seeds, a configuration, jobs, a killed leader, a lost disk, a planned stop.
+// Each task must start once, and nothing that was accepted may be lost.
+func TestSiteOfProcesses(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	s := newMemberSite(t)
+	var operators []string
+	for i := range memberCores {
+		s.start(fmt.Sprintf("core%d", i), true)
+		operators = append(operators, s.address(fmt.Sprintf("core%d", i), 1))
+	}
+	for i := range memberEntries {
+		s.start(fmt.Sprintf("entry%d", i), false)
+	}
+	status, _ := s.call(http.MethodPost, operators[0], "/config/replace", `{"version":1`)
+	is.True(status == 0 || status == http.StatusBadRequest) // it may not listen yet; never accepted
+	const config = `{"version":3,"routes":[{"name":"r","host":"plans.example","path-prefix":"/q/","timeout-ms":3000,"target-latency-ms":600,"service":"p","max-attempts":3,"target-factor":2}],"services":[{"name":"p"}],"limits":{"max-body-bytes":100000}}`
+	turn := 0
+	s.until("the configuration is accepted", func() bool {
+		turn++
+		status, _ := s.call(http.MethodPost, operators[turn%memberCores], "/config/replace", config)
+		return status == http.StatusOK
+	})
+	for i := range 2 {
+		w, err := standin.Start(fmt.Sprintf("i-%d", i), s.network+".200:0", "p", operators)
+		s.must(err)
+		s.workers = append(s.workers, w)
+	}
+	s.submit("00000000000000a1", 4, 50)
+	s.submit("00000000000000a1", 4, 50) // a resend stays one job
+	s.awaitState("00000000000000a1", "completed")
+
+	s.submit("00000000000000b1", 6, 2500)
+	s.awaitState("00000000000000b1", "running")
+	killed := s.leader()
+	s.kill(killed)
+	s.submit("00000000000000b2", 3, 50)
+	s.awaitState("00000000000000b2", "completed")
+	s.awaitState("00000000000000b1", "completed")
+
+	s.must(os.RemoveAll(filepath.Join(s.dir, killed)))
+	s.start(killed, false)
+	s.until("the lost disk is a voter again", func() bool {
+		text, _ := os.ReadFile(filepath.Join(s.dir, killed+".log"))
+		return strings.Contains(string(text), "installed a snapshot of the leader")
+	})
+	next := s.leader()
+	if err := s.terminate(next); err != nil {
+		t.Fatalf("%s did not stop as asked: %v\n%s", next, err, s.tails())
+	}
+	s.submit("00000000000000c1", 2, 50)
+	s.awaitState("00000000000000c1", "completed")
+	s.awaitState("00000000000000a1", "completed")
+	s.until("the configuration is read back", func() bool {
+		turn++
+		status, text := s.call(http.MethodGet, operators[turn%memberCores], "/config/get", "")
+		return status == http.StatusOK && text == config
+	})
+	s.checkStarts()
+	is.NoErr(s.terminate("entry0"))
+	races, _ := filepath.Glob(filepath.Join(s.dir, "race.*"))
+	is.Equal(races, nil)
+}
+
+// checkStarts fails when a task was started more than once.
+func (s *memberSite) checkStarts() {
+	all := map[string]int{}
+	for _, w := range s.workers {
+		for task, n := range w.Starts() {
+			all[task] += n
+		}
+	}
+	if len(all) != 4+1+6+1+3+1+2+1 {
+		s.t.Errorf("%d tasks were started", len(all))
+	}
+	for task, n := range all {
+		if n != 1 {
+			s.t.Errorf("task %s was started %d times", task, n)
+		}
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -168,13 +168,7 @@
 	d.config.Machine.Read(func(t *workload.Tables) {
 		d.fleet = newFleetState(d.now(), capacity.NewDemand(t, d.now(), d.config.WallMS()))
 		for _, w := range t.Workers {
-			l := d.open(ctx, w)
-			for run := range t.Runs[w.ID] {
-				l.inherited[run] = true
-			}
-			l.wanted = len(t.Runs[w.ID]) > 0
-			// The last leader may have granted a lease until just now.
-			l.lease.lapsedAt = d.now() + time.Duration(float64(d.config.LeaseMax)/slowClock) + lapseMargin
+			d.open(ctx, w, func(l *link) { l.inherit(t.Runs[w.ID]) })
 		}
 	})
 }
@@ -189,12 +183,23 @@
 	d.links = map[workload.WorkerID]*link{}
 }
 
-// open starts the link of a worker.
-func (d *Dispatcher) open(ctx context.Context, w *workload.Worker) *link {
+// open starts the link of a worker once it is prepared: its goroutines use it
+// from then on.
+func (d *Dispatcher) open(ctx context.Context, w *workload.Worker, prepare func(*link)) {
 	l := newLink(d, w, d.term)
+	prepare(l)
 	d.links[w.ID] = l
 	d.launch(ctx, l)
-	return l
+}
+
+// inherit takes over the runs that an earlier leader committed on a worker.
+func (l *link) inherit(runs map[workload.RunRef]bool) {
+	for run := range runs {
+		l.inherited[run] = true
+	}
+	l.wanted = len(runs) > 0
+	// The last leader may have granted a lease until just now.
+	l.lease.lapsedAt = l.d.now() + time.Duration(float64(l.d.config.LeaseMax)/slowClock) + lapseMargin
 }
 
 // propose commits a command at this VM.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -63,7 +63,7 @@
 	}
 	if d.links[r.Worker.ID] == nil {
 		w := r.Worker
-		d.open(d.leading, &w)
+		d.open(d.leading, &w, func(*link) {})
 	}
 	d.links[r.Worker.ID].takeReport(r)
 	d.wakeUp()
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -55,7 +55,7 @@
 	d.config.Machine.Read(func(t *workload.Tables) {
 		for id, w := range t.Workers {
 			if d.links[id] == nil {
-				d.open(ctx, w)
+				d.open(ctx, w, func(*link) {})
 			}
 		}
 		for id, l := range d.links {
