replica: a leader whose disk has become slow hands over

Cause: with syncs of 100 to 225 ms the leader's duty takes in no answers; it was confirmed and not by turns, ten times in 5 s, while the others heard its heartbeats and elected nobody. Ruled out: the election times (no election began). Change: two syncs in a row over 80 ms, and leadership is handed over, at most once in 10 s.

--- a/cmd/comfreyloom/member_test.go
+++ b/cmd/comfreyloom/member_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreyloom/comfreyloom/platform"
 	"github.com/comfreyloom/comfreyloom/platform/standin"
 )
 
@@ -120,7 +121,7 @@
 	s.must(err)
 	defer func() { _ = output.Close() }()
 	process := exec.Command("comfreyloom", "serve")
-	process.Env = append(os.Environ(), "COMFREYLOOM_SETTINGS="+file, "GORACE=log_path="+filepath.Join(s.dir, "race"))
+	process.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "GORACE=log_path="+filepath.Join(s.dir, "race"))
 	process.Stdout, process.Stderr = output, output
 	s.must(process.Start())
 	s.processes[name] = process
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -31,6 +31,7 @@
 	waiters   waiters
 	reads     *reads
 	sinceSnap snapshotDebt
+	disk      diskPace
 	saving    bool
 	fatal     error
 
@@ -179,6 +180,7 @@
 		d.followRole()
 	}
 	d.followRole()
+	d.leaveSlowDisk()
 	d.publish()
 	if d.fatal != nil {
 		return d.fatal
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -54,6 +54,7 @@
 	}
 	d.counters.syncs.Inc(1)
 	d.counters.syncTime.UpdateSince(start)
+	d.disk.synced(time.Since(start))
 	return nil
 }
 
