--- a/cmd/comfreyloom/member_test.go
+++ b/cmd/comfreyloom/member_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -40,6 +41,9 @@
 	processes map[string]*exec.Cmd
 	workers   []*standin.Worker
 	client    *http.Client
+	// offset is added to the last number of the IP at which processes listen
+	// for each other; relays listen at the IP that they name themselves by.
+	offset int
 }
 
 func newMemberSite(t *testing.T) *memberSite {
@@ -91,6 +95,15 @@
 	return fmt.Sprintf("%s:%d", s.ip(name), s.ports[port])
 }
 
+// nodesAddress is where a process listens for the others.
+func (s *memberSite) nodesAddress(name string) string {
+	ip := s.ip(name)
+	last := strings.LastIndexByte(ip, '.')
+	number, err := strconv.Atoi(ip[last+1:])
+	s.must(err)
+	return fmt.Sprintf("%s.%d:%d", ip[:last], number+s.offset, s.ports[0])
+}
+
 // start writes the settings of a process and starts it.
 func (s *memberSite) start(name string, mayFound bool) {
 	role, listen := "core", "operators = "+s.address(name, 1)
@@ -114,7 +127,7 @@
 addresses = %s,%s,%s
 [bounds]
 stop_within = 5s
-`, name, role, s.ip(name), data, mayFound, listen, s.address(name, 0), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"))
+`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"))
 	file := filepath.Join(s.dir, name+".ini")
 	s.must(os.WriteFile(file, []byte(text), 0o600))
 	output, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -257,7 +270,7 @@
 		return status == http.StatusOK
 	})
 	for i := range 2 {
-		w, err := standin.Start(fmt.Sprintf("i-%d", i), s.network+".200:0", "p", operators)
+		w, err := standin.Start(fmt.Sprintf("i-%d", i), s.network+".200:0", "p", operators, nil)
 		s.must(err)
 		s.workers = append(s.workers, w)
 	}
--- a/cmd/comfreyloom/script_relay_test.go
+++ b/cmd/comfreyloom/script_relay_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"time"
 )
 
 // relayMain is a relay of TCP connections on loopback that loses bytes as a
@@ -52,12 +53,63 @@
 	mu   sync.Mutex
 	cuts map[direction]bool
 	open map[*relayed]bool
+	// delay holds up every piece that is passed on.
+	delay time.Duration
+}
+
+// serve relays the connections of a link until its listener is closed.
+func (r *relay) serve(l link, listener net.Listener) {
+	for {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.join(l, near)
+	}
+}
+
+// reset breaks all open connections, as a device that restarts does.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		for _, conn := range c.conns {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+		delete(r.open, c)
+	}
+}
+
+// silence makes the connections open now silent for good.
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		for d := range c.lost {
+			c.lost[d] = true
+		}
+	}
+}
+
+// steer replaces the cuts and the delay.
+func (r *relay) steer(delay time.Duration, cuts ...direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.cuts)
+	for _, d := range cuts {
+		r.cuts[d] = true
+	}
+	r.delay = delay
 }
 
 // relayed is one connection. A direction that lost a byte loses all that
 // follow, as TCP never passes on what comes behind a gap.
 type relayed struct {
-	lost map[direction]bool
+	lost  map[direction]bool
+	conns [2]net.Conn
 }
 
 func (r *relay) control() http.Handler {
@@ -74,13 +126,9 @@
 		r.cuts[direction{to: q.PathValue("node")}] = true
 	})
 	mux.HandleFunc("POST /silence", func(w http.ResponseWriter, _ *http.Request) {
+		r.silence()
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		for c := range r.open {
-			for d := range c.lost {
-				c.lost[d] = true
-			}
-		}
 		fmt.Fprintf(w, "silent connections: %d\n", len(r.open))
 	})
 	mux.HandleFunc("POST /heal", func(http.ResponseWriter, *http.Request) {
@@ -106,7 +154,7 @@
 		return
 	}
 	there, back := direction{l.from, l.to}, direction{l.to, l.from}
-	c := &relayed{lost: map[direction]bool{there: false, back: false}}
+	c := &relayed{lost: map[direction]bool{there: false, back: false}, conns: [2]net.Conn{near, far}}
 	r.mu.Lock()
 	r.open[c] = true
 	r.mu.Unlock()
@@ -125,6 +173,7 @@
 			}
 			continue
 		}
+		time.Sleep(r.delayNow())
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
 			_ = to.Close()
 			_ = from.Close()
@@ -136,6 +185,12 @@
 	}
 }
 
+func (r *relay) delayNow() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
 func (r *relay) loses(c *relayed, d direction) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -24,8 +24,8 @@
 	Dead bool
 	// Fails makes every run end failed.
 	Fails bool
-	// Acked is told of each end that was acknowledged.
-	Acked func(workload.End)
+	// Acked is told of each end that was acknowledged, Ended of each end.
+	Acked, Ended func(workload.End)
 
 	fence   uint64
 	until   int64
@@ -76,7 +76,11 @@
 func (w *Worker) End(r workload.RunRef, kind workload.EndKind) {
 	delete(w.runs, r)
 	w.next++
-	w.ends = append(w.ends, workload.End{Worker: w.ID, Number: w.next, Run: r, Kind: kind})
+	end := workload.End{Worker: w.ID, Number: w.next, Run: r, Kind: kind}
+	w.ends = append(w.ends, end)
+	if w.Ended != nil {
+		w.Ended(end)
+	}
 	w.highest[r.Task] = max(w.highest[r.Task], r.Attempt)
 }
 
