workload, dispatch: a worker is closed by a commit before its VM is ordered

Cause, from reading: the leader looked whether a worker is empty, then ordered its VM; a start that it had decided on just before could be committed in between.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -33,36 +33,6 @@
 	flightLost = 20 * time.Second
 )
 
-// Fleet are the calls to the platform.
-type Fleet interface {
-	List(ctx context.Context) ([]capacity.VM, error)
-	Move(ctx context.Context, vm workload.MachineID, pool, holder string, fence uint64) (FleetAnswer, error)
-	Maintain(ctx context.Context, vm workload.MachineID, wave int64, holder string, fence uint64) (FleetAnswer, error)
-}
-
-// FleetAnswer is what the platform says to an order.
-type FleetAnswer uint8
-
-// The answers of the platform.
-const (
-	FleetDone FleetAnswer = iota
-	// FleetFenced: a later leader has given orders for the VM.
-	FleetFenced
-	// FleetBusy: the VM is not up, or is leaving.
-	FleetBusy
-	// FleetWave: the VM is not of that wave.
-	FleetWave
-	// FleetUnknown: there is no such VM, or the pool is not for it.
-	FleetUnknown
-	// FleetLimited: too many calls at the moment; nothing was done.
-	FleetLimited
-)
-
-// String names the answer for log lines.
-func (a FleetAnswer) String() string {
-	return [...]string{"done", "fence", "busy", "wave", "unknown", "limited"}[a]
-}
-
 // fleetState is what the leader knows of the VMs. The dispatcher's lock guards it.
 type fleetState struct {
 	since    time.Duration
@@ -77,20 +47,14 @@
 	// tokens are the orders that may be given at once, as of tokensAt.
 	tokens   float64
 	tokensAt time.Duration
+	// opening says that a commit that opens workers is on its way.
+	opening bool
 	// respected says that the last leader's orders were looked at.
 	respected bool
 	// balanced is when the balance of pools was last logged.
 	balanced time.Duration
 }
 
-// flight is an order on its way, or carried out while its VM is not back.
-type flight struct {
-	capacity.Flight
-	calling, done bool
-	// retryAt is when an order without an answer is sent again.
-	retryAt time.Duration
-}
-
 func newFleetState(now time.Duration, demand *capacity.Demand) *fleetState {
 	return &fleetState{
 		since: now, flights: map[workload.MachineID]*flight{}, closing: map[workload.MachineID]capacity.Closing{},
@@ -128,6 +92,7 @@
 	}
 	d.respectLastLeader(now)
 	f.settleFlights(now)
+	d.openForgotten(ctx, term)
 	plan := d.decideFleet(now)
 	for _, machine := range plan.Open {
 		delete(f.closing, machine)
@@ -264,225 +229,3 @@
 	}
 	return false
 }
-
-// settleFlights ends the flights whose VM is back.
-func (f *fleetState) settleFlights(now time.Duration) {
-	for i := range f.vms {
-		vm := &f.vms[i]
-		fl := f.flights[vm.Machine]
-		if fl == nil || !fl.done || f.listedAt <= fl.Sent {
-			continue
-		}
-		arrived := vm.State == capacity.Up && vm.Worker != "" && vm.Worker != fl.Worker
-		parked := fl.Order.Kind == capacity.Move && vm.Pool == fl.Order.Pool && vm.State != capacity.Moving
-		if arrived || parked {
-			delete(f.flights, vm.Machine)
-		}
-	}
-	for machine, fl := range f.flights {
-		if fl.done && now-fl.Sent > flightLost {
-			delete(f.flights, machine)
-		}
-	}
-}
-
-// fly begins an order. The worker stays closed until the VM is back.
-func (d *Dispatcher) fly(ctx context.Context, term uint64, o capacity.Order) {
-	f := d.fleet
-	if f.flights[o.Machine] != nil || !f.takeToken(d.now(), d.config.FleetRate) {
-		return // it is decided anew in the next round
-	}
-	fl := &flight{Flight: capacity.Flight{Order: o, Sent: d.now()}}
-	for i := range f.vms {
-		if f.vms[i].Machine == o.Machine {
-			fl.Worker = f.vms[i].Worker
-		}
-	}
-	f.flights[o.Machine] = fl
-	d.callFleet(ctx, term, fl)
-}
-
-// takeToken says whether one more order keeps within the platform's rate, in
-// orders a second for the whole site.
-func (f *fleetState) takeToken(now time.Duration, rate float64) bool {
-	rate *= fleetShare
-	f.tokens = min(f.tokens+rate*(now-f.tokensAt).Seconds(), rate/2)
-	f.tokensAt = now
-	if f.tokens < 1 {
-		return false
-	}
-	f.tokens--
-	return true
-}
-
-// callFleet sends an order in the background. Nothing may run on the worker:
-// it was closed under the lock before, so no start is decided any more, and
-// one that was decided is committed and seen.
-func (d *Dispatcher) callFleet(ctx context.Context, term uint64, fl *flight) {
-	fl.calling = true
-	d.group.Go(func() {
-		limited, cancel := context.WithTimeout(ctx, fleetTimeout)
-		defer cancel()
-		answer, err := d.orderFleet(limited, term, fl)
-		d.mu.Lock()
-		fl.calling = false
-		d.takeFleetAnswer(fl, answer, err)
-		d.mu.Unlock()
-		if err == nil {
-			d.noteFleet(ctx, term, fl, answer)
-		}
-	})
-}
-
-func (d *Dispatcher) orderFleet(ctx context.Context, term uint64, fl *flight) (FleetAnswer, error) {
-	o := fl.Order
-	if !d.emptyWorker(fl.Worker) {
-		return FleetBusy, nil
-	}
-	intent := &workload.Command{Term: term, Ordered: []workload.MachineID{o.Machine}}
-	if err := d.propose(ctx, intent); err != nil {
-		return FleetLimited, nil // nothing was ordered; it is decided anew
-	}
-	if o.Kind == capacity.Move {
-		return d.config.Fleet.Move(ctx, o.Machine, o.Pool, d.config.Self, term)
-	}
-	return d.config.Fleet.Maintain(ctx, o.Machine, o.Wave, d.config.Self, term)
-}
-
-// emptyWorker looks once more whether nothing is committed on a worker.
-func (d *Dispatcher) emptyWorker(id workload.WorkerID) bool {
-	empty := true
-	d.config.Machine.Read(func(t *workload.Tables) { empty = len(t.Runs[id]) == 0 })
-	return empty
-}
-
-// takeFleetAnswer decides what becomes of a flight.
-func (d *Dispatcher) takeFleetAnswer(fl *flight, answer FleetAnswer, err error) {
-	f, now := d.fleet, d.now()
-	if err != nil {
-		// It may have been carried out, or will be: only an answer tells.
-		fl.retryAt = now + fleetPause
-		d.logFleetError("an order to the platform was not answered", err)
-		return
-	}
-	d.logFleetAnswer(fl.Order, answer)
-	if answer == FleetDone {
-		fl.done, fl.Sent = true, now
-		return
-	}
-	delete(f.flights, fl.Order.Machine)
-	f.refused[fl.Order.Machine] = now + fleetPause
-}
-
-// noteFleet commits what an order that was carried out means.
-func (d *Dispatcher) noteFleet(ctx context.Context, term uint64, fl *flight, answer FleetAnswer) {
-	c := &workload.Command{Term: term}
-	if fl.Order.Kind == capacity.Maintain && (answer == FleetDone || answer == FleetUnknown || answer == FleetWave) {
-		c.Begun = append(c.Begun, workload.WaveBegun{Wave: fl.Order.Wave, Machine: fl.Order.Machine})
-	}
-	if answer == FleetDone && fl.Worker != "" {
-		c.Gone = append(c.Gone, fl.Worker)
-	}
-	if len(c.Begun)+len(c.Gone) == 0 {
-		return
-	}
-	if err := d.propose(ctx, c); err != nil {
-		d.logFleetError("what the platform did is not committed; it is asked for again", err)
-	}
-}
-
-// closeLinks keeps new work off the workers whose VMs are about to leave.
-func (d *Dispatcher) closeLinks() {
-	f := d.fleet
-	closed := map[workload.WorkerID]bool{}
-	doomed := d.doomedMachines()
-	marked := map[workload.WorkerID]bool{}
-	for i := range f.vms {
-		vm := &f.vms[i]
-		_, closing := f.closing[vm.Machine]
-		if closing || f.flights[vm.Machine] != nil {
-			closed[vm.Worker] = true
-		}
-		marked[vm.Worker] = doomed[vm.Machine]
-	}
-	for id, l := range d.links {
-		l.mu.Lock()
-		l.closing, l.doomed = closed[id], marked[id]
-		l.mu.Unlock()
-	}
-}
-
-// doomedMachines lists the VMs that have a maintenance before them.
-func (d *Dispatcher) doomedMachines() map[workload.MachineID]bool {
-	doomed := map[workload.MachineID]bool{}
-	d.config.Machine.Read(func(t *workload.Tables) {
-		for _, w := range t.Waves {
-			for i := range w.Machines {
-				if !w.Machines[i].Begun {
-					doomed[w.Machines[i].Machine] = true
-				}
-			}
-		}
-	})
-	return doomed
-}
-
-// evict stops what keeps a closing VM from its order, and lasting tasks on
-// workers that are leaving.
-func (d *Dispatcher) evict(t *workload.Tables, now time.Duration) {
-	for i := range d.fleet.vms {
-		vm := &d.fleet.vms[i]
-		c, closing := d.fleet.closing[vm.Machine]
-		if closing && c.Order.Kind == capacity.Maintain {
-			d.evictWorker(t, vm.Worker, now-c.Since > emptyBy)
-		}
-	}
-	for id, w := range t.Workers {
-		if w.Draining {
-			d.evictWorker(t, id, false)
-		}
-	}
-}
-
-func (d *Dispatcher) evictWorker(t *workload.Tables, id workload.WorkerID, all bool) {
-	l := d.links[id]
-	if l == nil {
-		return
-	}
-	leaving := t.Workers[id] != nil && t.Workers[id].Draining
-	for run := range t.Runs[id] {
-		job, step, task := t.Task(run.Task)
-		if task == nil || l.evicts(run) {
-			continue
-		}
-		spec := &job.Spec.Steps[run.Task.Step]
-		if spec.Lasting && (leaving || d.mayStop(t, run, spec, step)) || !spec.Lasting && all {
-			l.evictRun(run)
-		}
-	}
-}
-
-// mayStop says whether a lasting task may be stopped now: at most so many of
-// its step may be away at once, whatever the cause.
-func (d *Dispatcher) mayStop(t *workload.Tables, run workload.RunRef, spec *workload.StepSpec, step *workload.Step) bool {
-	away := 0
-	for i := range step.Tasks {
-		ref := run.Task
-		ref.Index = i
-		if i != run.Task.Index && !d.isAtWork(ref, &step.Tasks[i]) {
-			away++
-		}
-	}
-	return away < max(spec.MaxUnavailable, 1)
-}
-
-// isAtWork says whether a lasting task was at work in the last list, which is
-// recent, and is not being stopped.
-func (d *Dispatcher) isAtWork(ref workload.TaskRef, task *workload.Task) bool {
-	for _, run := range task.Runs {
-		if l := d.links[run.Worker]; l != nil && l.isAtWork(workload.RunRef{Task: ref, Attempt: run.Attempt}) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -112,7 +112,7 @@
 	for _, id := range ids {
 		w := p.Tables.Workers[id]
 		soft := p.Workers[id]
-		if w.Draining || soft.Closing || !soft.Usable {
+		if w.Draining || w.Closed || soft.Closing || !soft.Usable {
 			continue
 		}
 		c := &candidate{worker: w, soft: soft, free: w.Capacity.Minus(p.Tables.Used[id])}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -10,6 +10,7 @@
 	}
 	if c.StartTerm {
 		t.Term = c.Term
+		t.openAll()
 	}
 	t.applyConfig(c.Config)
 	for i := range c.Submit {
@@ -48,6 +49,31 @@
 	for _, id := range c.Gone {
 		t.gone(id)
 	}
+	for _, id := range c.Close {
+		t.setClosed(id, true)
+	}
+	for _, id := range c.Open {
+		t.setClosed(id, false)
+	}
+}
+
+// setClosed closes or opens a worker for starts. A start that the leader
+// decided on before, and that is committed after, is refused: its VM would be
+// taken away under it.
+func (t *Tables) setClosed(id WorkerID, closed bool) {
+	if old := t.Workers[id]; old != nil && old.Closed != closed {
+		changed := *old
+		changed.Closed = closed
+		t.Workers[id] = &changed
+	}
+}
+
+// openAll forgets what the last leader was about to order. If an order was
+// carried out, its worker is over and says so.
+func (t *Tables) openAll() {
+	for id := range t.Workers {
+		t.setClosed(id, false)
+	}
 }
 
 // applyConfig puts a higher version in force; any other changes nothing.
@@ -102,6 +128,7 @@
 	if old := t.Workers[w.ID]; old != nil {
 		w.Acked = max(w.Acked, old.Acked)
 		w.Draining = w.Draining || old.Draining
+		w.Closed = old.Closed
 	}
 	t.Workers[w.ID] = &w
 }
@@ -254,7 +281,10 @@
 func (t *Tables) start(s *Start) {
 	job, step, task := t.Task(s.Run.Task)
 	worker := t.Workers[s.Worker]
-	if task == nil || worker == nil || job.State.Final() || task.Done || s.Run.Attempt <= task.Attempt {
+	if worker == nil || worker.Draining || worker.Closed {
+		return
+	}
+	if task == nil || job.State.Final() || task.Done || s.Run.Attempt <= task.Attempt {
 		return
 	}
 	spec := &job.Spec.Steps[s.Run.Task.Step]
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -31,6 +31,10 @@
 	Begun  []WaveBegun `cbor:"14,keyasint,omitempty"`
 	// Ordered lists the VMs for which an order to the platform follows.
 	Ordered []MachineID `cbor:"16,keyasint,omitempty"`
+	// Close lists the workers on which nothing may be started from now on,
+	// Open those where it may again.
+	Close []WorkerID `cbor:"17,keyasint,omitempty"`
+	Open  []WorkerID `cbor:"18,keyasint,omitempty"`
 	// ForgetBeforeMS drops jobs that ended before; 0 drops none.
 	ForgetBeforeMS int64 `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/workload/machine_test.go
+++ b/internal/workload/machine_test.go
@@ -223,3 +223,24 @@
 		})
 	}
 }
+
+// Symptom: a VM is moved under a task. Sequence: the leader decides on a start,
+// decides to move the idle VM, and commits the start last. Cause: a start that
+// only the leader checks.
+func TestNothingStartsOnAClosedWorker(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.submit("j", step(1))
+	l.do(&Command{Close: []WorkerID{"w"}})
+	l.start(TaskRef{Job: "j"}, 1)
+	is.Equal(l.job("j").State, JobQueued)
+	l.do(&Command{Workers: []Worker{{ID: "w", Pool: "p"}}}) // a report does not open it
+	l.start(TaskRef{Job: "j"}, 1)
+	is.Equal(l.job("j").State, JobQueued)
+	l.do(&Command{Open: []WorkerID{"w"}})
+	l.start(TaskRef{Job: "j"}, 1)
+	is.Equal(l.job("j").State, JobRunning)
+	l.do(&Command{Close: []WorkerID{"w"}})
+	l.do(&Command{Term: 2, StartTerm: true})
+	l.Read(func(tables *Tables) { is.True(!tables.Workers["w"].Closed) })
+}
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -13,6 +13,8 @@
 	Capacity Resources
 	// Draining: the worker announced that it will leave; nothing is started there.
 	Draining bool
+	// Closed: an order for its VM follows; nothing is started there.
+	Closed bool
 	// Acked is the number of the last end that is committed.
 	Acked uint64
 }
