schedule, workload, dispatch: a round costs what changed

Change: a need that found no room is not tried again in a plan; what a worker hosts is counted in the tables; a worker about which nothing is new is looked at every 150 ms; a leader that is leader by its own account goes on for 400 ms unconfirmed, less than what its successor waits beyond the longest lease.

--- a/internal/capacity/waves.go
+++ b/internal/capacity/waves.go
@@ -137,16 +137,5 @@
 }
 
 func (p *planner) waitingOf(vm *VM) waiting {
-	v := waiting{vm: vm, runs: len(p.Tables.Runs[vm.Worker])}
-	for run := range p.Tables.Runs[vm.Worker] {
-		if p.isLasting(run.Task) {
-			v.lasting++
-		}
-	}
-	return v
-}
-
-func (p *planner) isLasting(ref workload.TaskRef) bool {
-	job := p.Tables.Jobs[ref.Job]
-	return job != nil && ref.Step < len(job.Spec.Steps) && job.Spec.Steps[ref.Step].Lasting
+	return waiting{vm: vm, runs: len(p.Tables.Runs[vm.Worker]), lasting: p.Tables.Kinds[vm.Worker].Lasting}
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -15,6 +15,8 @@
 	// Leader is empty when unknown.
 	Leader model.NodeID
 	Term   uint64
+	// Leads says that this VM is the leader of its term by its own account.
+	Leads bool
 	// Confirmed says that this VM leads, a quorum confirms it by now, and it
 	// has applied everything that earlier leaders committed.
 	Confirmed bool
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -22,6 +23,9 @@
 	// roundGap is the least time between two rounds: what happens meanwhile
 	// shares one commit.
 	roundGap = 10 * time.Millisecond
+	// roundRest is how many times as long as a round took is waited after it: the
+	// links, and the quorum's own duty, need the processor too.
+	roundRest = 1
 	// roundEvery is the time between two rounds when nothing happens; it
 	// bounds how late a time that has come is noticed.
 	roundEvery = 100 * time.Millisecond
@@ -70,6 +74,8 @@
 	config   Config
 	counters *counters
 	wake     chan struct{}
+	// confirmedAt is when this VM was last seen as the confirmed leader.
+	confirmedAt atomic.Int64
 
 	mu sync.Mutex
 	// term is that of the leadership which is acted on, 0 for none.
@@ -134,7 +140,8 @@
 	for d.leads(term) && ctx.Err() == nil {
 		started := d.now()
 		d.round(ctx, term)
-		pause(ctx, roundGap-(d.now()-started))
+		took := d.now() - started
+		pause(ctx, max(roundGap-took, roundRest*took))
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -154,9 +161,24 @@
 	}
 }
 
+// unconfirmedFor is how long this VM goes on with orders while it is the leader
+// of its term by its own account and its lease is not confirmed just now, as
+// happens when the processor is short. It is less than what the next leader
+// waits beyond the longest lease that is granted here.
+const unconfirmedFor = 400 * time.Millisecond
+
+// leads says whether this VM may still order as the leader of a term.
 func (d *Dispatcher) leads(term uint64) bool {
 	s := d.config.Log.Standing()
-	return s.Confirmed && s.Term == term
+	if !s.Leads || s.Term != term {
+		return false
+	}
+	now := int64(d.now())
+	if s.Confirmed {
+		d.confirmedAt.Store(now)
+		return true
+	}
+	return now-d.confirmedAt.Load() < int64(unconfirmedFor)
 }
 
 // begin takes over the workers that the tables hold.
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -57,6 +57,11 @@
 	pacedAt time.Duration
 	// evicted holds runs that are stopped though their job goes on.
 	evicted map[workload.RunRef]bool
+	// dirty: something was heard or noted since the last look. changes is the
+	// count of changes of its runs at that look.
+	dirty        bool
+	changes      uint64
+	reconciledAt time.Duration
 	// idleSince is since when nothing is committed or listed here; 0 while
 	// something is.
 	idleSince time.Duration
@@ -87,6 +92,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.evicted[run] = true
+	l.dirty = true
 	l.d.wakeUp()
 }
 
@@ -202,6 +208,7 @@
 	now := l.d.now()
 	l.lease.hear(a.ClockMS, sentAt, now)
 	l.contact, l.answered, l.failures = now, now, 0
+	l.dirty = true
 	switch a.Refusal {
 	case workers.RefusedFence:
 		l.outranked = true
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -167,6 +167,7 @@
 		return
 	}
 	l.failures++
+	l.dirty = true
 	l.d.counters.callsFailed.Inc(1)
 	l.d.logSilent(l, err)
 }
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -77,6 +77,9 @@
 	if worker == nil {
 		return
 	}
+	if !l.isDue(t.Changes[worker.ID], now) {
+		return
+	}
 	runs := t.Runs[worker.ID]
 	l.takeAcked(worker.Acked)
 	if l.gone {
@@ -106,6 +109,20 @@
 	}
 }
 
+// reconcileEvery is how often a worker is looked at about which nothing is new:
+// for what passes with time alone.
+const reconcileEvery = 150 * time.Millisecond
+
+// isDue says whether a worker must be looked at in this round. Most rounds
+// concern few of hundreds of workers.
+func (l *link) isDue(changes uint64, now time.Duration) bool {
+	if !l.dirty && changes == l.changes && now-l.reconciledAt < reconcileEvery {
+		return false
+	}
+	l.dirty, l.changes, l.reconciledAt = false, changes, now
+	return true
+}
+
 // forgetWorker is how long a worker may be silent, with nothing on it, before
 // it is dropped. It comes back with its next report.
 const forgetWorker = 2 * time.Minute
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -102,7 +102,7 @@
 }
 
 func (l *fakeLog) Standing() control.Standing {
-	return control.Standing{Term: l.term, Confirmed: l.term == l.world.term}
+	return control.Standing{Term: l.term, Leads: l.term == l.world.term, Confirmed: l.term == l.world.term}
 }
 
 func (l *fakeLog) Propose(_ context.Context, c *workload.Command) error {
--- a/internal/member/log.go
+++ b/internal/member/log.go
@@ -26,7 +26,7 @@
 func (l controlLog) Standing() control.Standing {
 	s := l.replica.Status()
 	return control.Standing{
-		Leader: datafolder.NodeOf(s.Leader), Term: s.Term,
+		Leader: datafolder.NodeOf(s.Leader), Term: s.Term, Leads: s.Role == quorum.RoleLeader,
 		Confirmed: s.Role == quorum.RoleLeader && s.Confirmed && s.Ready && s.Applied >= s.Commit,
 	}
 }
--- /dev/null
+++ b/internal/schedule/bench_test.go
@@ -0,0 +1,57 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// BenchmarkPlanInAPeak is a plan of 350 workers that are full, with 2,000 jobs
+// waiting: what a round costs when there is nothing to start.
+func BenchmarkPlanInAPeak(b *testing.B) {
+	m := workload.NewMachine()
+	index := uint64(0)
+	apply := func(c *workload.Command) {
+		data, err := workload.Encode(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		index++
+		m.Apply(index, data)
+	}
+	config := &workload.Config{Version: 1, Pools: []workload.Pool{{Name: "p"}}, Queues: []workload.Queue{
+		{ID: queueID("/q/"), Pool: "p", MaxAttempts: 3, TargetFactor: 2, TargetLatencyMS: 600, TimeoutMS: 1},
+	}}
+	soft := map[workload.WorkerID]Worker{}
+	var all []workload.Worker
+	for i := range 350 {
+		id := workload.WorkerID(fmt.Sprintf("w%d", i))
+		all = append(all, workload.Worker{ID: id, Pool: "p", Capacity: workload.Resources{CPU: 32_000, MemoryMB: 131_072}})
+		soft[id] = Worker{Usable: true}
+	}
+	apply(&workload.Command{Config: config, Workers: all})
+	for i := range 2800 {
+		steps := []workload.StepSpec{tasks(8, 2000+int64(i%7)*300), tasks(8, 2500)}
+		steps[1].DependsOn = []int{0}
+		apply(&workload.Command{AtMS: 1000, Submit: []workload.Submit{{ID: workload.JobID(fmt.Sprintf("j%d", i)),
+			Queue: queueID("/q/"), Spec: workload.JobSpec{Steps: steps}}}})
+	}
+	advice := func(StepRef) *Advice { return nil }
+	for {
+		var plan Plan
+		m.Read(func(t *workload.Tables) {
+			plan = Make(Input{Tables: t, Workers: soft, NowMS: 1500, MaxStarts: 10_000, Advice: advice})
+		})
+		if len(plan.Starts) == 0 {
+			break
+		}
+		apply(&workload.Command{Starts: plan.Starts})
+	}
+	b.ResetTimer()
+	for b.Loop() {
+		m.Read(func(t *workload.Tables) {
+			Make(Input{Tables: t, Workers: soft, NowMS: 1500, MaxStarts: 256, Advice: advice})
+		})
+	}
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -15,6 +15,9 @@
 
 // placeStep starts as many tasks of a step as find room; all or none of a gang.
 func (p *planner) placeStep(w waitingStep) {
+	if p.isFull(w) {
+		return
+	}
 	fit := p.filter(w)
 	if len(fit) == 0 {
 		return
@@ -31,9 +34,32 @@
 	p.commit(w, placed)
 }
 
+// isFull says whether a step with needs as small found no room in the pool. In a
+// peak thousands of steps wait, and each would look at every worker.
+func (p *planner) isFull(w waitingStep) bool {
+	charge := w.spec().Charge()
+	for _, failed := range p.full[w.queue.Pool] {
+		if failed.Fits(charge) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteFull notes that a step found no room though any worker would have done.
+func (p *planner) noteFull(w waitingStep, fit []*candidate) {
+	spec := w.spec()
+	if spec.MaxPerWorker == 0 && len(fit) == len(p.pools[w.queue.Pool]) {
+		p.full[w.queue.Pool] = append(p.full[w.queue.Pool], spec.Charge())
+	}
+}
+
 // filter returns the workers that may run the step, whatever their room.
 func (p *planner) filter(w waitingStep) []*candidate {
 	spec := w.spec()
+	if spec.Label == "" && w.queue.Advisor == nil {
+		return p.pools[w.queue.Pool]
+	}
 	allowed := func(workload.WorkerID) bool { return true }
 	if w.queue.Advisor != nil {
 		ref := StepRef{Job: w.job.ID, Occurrence: w.occurrence.K, Step: w.step}
@@ -158,6 +184,7 @@
 		}
 		best := p.best(spec, fit, here, &tasks[i])
 		if best == nil {
+			p.noteFull(w, fit)
 			break // the tasks of a step are alike: no other one fits either
 		}
 		best.free = best.free.Minus(spec.Charge())
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -59,6 +59,8 @@
 	Input
 	plan  Plan
 	pools map[string][]*candidate
+	// full holds needs for which a pool had no room.
+	full map[string][]workload.Resources
 	// rescued is the processor time that late jobs ask for that come first.
 	rescued map[string]int64
 }
@@ -78,7 +80,7 @@
 
 // Make returns a plan.
 func Make(in Input) Plan {
-	p := &planner{Input: in, pools: map[string][]*candidate{}}
+	p := &planner{Input: in, pools: map[string][]*candidate{}, full: map[string][]workload.Resources{}}
 	p.findDue()
 	p.findRoom()
 	for _, w := range p.waiting() {
@@ -122,21 +124,8 @@
 }
 
 func (p *planner) findNeighbours(c *candidate) {
-	for run := range p.Tables.Runs[c.worker.ID] {
-		if spec := specOf(p.Tables, run.Task); spec != nil {
-			c.serves = c.serves || spec.TargetMS > 0
-			c.fills = c.fills || spec.Fills
-			c.lasts = c.lasts || spec.Lasting
-		}
-	}
-}
-
-func specOf(t *workload.Tables, ref workload.TaskRef) *workload.StepSpec {
-	job := t.Jobs[ref.Job]
-	if job == nil || ref.Step >= len(job.Spec.Steps) {
-		return nil
-	}
-	return &job.Spec.Steps[ref.Step]
+	kinds := p.Tables.Kinds[c.worker.ID]
+	c.serves, c.fills, c.lasts = kinds.Serving > 0, kinds.Filling > 0, kinds.Lasting > 0
 }
 
 // waitingStep is a step with tasks to start.
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -141,6 +141,7 @@
 		return
 	}
 	worker.Acked = e.Number
+	t.Changes[e.Worker]++
 	if job := t.Jobs[e.Run.Task.Job]; job != nil && job.Spec.Steps != nil {
 		t.endTask(job, e, nowMS)
 	}
@@ -274,6 +275,8 @@
 	delete(t.Workers, id)
 	delete(t.Runs, id)
 	delete(t.Used, id)
+	delete(t.Kinds, id)
+	delete(t.Changes, id)
 }
 
 // start commits a run if the task still wants one. The leader decided on a
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -27,16 +27,47 @@
 	// Runs holds what may run on each worker; Used is the room it takes.
 	Runs map[WorkerID]map[RunRef]bool
 	Used map[WorkerID]Resources
+	// Kinds counts the runs on each worker by what they are to others.
+	Kinds map[WorkerID]Kinds
+	// Changes counts the changes of the runs of each worker.
+	Changes map[WorkerID]uint64
 	// Stopping holds the runs whose task or job needs them no more.
 	Stopping map[RunRef]WorkerID
 }
 
+// Kinds counts runs by what they are to others on the same worker.
+type Kinds struct {
+	// Lasting run until their job is cancelled, Serving have a latency target,
+	// Filling take what others leave.
+	Lasting, Serving, Filling int
+}
+
+func (k *Kinds) add(s *StepSpec, n int) {
+	if s.Lasting {
+		k.Lasting += n
+	}
+	if s.TargetMS > 0 {
+		k.Serving += n
+	}
+	if s.Fills {
+		k.Filling += n
+	}
+}
+
+// count enters or takes off (n is -1) a run in what is derived for a worker.
+func (t *Tables) count(worker WorkerID, spec *StepSpec, n int) {
+	kinds := t.Kinds[worker]
+	kinds.add(spec, n)
+	t.Kinds[worker] = kinds
+	t.Changes[worker]++
+}
+
 func newTables() *Tables {
 	return &Tables{
 		Queues: map[QueueID]*Queue{}, Jobs: map[JobID]*Job{},
 		Workers: map[WorkerID]*Worker{}, Waves: map[int64]*Wave{}, Ordered: map[MachineID]int64{},
 		Live: map[QueueID][]*Job{}, Runs: map[WorkerID]map[RunRef]bool{},
-		Used: map[WorkerID]Resources{}, Stopping: map[RunRef]WorkerID{},
+		Used: map[WorkerID]Resources{}, Kinds: map[WorkerID]Kinds{}, Changes: map[WorkerID]uint64{}, Stopping: map[RunRef]WorkerID{},
 	}
 }
 
@@ -87,7 +118,9 @@
 		t.Runs[worker] = map[RunRef]bool{}
 	}
 	t.Runs[worker][ref] = true
-	t.Used[worker] = t.Used[worker].Plus(job.Spec.Steps[ref.Task.Step].Charge())
+	spec := &job.Spec.Steps[ref.Task.Step]
+	t.Used[worker] = t.Used[worker].Plus(spec.Charge())
+	t.count(worker, spec, 1)
 }
 
 // removeRun takes a run off; false when it was not there.
@@ -101,7 +134,9 @@
 	if task == nil {
 		return false
 	}
-	t.Used[worker] = t.Used[worker].Minus(job.Spec.Steps[ref.Task.Step].Charge())
+	spec := &job.Spec.Steps[ref.Task.Step]
+	t.Used[worker] = t.Used[worker].Minus(spec.Charge())
+	t.count(worker, spec, -1)
 	task.Runs = slices.DeleteFunc(task.Runs, func(r Run) bool {
 		return r.Worker == worker && r.Attempt == ref.Attempt
 	})
@@ -115,6 +150,7 @@
 func (t *Tables) stopRuns(ref TaskRef, task *Task) {
 	for _, run := range task.Runs {
 		t.Stopping[RunRef{Task: ref, Attempt: run.Attempt}] = run.Worker
+		t.Changes[run.Worker]++
 	}
 }
 
