--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -23,8 +23,9 @@
 	// roundGap is the least time between two rounds: what happens meanwhile
 	// shares one commit.
 	roundGap = 10 * time.Millisecond
-	// roundRest is how many times as long as a round took is waited after it: the
-	// links, and the quorum's own duty, need the processor too.
+	// roundRest is how many times as long as a round has worked, without its
+	// commit, is waited after it: the links, and the quorum's own duty, need the
+	// processor too.
 	roundRest = 1
 	// roundEvery is the time between two rounds when nothing happens; it
 	// bounds how late a time that has come is noticed.
@@ -39,7 +40,7 @@
 	// refusedPause is how long a worker gets no new work after it refused some.
 	refusedPause = 500 * time.Millisecond
 	// maxStarts bounds the runs that one round commits.
-	maxStarts = 256
+	maxStarts = 512
 	// orderDeadline is when a stop is sent again that has had no effect.
 	stopAgain = 800 * time.Millisecond
 )
@@ -76,6 +77,8 @@
 	wake     chan struct{}
 	// confirmedAt is when this VM was last seen as the confirmed leader.
 	confirmedAt atomic.Int64
+	// held counts the workers on which something runs.
+	held atomic.Int64
 
 	mu sync.Mutex
 	// term is that of the leadership which is acted on, 0 for none.
@@ -139,9 +142,8 @@
 	defer ticker.Stop()
 	for d.leads(term) && ctx.Err() == nil {
 		started := d.now()
-		d.round(ctx, term)
-		took := d.now() - started
-		pause(ctx, max(roundGap-took, roundRest*took))
+		work := d.round(ctx, term)
+		pause(ctx, max(roundGap-(d.now()-started), roundRest*work))
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"io"
 	"os"
 	"strconv"
@@ -11,6 +10,7 @@
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workers/standin"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -48,9 +48,21 @@
 			continue
 		}
 		l.awaitCommit(ctx)
+		pause(ctx, l.d.holdPause())
 	}
 }
 
+// holdsPerSecond is what all calls for lists of a leader together should not
+// exceed: beside the starts of a peak they would otherwise take most of its
+// processor, and every answer would come late.
+const holdsPerSecond = 600
+
+// holdPause is the pause between two calls to one worker that keeps all within
+// that rate.
+func (d *Dispatcher) holdPause() time.Duration {
+	return time.Duration(d.held.Load()) * time.Second / holdsPerSecond
+}
+
 func (l *link) mustHold() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"sync"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -1,14 +1,16 @@
 package dispatch
 
 import (
+	"strconv"
+	"strings"
+	"time"
+
 	"github.com/apex/log"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/rcrowley/go-metrics"
 
-	"time"
-
 	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -33,26 +35,57 @@
 	d.counters.starts.Inc(int64(len(c.Starts)))
 	d.counters.ends.Inc(int64(len(c.Ends)))
 	d.counters.releases.Inc(int64(len(c.Releases)))
-	for _, s := range c.Starts {
-		d.line(c, s.Run.Task.Job, s.Worker).WithField("task", s.Run.Task.String()).WithField("attempt", s.Run.Attempt).Info("run committed")
+	for first := 0; first < len(c.Starts); {
+		next := first + 1
+		for next < len(c.Starts) && sameStep(c.Starts[first].Run.Task, c.Starts[next].Run.Task) {
+			next++
+		}
+		d.logStarts(c.Term, c.Starts[first:next])
+		first = next
 	}
 	for i := range c.Ends {
-		e := &c.Ends[i]
-		if e.Kind != workload.EndDone {
-			d.line(c, e.Run.Task.Job, e.Worker).WithField("task", e.Run.Task.String()).WithField("attempt", e.Run.Attempt).
-				WithField("end", e.Kind.String()).Info("run ended")
+		if e := &c.Ends[i]; e.Kind != workload.EndDone {
+			d.runLine(c.Term, e.Run, e.Worker, e.Kind.String()).Info("run ended")
 		}
 	}
 	for _, r := range c.Releases {
-		d.line(c, r.Run.Task.Job, r.Worker).WithField("task", r.Run.Task.String()).WithField("attempt", r.Run.Attempt).Info("run released")
+		d.runLine(c.Term, r.Run, r.Worker, "").Info("run released")
 	}
 	for _, id := range c.Gone {
-		d.line(c, "", id).Info("worker gone")
+		d.config.Logger.WithField("term", c.Term).WithField("worker", string(id)).Info("worker gone")
 	}
 }
 
-func (d *Dispatcher) line(c *workload.Command, job workload.JobID, worker workload.WorkerID) log.Interface {
-	return d.config.Logger.WithField("term", c.Term).WithField("job", string(job)).WithField("worker", string(worker))
+func sameStep(a, b workload.TaskRef) bool {
+	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
+}
+
+// logStarts writes one line for the runs of a step that were committed
+// together, each as index, worker and attempt.
+func (d *Dispatcher) logStarts(term uint64, starts []workload.Start) {
+	var runs strings.Builder
+	for i, s := range starts {
+		if i > 0 {
+			runs.WriteByte(' ')
+		}
+		runs.WriteString(strconv.Itoa(s.Run.Task.Index) + "@" + string(s.Worker) + "#" + strconv.Itoa(s.Run.Attempt))
+	}
+	task := starts[0].Run.Task
+	d.config.Logger.WithFields(log.Fields{
+		"term": term, "job": string(task.Job), "occurrence": task.Occurrence, "step": task.Step, "runs": runs.String(),
+	}).Info("runs committed")
+}
+
+// runLine begins a line about a run; its fields are set at once, as a busy
+// leader writes hundreds a second.
+func (d *Dispatcher) runLine(term uint64, run workload.RunRef, worker workload.WorkerID, end string) log.Interface {
+	fields := log.Fields{
+		"term": term, "job": string(run.Task.Job), "task": run.Task.String(), "attempt": run.Attempt, "worker": string(worker),
+	}
+	if end != "" {
+		fields["end"] = end
+	}
+	return d.config.Logger.WithFields(fields)
 }
 
 func (d *Dispatcher) logRefusal(to workers.Target, run workload.RunRef, a workers.Answer) {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -2,36 +2,41 @@
 
 import (
 	"context"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"slices"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
 // round brings the tables and the workers together: it commits what the
 // workers listed and what is decided next, and queues the orders that follow
 // from what is committed.
-func (d *Dispatcher) round(ctx context.Context, term uint64) {
+func (d *Dispatcher) round(ctx context.Context, term uint64) time.Duration {
 	began := time.Now()
 	command := &workload.Command{Term: term}
 	d.mu.Lock()
 	d.syncLinks(ctx)
 	d.config.Machine.Read(func(t *workload.Tables) {
+		held := 0
 		for _, l := range d.links {
 			d.reconcile(t, l, command)
+			held += min(len(t.Runs[l.target.ID]), 1)
 		}
+		d.held.Store(int64(held))
 		d.schedule(t, command)
 	})
 	d.mu.Unlock()
-	d.counters.roundTime.UpdateSince(began)
+	work := time.Since(began)
+	d.counters.roundTime.Update(work)
 	if !isEmpty(command) {
 		sortCommand(command)
 		if d.propose(ctx, command) == nil {
 			d.logDecisions(command)
 		}
 	}
+	return work
 }
 
 func isEmpty(c *workload.Command) bool {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -19,6 +18,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -27,12 +28,16 @@
 	lines *ring.Ring[*log.Entry]
 	lost  metrics.Counter
 	told  int64
-	out   io.Writer
+	out   *bufio.Writer
 }
 
+// flushBytes is how much is gathered for one write while lines go on coming: what
+// a pipe takes in one piece.
+const flushBytes = 4 << 10
+
 // NewBounded returns a handler that writes JSON lines to out.
 func NewBounded(out io.Writer, r metrics.Registry) *Bounded {
-	return &Bounded{lines: ring.New[*log.Entry](lineRing), lost: metrics.GetOrRegisterCounter("log.lost_lines", r), out: out}
+	return &Bounded{lines: ring.New[*log.Entry](lineRing), lost: metrics.GetOrRegisterCounter("log.lost_lines", r), out: bufio.NewWriterSize(out, flushBytes)}
 }
 
 // HandleLog implements log.Handler.
@@ -53,6 +58,9 @@
 			break
 		}
 		b.write(e)
+		if b.lines.Len() == 0 {
+			_ = b.out.Flush() // nobody is left to tell when standard output is gone
+		}
 		select {
 		case <-ticker.C:
 			b.tellLoss()
@@ -62,6 +70,7 @@
 	for {
 		e, ok := b.lines.TryGet()
 		if !ok {
+			_ = b.out.Flush()
 			return ctx.Err()
 		}
 		b.write(e)
@@ -89,7 +98,10 @@
 		b.lost.Inc(1)
 		return
 	}
-	_, _ = b.out.Write(append(text, '\n')) // nobody is left to tell when standard output is gone
+	if b.out.Available() <= len(text) {
+		_ = b.out.Flush() // a line never spans two writes, so that readers get whole ones
+	}
+	_, _ = b.out.Write(append(text, '\n')) // as above
 }
 
 func (b *Bounded) tellLoss() {
