node: answers to appends return in the reply of their call

The leader was confirmed and, where its own side held no majority, committed nothing; nobody elected another. Change: a call with appends waits up to 40 ms for their answer.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -57,10 +57,15 @@
 // processor, and every answer would come late.
 const holdsPerSecond = 600
 
+// freelyHeld is how many workers are called without a pause: a site as small as
+// that leaves the leader most of its processor, and each pause delays the next
+// task of a full worker.
+const freelyHeld = 60
+
 // holdPause is the pause between two calls to one worker that keeps all within
 // that rate.
 func (d *Dispatcher) holdPause() time.Duration {
-	return time.Duration(d.held.Load()) * time.Second / holdsPerSecond
+	return time.Duration(max(d.held.Load()-freelyHeld, 0)) * time.Second / holdsPerSecond
 }
 
 func (l *link) mustHold() bool {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,11 @@
 // answer them, so that they return in its reply and not in a call of their own.
 const answerWait = 5 * time.Millisecond
 
+// storeWait is the same for messages that are stored before they are answered:
+// several times a sync of a healthy disk. An answer that takes longer goes in a
+// call of its own.
+const storeWait = 40 * time.Millisecond
+
 // Lender answers requests for slots of the services that this process owns.
 type Lender interface {
 	// Lend handles a request of another process; both sides are opaque here.
@@ -100,7 +106,7 @@
 	}
 	envelopeFrom(ctx).open(messages)
 	from := s.sender(r.Node)
-	if from == nil || !answersAtOnce(messages) {
+	if from == nil || len(messages) == 0 {
 		voter.Step(messages)
 		return &nodepb.ExchangeReply{}, nil
 	}
@@ -109,10 +115,22 @@
 
 // stepAndAnswer opens the slot for answers before it hands over the messages,
 // so that an early answer is not missed.
+//
+// Answers to stored messages return the same way. Where the path from here to
+// the sender is broken and the one from there works, heartbeats would else keep
+// a leader confirmed that can commit nothing, and nobody would elect another.
 func (s *Server) stepAndAnswer(ctx context.Context, voter Voter, from *peer, messages []quorum.Message) (*nodepb.ExchangeReply, error) {
 	answers := from.answers.open()
 	voter.Step(messages)
-	answer := from.answers.wait(ctx, answers, answerWait)
+	stored, limit := isStored(messages), answerWait
+	if stored {
+		limit = storeWait
+	}
+	began := time.Now()
+	answer := from.answers.wait(ctx, answers, limit)
+	if left := limit - time.Since(began); stored && len(answer) > 0 && !answersStored(answer) && left > 0 {
+		answer = append(answer, from.answers.wait(ctx, from.answers.open(), left)...)
+	}
 	data, err := encode(envelopeFrom(ctx).reverse().seal(answer))
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
@@ -120,16 +138,18 @@
 	return &nodepb.ExchangeReply{Messages: data}, nil
 }
 
-// answersAtOnce reports whether all messages are answered without storing
-// anything first.
-func answersAtOnce(messages []quorum.Message) bool {
-	for i := range messages {
-		kind := messages[i].Kind
-		if kind != quorum.KindHeartbeat && kind != quorum.KindPreVote {
-			return false
-		}
-	}
-	return len(messages) > 0
+// isStored reports whether some message is stored before it is answered.
+func isStored(messages []quorum.Message) bool {
+	return slices.ContainsFunc(messages, func(m quorum.Message) bool {
+		return m.Kind == quorum.KindAppend || m.Kind == quorum.KindVote
+	})
+}
+
+// answersStored reports whether some message answers one that was stored.
+func answersStored(messages []quorum.Message) bool {
+	return slices.ContainsFunc(messages, func(m quorum.Message) bool {
+		return m.Kind == quorum.KindAppendReply || m.Kind == quorum.KindVoteReply
+	})
 }
 
 // Heartbeat exchanges what two processes know about the site.
