node: a batch for the bulk link goes the small way when no connection can be opened

Cause, from the same traces: a follower that had missed an append was sent all that followed in one batch above 64 KiB, over a link that had no connection yet and whose new ones were refused; its match stayed for 3.5 s.

--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -121,16 +121,19 @@
 	if len(data) >= bulkBytes {
 		link, limit = p.bulk, bulkTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
 	ctx, err = envelope.attach(ctx)
 	if err != nil {
 		return err
 	}
-	reply, err := link.node().Exchange(ctx, &nodepb.ExchangeRequest{Node: string(p.self), Messages: data})
+	request := &nodepb.ExchangeRequest{Node: string(p.self), Messages: data}
+	reply, err := p.deliver(ctx, link, request, limit)
+	if link == p.bulk && err != nil && neverSent(err) {
+		// No connection can be opened, but the small link may still have one: a
+		// follower that lags would otherwise never catch up.
+		reply, err = p.deliver(ctx, p.small, request, bulkTimeout)
+	}
 	if err != nil {
 		p.dropped.Inc(int64(len(messages)))
-		p.failed(link, err)
 		return err
 	}
 	answers, err := decodeMessages(reply.Messages)
@@ -140,6 +143,16 @@
 	return err
 }
 
+func (p *peer) deliver(ctx context.Context, l *link, r *nodepb.ExchangeRequest, limit time.Duration) (*nodepb.ExchangeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := l.node().Exchange(ctx, r)
+	if err != nil {
+		p.failed(l, err)
+	}
+	return reply, err
+}
+
 // failed counts a failed call, and makes the next one use a new connection if
 // there was no answer.
 func (p *peer) failed(l *link, err error) {
