--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,11 +86,13 @@
 	links map[workload.WorkerID]*link
 	// over remembers incarnations that ended, so that a late report of one
 	// does not bring it back.
-	over    map[workload.WorkerID]time.Duration
-	leading context.Context
-	group   *conc.WaitGroup
-	fleet   *fleetState
-	advice  *adviceCache
+	over map[workload.WorkerID]time.Duration
+	// forgotAt is when jobs were last forgotten.
+	forgotAt time.Duration
+	leading  context.Context
+	group    *conc.WaitGroup
+	fleet    *fleetState
+	advice   *adviceCache
 	// launch starts the goroutines of a link; tests make the calls themselves.
 	launch func(context.Context, *link)
 }
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -27,6 +27,7 @@
 		d.held.Store(int64(held))
 		d.schedule(t, command)
 	})
+	d.forget(command)
 	d.mu.Unlock()
 	work := time.Since(began)
 	d.counters.roundTime.Update(work)
@@ -40,7 +41,31 @@
 }
 
 func isEmpty(c *workload.Command) bool {
-	return len(c.Ends)+len(c.Releases)+len(c.Gone)+len(c.Due)+len(c.Starts) == 0
+	return len(c.Ends)+len(c.Releases)+len(c.Gone)+len(c.Due)+len(c.Starts) == 0 && c.ForgetBeforeMS == 0
+}
+
+const (
+	// keepJobs is how long a job that ended is answered for: five times what
+	// callers are promised, so that a resend that was held up finds it.
+	keepJobs = 10 * time.Minute
+	// forgetEvery is the time between two looks for jobs to forget.
+	forgetEvery = 30 * time.Second
+)
+
+// forget drops what nobody asks for any more: the state would otherwise grow
+// with every job that ever was.
+func (d *Dispatcher) forget(c *workload.Command) {
+	now := d.now()
+	if now-d.forgotAt < forgetEvery {
+		return
+	}
+	d.forgotAt = now
+	c.ForgetBeforeMS = d.config.WallMS() - keepJobs.Milliseconds()
+	for id, at := range d.over {
+		if now-at > keepJobs {
+			delete(d.over, id)
+		}
+	}
 }
 
 // sortCommand puts the ends of each worker in the order of their numbers,
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -101,7 +101,8 @@
 }
 
 const (
-	// farFactor is how many times as long a task takes away from its data.
+	// farFactor is how many times as long a task takes away from its data, as
+	// the users state it.
 	farFactor = 3
 	// busyShare of a pool must be in use for a task to wait for room near its data.
 	busyShare = 0.5
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -71,10 +71,6 @@
 	FleetTakeOver time.Duration
 	// StopWithin is the time between a request to stop and the end by force.
 	StopWithin time.Duration
-	// MoveTakes and MaintenanceTakes are how long a VM is away for them.
-	MoveTakes, MaintenanceTakes time.Duration
-	// Notice is how long a lasting task counts as away after it was.
-	Notice time.Duration
 }
 
 // IsMember reports whether a settings file is that of a process with a role.
@@ -111,12 +107,9 @@
 			Metrics: listen.Address("metrics", ""),
 		},
 		Bounds: MemberBounds{
-			LeaseMax:         bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
-			FleetTakeOver:    bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
-			StopWithin:       bounds.Duration("stop_within", "6s", time.Second, time.Minute),
-			MoveTakes:        bounds.Duration("move_takes", "1500ms", 0, time.Hour),
-			MaintenanceTakes: bounds.Duration("maintenance_takes", "2s", 0, time.Hour),
-			Notice:           bounds.Duration("notice", "4500ms", 0, time.Minute),
+			LeaseMax:      bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
+			FleetTakeOver: bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
+			StopWithin:    bounds.Duration("stop_within", "6s", time.Second, time.Minute),
 		},
 		Fleet:     f.Section("fleet").Address("address", ""),
 		FleetRate: f.Section("fleet").Float("orders_per_second", "20", 0.1, 10_000),
--- /dev/null
+++ b/internal/settings/member_test.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const coreSettings = `[node]
+name = core-1
+role = core
+ip = 10.1.0.9
+availability_zone = a
+data_folder = /data/core
+may_found = true
+[listen]
+operators = 10.1.0.9:8623
+nodes = 10.1.0.9:7060
+[seeds]
+addresses = 10.1.0.9:8623,10.2.0.9:8623,10.3.0.9
+[bounds]
+worker_lease_max = 6000ms
+[fleet]
+address = 10.200.0.1:80
+orders_per_second = 64.0
+`
+
+func TestMemberSettings(t *testing.T) {
+	is := is.New(t)
+	is.True(IsMember([]byte(coreSettings)))
+	m, problems := ParseMember("core.ini", []byte(coreSettings))
+	is.Equal(len(problems), 0)
+	is.Equal(m.Node.Role, RoleCore)
+	is.True(m.Node.MayFound)
+	is.Equal(m.Seeds, []string{"10.1.0.9", "10.2.0.9", "10.3.0.9"})
+	is.Equal(string(m.NodeID("10.2.0.9")), "10.2.0.9:7060")
+	is.Equal(m.Bounds.LeaseMax, 6*time.Second)
+	is.Equal(m.FleetRate, 64.0)
+}
+
+func TestMemberSettingsNameWhatIsWrong(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, key string }{
+		"no disk":      {"data_folder = /data/core\n", "", "data_folder"},
+		"no operators": {"operators = 10.1.0.9:8623\n", "", "operators"},
+		"bad seed":     {",10.3.0.9", ",somewhere", "addresses"},
+		"bad role":     {"role = core", "role = other", "role"},
+		"unknown key":  {"ip = 10.1.0.9", "ip = 10.1.0.9\nspeed = 3", "speed"},
+		"no unit":      {"6000ms", "6000", "worker_lease_max"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, problems := ParseMember("core.ini", []byte(strings.Replace(coreSettings, c.from, c.to, 1)))
+			found := false
+			for _, p := range problems {
+				found = found || p.Key == c.key
+			}
+			if !found {
+				t.Errorf("no problem names %s: %v", c.key, problems)
+			}
+		})
+	}
+	is.New(t).True(!IsMember([]byte("[node]\nname = x\n")))
+}
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -1,7 +1,6 @@
 package workload
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -175,6 +174,3 @@
 	err := decMode.Unmarshal(data, c)
 	return c, err
 }
-
-// SameText says whether two configurations are the same text.
-func SameText(a, b *Config) bool { return bytes.Equal(a.Text, b.Text) }
--- a/internal/workload/machine_test.go
+++ b/internal/workload/machine_test.go
@@ -244,3 +244,19 @@
 	l.do(&Command{Term: 2, StartTerm: true})
 	l.Read(func(tables *Tables) { is.True(!tables.Workers["w"].Closed) })
 }
+
+func TestOnlyWhatEndedIsForgotten(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	l.submit("done", step(1))
+	l.submit("open", step(1))
+	l.start(TaskRef{Job: "done"}, 1)
+	l.end(1, TaskRef{Job: "done"}, 1, EndDone) // at 2000
+	l.do(&Command{ForgetBeforeMS: 2000})
+	l.Read(func(tables *Tables) { is.Equal(len(tables.Jobs), 2) })
+	l.do(&Command{ForgetBeforeMS: 2001})
+	l.Read(func(tables *Tables) {
+		is.Equal(len(tables.Jobs), 1)
+		is.True(tables.Jobs["open"] != nil)
+	})
+}
