dispatch: the test's log sets the time of a command, as the product's does

The commit before failed this test: with the time missing, a job's end counted as 1970 and the job was forgotten at once. The fault was the stand-in's.

--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -110,6 +110,7 @@
 	if l.term != w.term || w.chance(w.trouble/4) {
 		return state.ErrNotProposed
 	}
+	c.AtMS = w.now.Milliseconds() // as the product's log does
 	w.apply(c)
 	if w.chance(w.trouble / 4) {
 		return state.ErrOutcomeUnknown
