dispatch: one call about a run at a time

Cause, from reading: a start or stop that was on its way could be queued again by the next round. Harmless, as the worker answers it alike, but a call more.

--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -9,8 +9,8 @@
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
-// link is the leader's side of one worker: two goroutines make the calls, one
-// orders and one holds leases and asks for lists. The round reads and fills it
+// link is the leader's side of one worker. Its goroutines make the calls: some
+// send orders, one holds leases and asks for lists. The round reads and fills it
 // under its lock.
 type link struct {
 	d      *Dispatcher
@@ -45,7 +45,7 @@
 	// outranked: the worker follows a later leader. gone: the incarnation is over.
 	outranked, gone bool
 	closing         bool
-	// last sequence and announcement that the worker reported.
+	// sequence is that of the worker's last report, reported when it came.
 	sequence  uint64
 	reported  time.Duration
 	suspicion suspicion
@@ -69,42 +69,6 @@
 	doomed bool
 }
 
-func (l *link) isGone() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.gone
-}
-
-func (l *link) reportedAt() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.reported
-}
-
-func (l *link) evicts(run workload.RunRef) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.evicted[run]
-}
-
-// evictRun has a run stopped in the next round.
-func (l *link) evictRun(run workload.RunRef) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.evicted[run] = true
-	l.dirty = true
-	l.d.wakeUp()
-}
-
-// isAtWork says whether a lasting run was at work in the last list, while the
-// worker answers and the run is not being stopped.
-func (l *link) isAtWork(run workload.RunRef) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	seen := l.running[run]
-	return seen != nil && seen.Percent >= atWork && !l.silent(l.d.now()) && !l.gone && !l.evicted[run]
-}
-
 // observed is a run that the worker listed.
 type observed struct {
 	workers.Running
@@ -133,7 +97,7 @@
 
 // progress is how far one call has come.
 type progress struct {
-	queued, sent, answered bool
+	queued, calling, sent, answered bool
 	// answeredAt is when the answer came.
 	answeredAt time.Duration
 	queuedAt   time.Duration
@@ -219,7 +183,7 @@
 	}
 }
 
-// enqueue queues a call unless it waits already.
+// enqueue queues a call.
 func (l *link) enqueue(c call) {
 	l.queue = append(l.queue, c)
 	poke(l.woken)
@@ -234,6 +198,42 @@
 	return o
 }
 
+func (l *link) isGone() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.gone
+}
+
+func (l *link) reportedAt() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reported
+}
+
+func (l *link) evicts(run workload.RunRef) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evicted[run]
+}
+
+// evictRun has a run stopped in the next round.
+func (l *link) evictRun(run workload.RunRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evicted[run] = true
+	l.dirty = true
+	l.d.wakeUp()
+}
+
+// isAtWork says whether a lasting run was at work in the last list, while the
+// worker answers and the run is not being stopped.
+func (l *link) isAtWork(run workload.RunRef) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.running[run]
+	return seen != nil && seen.Percent >= atWork && !l.silent(l.d.now()) && !l.gone && !l.evicted[run]
+}
+
 // poke puts a token in a channel that holds one.
 func poke(c chan struct{}) {
 	select {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -89,11 +89,12 @@
 	}
 	o.LeaseUntilMS = l.grant(sentAt)
 	o.Fence = l.fence
-	record.start.sent = true
+	record.start.sent, record.start.calling = true, true
 	l.mu.Unlock()
 	answer, err := l.d.config.Workers.Start(ctx, l.target, o)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	record.start.calling = false
 	if err != nil {
 		l.failed(err)
 		if workers.NotSent(err) && !record.uncertain {
@@ -130,11 +131,14 @@
 
 func (l *link) performStop(ctx context.Context, run workload.RunRef) bool {
 	sentAt := l.d.now()
+	l.mu.Lock()
+	record := l.orderOf(run)
+	record.stop.queued, record.stop.calling = false, true
+	l.mu.Unlock()
 	answer, err := l.d.config.Workers.Stop(ctx, l.target, run, l.fence)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	record := l.orderOf(run)
-	record.stop.queued = false
+	record.stop.calling = false
 	if err != nil {
 		l.failed(err)
 		l.d.wakeUp()
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -259,7 +259,7 @@
 }
 
 func (l *link) orderStart(run workload.RunRef, o *order, now time.Duration) {
-	if !o.start.queued {
+	if !o.start.queued && !o.start.calling {
 		o.start.queued, o.start.queuedAt = true, now
 		l.enqueue(call{kind: callStart, run: run})
 	}
@@ -267,7 +267,7 @@
 
 // orderStop orders a stop, and once more when it was answered without effect.
 func (l *link) orderStop(run workload.RunRef, o *order, now time.Duration) {
-	if o.stop.queued || o.stop.answered && now-o.stop.queuedAt < stopAgain {
+	if o.stop.queued || o.stop.calling || o.stop.answered && now-o.stop.queuedAt < stopAgain {
 		return
 	}
 	o.stop.queued, o.stop.queuedAt = true, now
