capacity, dispatch: a lasting task is evicted to a place, one at a time in a pool

Ruled out: the order of placement (lasting tasks come first) and the wave's bound. Change: a task is evicted only when another worker can take it, and one at a time in a pool, as two would count on the same room; a pool with a task that has no place gets one VM before anything else, also from a pool that needs its own.

--- a/internal/capacity/decide_test.go
+++ b/internal/capacity/decide_test.go
@@ -172,3 +172,44 @@
 	is.Equal(orders[0].Machine, s.in.VMs[3].Machine)
 	is.Equal(orders[0].Pool, "a")
 }
+
+// Symptom: an evicted lasting task waits 13 s though the site has idle VMs.
+// Sequence: a wave closes all VMs of a pool but one; that one has processor time
+// enough for the pool's need, but no memory for the task. Cause: room counted as
+// a sum.
+func TestAHomelessTaskGetsAVM(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 1, "b": 2})
+	s.in.Need = map[string]int64{"a": 14_000}
+	is.Equal(len(s.decide().Orders), 0)
+	s.in.Homeless = map[string]bool{"a": true}
+	orders := s.decide().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Pool, "a")
+	s.in.Flights[orders[0].Machine] = Flight{Order: orders[0], Sent: s.in.Now}
+	is.Equal(len(s.decide().Orders), 0) // one at a time
+
+	s = newSite(map[string]int{"a": 1, "b": 2})
+	s.in.Need = map[string]int64{"a": 14_000, "b": 9 * cores32}
+	s.in.Homeless = map[string]bool{"a": true}
+	is.Equal(len(s.decide().Orders), 1) // though b needs more than it has
+}
+
+func TestATaskIsHomelessAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 1})
+	step := workload.StepSpec{Count: 1, Lasting: true, Need: workload.Resources{CPU: 1}}
+	s.apply(&workload.Command{Submit: []workload.Submit{{ID: "j", Queue: workload.QueueID{Host: "h", Prefix: "/a/"},
+		Spec: workload.JobSpec{Steps: []workload.StepSpec{step}}}}})
+	s.machine.Read(func(tables *workload.Tables) {
+		d := NewDemand(tables, time.Hour, 0)
+		is.Equal(len(d.Homeless(tables, time.Hour)), 0)
+		is.True(d.Homeless(tables, time.Hour+homelessAfter)["a"])
+	})
+	s.apply(&workload.Command{Starts: []workload.Start{{Worker: "i-a-0", Run: workload.RunRef{Task: workload.TaskRef{Job: "j"}, Attempt: 1}}}})
+	s.machine.Read(func(tables *workload.Tables) {
+		d := NewDemand(tables, time.Hour, 0)
+		is.Equal(len(d.Homeless(tables, 2*time.Hour)), 0)
+		is.Equal(len(d.Homeless(tables, 3*time.Hour)), 0)
+	})
+}
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -35,6 +35,8 @@
 	// first is when the first job came, 0 before.
 	first time.Duration
 	turns turns
+	// waits is since when a lasting task of a pool has had no run.
+	waits map[string]time.Duration
 	// perMB is the processor time that comes with a MiB of memory.
 	perMB float64
 }
@@ -46,7 +48,7 @@
 // each other, by clocks that differ between leaders; what comes out of it is
 // an expectation, no promise.
 func NewDemand(t *workload.Tables, now time.Duration, nowMS int64) *Demand {
-	d := &Demand{pools: map[string]*poolDemand{}, turns: newTurns()}
+	d := &Demand{pools: map[string]*poolDemand{}, turns: newTurns(), waits: map[string]time.Duration{}}
 	jobs := make([]*workload.Job, 0, len(t.Jobs))
 	for _, job := range t.Jobs {
 		jobs = append(jobs, job)
@@ -228,3 +230,53 @@
 		}
 	}
 }
+
+// homelessAfter is how long a lasting task waits before its pool asks for one
+// more VM; a task that has a place gets it within a few rounds.
+const homelessAfter = 300 * time.Millisecond
+
+// Homeless returns the pools that have had a lasting task without a run for a
+// while.
+func (d *Demand) Homeless(t *workload.Tables, now time.Duration) map[string]bool {
+	homeless := map[string]bool{}
+	for pool := range d.Waiting(t, now) {
+		if now-d.waits[pool] >= homelessAfter {
+			homeless[pool] = true
+		}
+	}
+	return homeless
+}
+
+// Waiting returns the pools that have a lasting task without a run now.
+func (d *Demand) Waiting(t *workload.Tables, now time.Duration) map[string]bool {
+	waiting := map[string]bool{}
+	for queue, jobs := range t.Live {
+		if slices.ContainsFunc(jobs, lacksRun) {
+			waiting[t.Queues[queue].Pool] = true
+		}
+	}
+	for pool := range d.waits {
+		if !waiting[pool] {
+			delete(d.waits, pool)
+		}
+	}
+	for pool := range waiting {
+		if _, known := d.waits[pool]; !known {
+			d.waits[pool] = now
+		}
+	}
+	return waiting
+}
+
+// lacksRun says whether a lasting task of a job has no run though its turn has come.
+func lacksRun(job *workload.Job) bool {
+	for _, o := range job.Occurrences {
+		for i := range o.Steps {
+			step := &o.Steps[i]
+			if job.Spec.Steps[i].Lasting && step.Active < len(step.Tasks) && o.Ready(&job.Spec, i) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -29,6 +29,9 @@
 	// haveOf and needOf are the same for the VMs with one label, their kind or
 	// their rack.
 	haveOf, needOf map[string]int64
+	// homeless: a lasting task waits for a place; it gets a VM before anything
+	// else, also from a pool that needs all of its own.
+	homeless bool
 	// spare are its VMs with nothing on them, the longest idle first; busy
 	// those with tasks that end, the least used first.
 	spare, busy []*VM
@@ -63,7 +66,7 @@
 	}
 	pools, standby := p.poolStates()
 	slices.SortFunc(pools, func(a, b *poolState) int {
-		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
+		return cmp.Or(compareBools(b.homeless, a.homeless), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
 	})
 	for _, s := range pools {
 		p.plan.Pools = append(p.plan.Pools, Balance{Pool: s.name, Have: s.have, Need: s.need, Spare: len(s.spare)})
@@ -138,6 +141,9 @@
 	for i := range p.VMs {
 		p.count(byName, &p.VMs[i])
 	}
+	for name := range p.Homeless {
+		p.makeRoom(byName[name])
+	}
 	for _, s := range byName {
 		slices.SortFunc(s.busy, func(a, b *VM) int {
 			return cmp.Or(cmp.Compare(p.Tables.Used[a.Worker].CPU, p.Tables.Used[b.Worker].CPU), cmp.Compare(a.Machine, b.Machine))
@@ -149,6 +155,38 @@
 	return pools, standby
 }
 
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// makeRoom lets a pool ask for one more VM if its lasting tasks find no place
+// though the sum of its VMs is enough: the one that is left may be full in
+// memory, or hold as many tasks of the step as it may. One VM at a time.
+func (p *planner) makeRoom(s *poolState) {
+	if s == nil || s.standby || s.missing() > 0 {
+		return
+	}
+	for _, f := range p.Flights {
+		if f.Order.Kind == Move && f.Order.Pool == s.name {
+			return
+		}
+	}
+	for _, c := range p.Closing {
+		if c.Order.Kind == Move && c.Order.Pool == s.name {
+			return
+		}
+	}
+	s.homeless = true
+	s.need = s.have + 1
+}
+
 // count adds a VM to the pool that it serves or will serve.
 func (p *planner) count(byName map[string]*poolState, vm *VM) {
 	pool := vm.Pool
@@ -179,7 +217,7 @@
 func (p *planner) emptyOne(pools []*poolState, needy *poolState) bool {
 	var best *poolState
 	for _, s := range pools {
-		if s == needy || len(s.busy) == 0 || !s.canGive(s.busy[0]) {
+		if s == needy || len(s.busy) == 0 || !needy.homeless && !s.canGive(s.busy[0]) {
 			continue
 		}
 		if best == nil || s.missing() < best.missing() {
@@ -223,7 +261,7 @@
 	}
 	var best *poolState
 	for _, s := range pools {
-		if s == needy || len(s.spare) == 0 || !s.canGive(s.spare[0]) {
+		if s == needy || len(s.spare) == 0 || !needy.homeless && !s.canGive(s.spare[0]) {
 			continue
 		}
 		if best == nil || s.missing() < best.missing() {
--- a/internal/capacity/vm.go
+++ b/internal/capacity/vm.go
@@ -83,6 +83,9 @@
 	Need map[string]int64
 	// NeedOf is what each pool should have of VMs with one label.
 	NeedOf map[string]map[string]int64
+	// Homeless holds the pools that have had a lasting task without a run for a
+	// while.
+	Homeless map[string]bool
 	// MayPark: demand has been seen for long enough that an idle VM tells
 	// something.
 	MayPark bool
--- a/internal/dispatch/evict.go
+++ b/internal/dispatch/evict.go
@@ -46,6 +46,8 @@
 // evict stops what keeps a closing VM from its order, and lasting tasks on
 // workers that are leaving.
 func (d *Dispatcher) evict(t *workload.Tables, now time.Duration) {
+	d.fleet.lacking = map[string]bool{}
+	d.fleet.unplaced = d.unplacedPools(t, now)
 	for i := range d.fleet.vms {
 		vm := &d.fleet.vms[i]
 		c, closing := d.fleet.closing[vm.Machine]
@@ -72,10 +74,64 @@
 			continue
 		}
 		spec := &job.Spec.Steps[run.Task.Step]
-		if spec.Lasting && (leaving || d.mayStop(t, run, spec, step)) || !spec.Lasting && all {
+		pool := t.Queues[job.Queue].Pool
+		switch {
+		case !spec.Lasting:
+			if all {
+				l.evictRun(run)
+			}
+		case d.fleet.unplaced[pool]:
+		case !d.hasPlace(t, job, spec, step, id):
+			d.fleet.lacking[pool] = true
+		case leaving || d.mayStop(t, run, spec, step):
 			l.evictRun(run)
+			d.fleet.unplaced[pool] = true
+		}
+	}
+}
+
+// unplacedPools lists the pools in which an evicted lasting task has not started
+// elsewhere yet. The next one there waits for it: both would count on the same
+// room.
+func (d *Dispatcher) unplacedPools(t *workload.Tables, now time.Duration) map[string]bool {
+	pools := d.fleet.demand.Waiting(t, now)
+	for id, l := range d.links {
+		for run := range t.Runs[id] {
+			if job := t.Jobs[run.Task.Job]; job != nil && l.evicts(run) {
+				pools[t.Queues[job.Queue].Pool] = true
+			}
+		}
+	}
+	return pools
+}
+
+// hasPlace says whether another worker of the pool can take a lasting task now.
+// Without one a task that is evicted serves nobody until a VM has come; its pool
+// asks for that VM first.
+func (d *Dispatcher) hasPlace(t *workload.Tables, job *workload.Job, spec *workload.StepSpec, step *workload.Step, except workload.WorkerID) bool {
+	here := map[workload.WorkerID]int{}
+	for i := range step.Tasks {
+		for _, run := range step.Tasks[i].Runs {
+			here[run.Worker]++
 		}
 	}
+	pool, now := t.Queues[job.Queue].Pool, d.now()
+	for id, w := range t.Workers {
+		l := d.links[id]
+		if l == nil || id == except || w.Pool != pool || w.Draining || w.Closed || !w.Has(spec.Label) {
+			continue
+		}
+		if spec.MaxPerWorker > 0 && here[id] >= spec.MaxPerWorker || !spec.Charge().Fits(w.Capacity.Minus(t.Used[id])) {
+			continue
+		}
+		l.mu.Lock()
+		takes := !l.closing && l.usable(now)
+		l.mu.Unlock()
+		if takes {
+			return true
+		}
+	}
+	return false
 }
 
 // mayStop says whether a lasting task may be stopped now: at most so many of
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -47,6 +47,11 @@
 	// tokens are the orders that may be given at once, as of tokensAt.
 	tokens   float64
 	tokensAt time.Duration
+	// lacking holds the pools with a lasting task that must leave its worker and
+	// has no other to go to.
+	lacking map[string]bool
+	// unplaced holds the pools with an evicted task that runs nowhere yet.
+	unplaced map[string]bool
 	// opening says that a commit that opens workers is on its way.
 	opening bool
 	// respected says that the last leader's orders were looked at.
@@ -152,9 +157,13 @@
 	}
 	d.config.Machine.Read(func(t *workload.Tables) {
 		f.demand.Observe(t, now)
+		homeless := f.demand.Homeless(t, now)
+		for pool := range f.lacking {
+			homeless[pool] = true
+		}
 		plan = capacity.Decide(capacity.Input{
 			Now: now, NowMS: d.config.WallMS(), Tables: t, VMs: f.vms, Flights: flights, Closing: f.closing,
-			Need: f.demand.Need(t, now, d.config.WallMS()), NeedOf: f.demand.NeedOf(t), MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
+			Need: f.demand.Need(t, now, d.config.WallMS()), NeedOf: f.demand.NeedOf(t), Homeless: homeless, MayPark: f.demand.MayPark(now), Listed: d.lists, Idle: func(id workload.WorkerID) time.Duration { return d.idle(id, now) },
 		})
 		d.evict(t, now)
 	})
