slots: a grant no longer reads an instance's record outside the lock

Cause: the grant copied Instance.Upstream after the lock was given back, while an announcement could write it in balance.Set.list; a request could be sent to an address mixed of two announcements. Ruled out: the other readers of Use.Instance run inside the core, locked. Change: a Use carries the announcement of the moment the slot was taken.

--- a/internal/balance/set.go
+++ b/internal/balance/set.go
@@ -52,7 +52,10 @@
 
 // Use is one slot in use at an instance.
 type Use struct {
+	// Instance may be read under the lock of the set's owner only; Upstream is
+	// what was announced when the slot was taken and may be read anywhere.
 	Instance *Instance
+	Upstream model.Upstream
 	Started  model.Instant
 	probe    bool
 	epoch    int
@@ -146,7 +149,7 @@
 	s.inUse++
 	probe := i.health.ejected
 	i.health.probing = i.health.probing || probe
-	return Use{Instance: i, Started: now, probe: probe, epoch: i.health.epoch}
+	return Use{Instance: i, Upstream: i.Upstream, Started: now, probe: probe, epoch: i.health.epoch}
 }
 
 func (s *Set) pickTwo(w Wish, now model.Instant) *Instance {
--- a/internal/slots/dispatcher_test.go
+++ b/internal/slots/dispatcher_test.go
@@ -129,3 +129,31 @@
 	is.NoErr((<-waiting).err)
 	is.Equal(d.interval(), restInterval)
 }
+
+// Symptom: a request is sent to an address put together from two
+// announcements; the race detector reports a write in balance.Set against a
+// read in the grant.
+// Sequence: requests are granted while the instance's announcement changes.
+// Cause: the grant read the instance's record after the lock was given back.
+func TestGrantWhileTheAnnouncementChanges(t *testing.T) {
+	is := is.New(t)
+	d, _, r := newAlone(t, 8, 20)
+	announce(t, r, 1, false, 1)
+	first := make(chan result, 1)
+	go func() {
+		grant, err := d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: 10_000})
+		// Nothing orders this goroutine with the other one until then, so the
+		// race detector sees a read outside the lock every time.
+		time.Sleep(200 * time.Millisecond)
+		first <- result{grant, err}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	announce(t, r, 2, false, 1, 2)
+	second, err := d.Acquire(context.Background(), Ask{Service: "drafts", Deadline: 10_000})
+	is.NoErr(err)
+	got := <-first
+	is.NoErr(got.err)
+	is.Equal(got.grant.Upstream.Address, "127.0.0.1:9001")
+	second.Release(Answered)
+	got.grant.Release(Answered)
+}
--- a/internal/slots/service.go
+++ b/internal/slots/service.go
@@ -163,11 +163,13 @@
 	return cause
 }
 
-// grant wraps a slot in use. Only the first release counts.
+// grant wraps a slot in use. Only the first release counts. The lock is not
+// held here, so the instance's own record, which an announcement may change at
+// this moment, is not read.
 func (k *serviceState) grant(ask Ask, use balance.Use) *Grant {
 	k.dispatcher.counters.granted.Inc(1)
 	var released atomic.Bool
-	return NewGrant(use.Instance.Upstream, func(o Outcome) {
+	return NewGrant(use.Upstream, func(o Outcome) {
 		if released.Swap(true) {
 			k.dispatcher.counters.twice.Inc(1)
 			return
