state: a manifest that gives one ID to two parts is refused

The index keeps both pools, each with its own list of VMs and its own demand, and each is filled up to its own size, while moves are counted by ID on one of them. The state machine then refuses the surplus moves. The parser of the manifest refuses such a text (a section may appear once), so only the random test, which builds sites itself, made it.

Ruled out: VMs on their way out of the pool (none was moving), takeBack (its move's target is the VM's own pool), a manifest that shrinks the pool.

Change: the state machine refuses a site in which two pools, services, teams or waves share an ID, whatever way it came; the random test offers such sites as before and checks that exactly those are refused.

--- a/internal/controller/manifest_random_test.go
+++ b/internal/controller/manifest_random_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -17,10 +18,31 @@
 	for range 1 + c.draw(3) {
 		c.change(&site)
 	}
-	c.apply(site)
+	if !c.offer(site) {
+		return
+	}
 	c.waves += len(site.Waves) // each may reboot each VM once
 }
 
+// offer proposes a site. It is refused exactly when two of its parts share an
+// ID, as two changes that add the same pool make them.
+func (c *chaos) offer(site model.Site) bool {
+	pools := map[model.PoolID]int{}
+	for _, p := range site.Pools {
+		pools[p.ID]++
+	}
+	waves := map[model.WaveID]int{}
+	for _, w := range site.Waves {
+		waves[w.ID]++
+	}
+	sound := len(pools) == len(site.Pools) && len(waves) == len(site.Waves)
+	refused := c.ask(manifestOf(site)).Refused
+	if sound != (refused == "") {
+		panic(fmt.Sprintf("sound: %t, refused: %q", sound, refused))
+	}
+	return sound
+}
+
 func (c *chaos) change(m *model.Site) {
 	zones := []model.ZoneID{"az1", "az2", "az3"}
 	s := &m.Services[c.draw(len(m.Services))]
@@ -96,8 +118,8 @@
 }
 
 // Symptom: a check reports that a pool would exceed its largest size. Sequence:
-// seed 47, a manifest shrinks a pool while VMs are on their way into it. Cause:
-// not found; the state machine refuses the move when it is applied.
+// seed 47, a manifest comes that lists one pool twice. Cause: each of the two
+// was filled up to its own size, and only the moves' targets were counted.
 func TestPlannedMoveKeepsThePoolsSize(t *testing.T) {
 	playManifests(t, 47)
 }
--- a/internal/controller/sim_test.go
+++ b/internal/controller/sim_test.go
@@ -152,6 +152,15 @@
 }
 
 func (s *sim) propose(c state.Command) state.Result {
+	result := s.ask(c)
+	if result.Refused != "" {
+		panic(result.Refused)
+	}
+	return result
+}
+
+// ask proposes a command that may be refused.
+func (s *sim) ask(c state.Command) state.Result {
 	s.ids++
 	c.ID = model.CommandID(fmt.Sprintf("sim/%d", s.ids))
 	c.At = s.platform.Now()
@@ -159,16 +168,18 @@
 	s.log.lose = 0
 	result, err := s.log.Propose(context.Background(), c)
 	s.log.lose = lose
-	if err != nil || result.Refused != "" {
-		panic(fmt.Sprint(err, result.Refused))
+	if err != nil {
+		panic(err)
 	}
 	return result
 }
 
-func (s *sim) apply(site model.Site) {
+func (s *sim) apply(site model.Site) { s.propose(manifestOf(site)) }
+
+func manifestOf(site model.Site) state.Command {
 	text := fmt.Appendf(nil, "revision %d", site.Revision)
 	sum := sha256.Sum256(text)
-	s.propose(state.Command{ApplyManifest: &state.ApplyManifest{Revision: site.Revision, Digest: hex.EncodeToString(sum[:]), Text: text, Site: &site}})
+	return state.Command{ApplyManifest: &state.ApplyManifest{Revision: site.Revision, Digest: hex.EncodeToString(sum[:]), Text: text, Site: &site}}
 }
 
 func (s *sim) submit(spec model.JobSpec) {
--- a/internal/state/apply_manifest.go
+++ b/internal/state/apply_manifest.go
@@ -1,10 +1,13 @@
 package state
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
 	"slices"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
 // applyManifest makes a manifest the desired state. Revisions only grow, and
@@ -49,6 +52,32 @@
 	if current != nil && current.Name != a.Site.Name {
 		return refusef("the site is %q, not %q", current.Name, a.Site.Name)
 	}
+	return namedTwice(a.Site)
+}
+
+// namedTwice refuses a site that gives one ID to two parts. Everything else
+// finds a part by its ID: of two pools under one ID each would be filled up to
+// the size of its own while only one of the two is counted, so that VMs are
+// moved beyond the largest size.
+func namedTwice(s *model.Site) Refusal {
+	return cmp.Or(
+		sharedID("pool", s.Pools, func(p *model.Pool) model.PoolID { return p.ID }),
+		sharedID("service", s.Services, func(s *model.Service) model.ServiceID { return s.ID }),
+		sharedID("team", s.Teams, func(t *model.Team) model.TeamID { return t.ID }),
+		sharedID("wave", s.Waves, func(w *model.Wave) model.WaveID { return w.ID }),
+	)
+}
+
+// sharedID names the first ID that two of the parts have.
+func sharedID[P any, ID ~string](kind string, parts []P, id func(*P) ID) Refusal {
+	seen := make(map[ID]bool, len(parts))
+	for i := range parts {
+		name := id(&parts[i])
+		if seen[name] {
+			return refusef("the manifest names %s %q twice", kind, name)
+		}
+		seen[name] = true
+	}
 	return ""
 }
 
--- a/internal/state/edge_test.go
+++ b/internal/state/edge_test.go
@@ -264,3 +264,24 @@
 		}
 	})
 }
+
+// Symptom: VMs are moved into a pool beyond its largest size, and refused only
+// when the moves are applied. Sequence: a manifest comes that lists a pool
+// under the ID of another one. Cause: parts are found by their IDs, so that one
+// of the two is never counted.
+func TestOneIDForTwoPartsIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(t, Rules{})
+	for part, repeat := range map[string]func(*model.Site){
+		`pool "a"`:        func(s *model.Site) { s.Pools = append(s.Pools, s.Pools[0]) },
+		`service "plans"`: func(s *model.Site) { s.Services = append(s.Services, s.Services[0]) },
+		`team "berths"`:   func(s *model.Site) { s.Teams = append(s.Teams, s.Teams[0]) },
+		`wave "w2"`:       func(s *model.Site) { s.Waves = append(s.Waves, s.Waves[1]) },
+	} {
+		next := testManifest(2, "")
+		repeat(next.Site)
+		is.Equal(d.apply(Command{ApplyManifest: next}).Refused, refusef("the manifest names %s twice", part))
+		is.Equal(d.machine.View().Site.Revision, uint64(1)) // the one before stays in force
+	}
+	is.Equal(d.apply(Command{ApplyManifest: testManifest(2, "")}).Refused, Refusal(""))
+}
