node: a call whose connection ends is not sent again by the transport

Cause: the generated client's requests carry GetBody, so net/http sends a call again when the peer gives its connection up (GOAWAY) in the middle of it. It reads a flag of the body that the goroutine of the first try still writes (the race of TestScript/operators_race), and has no bound: with a peer that leaves every connection the call lasts until its deadline.

Ruled out: the link's own code; a body touched by the links.

Change: authorizedCaller.Do takes GetBody off.

--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -148,8 +148,16 @@
 	client      *http.Client
 }
 
-// Do sends a request of the generated client.
+// Do sends a request of the generated client, once.
+//
+// The transport would send a call again whose connection the peer gave up in
+// the middle of it, as often as that happens, while its goroutine of the try
+// before still reads the body. One notices by a call that lasts until its
+// deadline beside a peer that leaves, at full processor, and by the race
+// detector. Without a way to the body's start the call ends with the first
+// failure, and whoever made it decides.
 func (a *authorizedCaller) Do(r *http.Request) (*http.Response, error) {
+	r.GetBody = nil
 	a.credentials.sign(r.Header)
 	response, err := a.client.Do(r)
 	if err != nil {
