dispatch: room is given on with the commit that notes the end

Cause: in a peak a core stood idle between two tasks for two commits and the gap between two rounds: a plan saw the room of a run only once its end was committed, and its starts took the next commit.

Ruled out: the worker's list (answered at once by the long poll); the orders (sent as soon as the starts are committed).

Change: the plan counts the room that the ends and releases of its own command free; they are applied before its starts.

--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -309,7 +309,7 @@
 		l.mu.Unlock()
 	}
 	plan := schedule.Make(schedule.Input{
-		Tables: t, Workers: workers, Advice: d.advice.get, NowMS: d.config.WallMS(), MaxStarts: maxStarts,
+		Tables: t, Workers: workers, Freed: freed(t, c), Advice: d.advice.get, NowMS: d.config.WallMS(), MaxStarts: maxStarts,
 	})
 	c.Starts, c.Due = plan.Starts, plan.Due
 	d.advice.ask(plan.Ask)
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -38,6 +38,9 @@
 type Input struct {
 	Tables  *workload.Tables
 	Workers map[workload.WorkerID]Worker
+	// Freed is the room of the runs whose ends are committed with the plan,
+	// before its starts take effect.
+	Freed map[workload.WorkerID]workload.Resources
 	// Advice returns what the advisor said, nil when it must be asked first.
 	Advice func(StepRef) *Advice
 	// NowMS is the time of day in Unix milliseconds.
@@ -117,7 +120,7 @@
 		if w.Draining || w.Closed || soft.Closing || !soft.Usable {
 			continue
 		}
-		c := &candidate{worker: w, soft: soft, free: w.Capacity.Minus(p.Tables.Used[id])}
+		c := &candidate{worker: w, soft: soft, free: w.Capacity.Minus(p.Tables.Used[id]).Plus(p.Freed[id])}
 		p.findNeighbours(c)
 		p.pools[w.Pool] = append(p.pools[w.Pool], c)
 	}
