codec: one encoding of what is replicated

Cause: state and workload each set up their own CBOR modes, workload's less strict (repeated keys and tags were taken); schedule and capacity each compared booleans.

Change: internal/codec holds the strict modes for both, internal/order the comparison.

--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/order"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -66,7 +67,7 @@
 	}
 	pools, standby := p.poolStates()
 	slices.SortFunc(pools, func(a, b *poolState) int {
-		return cmp.Or(compareBools(b.homeless, a.homeless), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
+		return cmp.Or(order.Bools(b.homeless, a.homeless), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
 	})
 	for _, s := range pools {
 		p.plan.Pools = append(p.plan.Pools, Balance{Pool: s.name, Have: s.have, Need: s.need, Spare: len(s.spare)})
@@ -155,17 +156,6 @@
 	return pools, standby
 }
 
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 // makeRoom lets a pool ask for one more VM if its lasting tasks find no place
 // though the sum of its VMs is enough: the one that is left may be full in
 // memory, or hold as many tasks of the step as it may. One VM at a time.
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/comfreyloom/comfreyloom/internal/order"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -173,7 +174,7 @@
 	}
 	slices.SortFunc(all, func(a, b waitingStep) int {
 		return cmp.Or(
-			compareBools(b.spec().Lasting, a.spec().Lasting),
+			order.Bools(b.spec().Lasting, a.spec().Lasting),
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
 			cmp.Compare(a.turn, b.turn),
 			cmp.Compare(b.density, a.density),
@@ -268,14 +269,3 @@
 	}
 	return all
 }
-
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
--- a/internal/state/apply_job.go
+++ b/internal/state/apply_job.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -195,7 +196,7 @@
 }
 
 func specDigest(spec model.JobSpec) string {
-	data, err := encoder.Marshal(spec)
+	data, err := codec.Marshal(spec)
 	if err != nil {
 		panic(err) // a JobSpec holds only numbers, texts and bytes
 	}
--- a/internal/state/audit.go
+++ b/internal/state/audit.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -77,7 +78,7 @@
 // Editing or dropping a record changes every digest after it.
 func ChainDigest(before string, r model.AuditRecord) string {
 	r.Digest = before
-	data, err := encoder.Marshal(r)
+	data, err := codec.Marshal(r)
 	if err != nil {
 		panic(err) // an AuditRecord holds only numbers and texts
 	}
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -8,46 +8,10 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
-)
 
-// One codec serves log entries, snapshots and digests: CBOR in its core
-// deterministic form, so that equal values encode to equal bytes on every VM.
-var (
-	encoder = mustEncoder()
-	decoder = mustDecoder()
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 )
 
-// maxElements bounds the rows of one table in a snapshot and the items of one
-// list in a command.
-const maxElements = 1 << 20
-
-func mustEncoder() cbor.UserBufferEncMode {
-	mode, err := cbor.CoreDetEncOptions().UserBufferEncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecoder refuses unknown fields: a VM with an older build that skipped a
-// field would silently apply another change than the rest of the site.
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8:              cbor.UTF8DecodeInvalid,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 const (
 	// compressFrom is the size from which a manifest or a plan is compressed,
 	// in bytes. Claims and jobs are not: callers wait for them, and their
@@ -69,7 +33,7 @@
 // Encode returns the bytes of a command as they go into the control log. Each
 // byte of it goes to every VM and to every disk.
 func Encode(c Command) ([]byte, error) {
-	data, err := encoder.Marshal(c)
+	data, err := codec.Marshal(c)
 	repetitive := c.ApplyManifest != nil || c.Plan != nil
 	if err != nil || !repetitive || len(data) < compressFrom {
 		return data, err
@@ -94,7 +58,7 @@
 	if err != nil {
 		return Command{}, err
 	}
-	if err := decoder.Unmarshal(data, &c); err != nil {
+	if err := codec.Unmarshal(data, &c); err != nil {
 		return Command{}, err
 	}
 	return c, nil
@@ -121,12 +85,12 @@
 }
 
 // EncodeResult returns the bytes of a result as it travels between VMs.
-func EncodeResult(r Result) ([]byte, error) { return encoder.Marshal(r) }
+func EncodeResult(r Result) ([]byte, error) { return codec.Marshal(r) }
 
 // DecodeResult is the inverse of EncodeResult.
 func DecodeResult(data []byte) (Result, error) {
 	var r Result
-	if err := decoder.Unmarshal(data, &r); err != nil {
+	if err := codec.Unmarshal(data, &r); err != nil {
 		return Result{}, err
 	}
 	return r, nil
@@ -140,7 +104,7 @@
 func (h *rowHasher) sum(table byte, row any) uint64 {
 	h.buffer.Reset()
 	h.buffer.WriteByte(table)
-	if err := encoder.MarshalToBuffer(row, &h.buffer); err != nil {
+	if err := codec.MarshalToBuffer(row, &h.buffer); err != nil {
 		panic(err)
 	}
 	return xxhash.Sum64(h.buffer.Bytes())
--- a/internal/state/edge_test.go
+++ b/internal/state/edge_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -148,7 +149,7 @@
 	is.True(d.machine.Restore(data[:len(data)-1]) != nil)
 	edited := bytes.Replace(data, []byte("v1"), []byte("v9"), 2)
 	is.True(errors.Is(NewMachine(Options{}).Restore(edited), ErrSnapshotDigest))
-	other, err := encoder.Marshal(snapshotFile{Version: snapshotVersion + 1})
+	other, err := codec.Marshal(snapshotFile{Version: snapshotVersion + 1})
 	is.NoErr(err)
 	is.True(errors.Is(d.machine.Restore(other), ErrSnapshotVersion))
 	is.Equal(d.machine.View().Digest, before)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 )
 
@@ -86,7 +87,7 @@
 	for _, job := range jobs {
 		rows = append(rows, jobRow{job, []byte(f.specs[job.Spec.ID])})
 	}
-	return encoder.Marshal(snapshotFile{
+	return codec.Marshal(snapshotFile{
 		Version:     snapshotVersion,
 		Index:       f.view.Index,
 		Head:        f.head,
@@ -108,7 +109,7 @@
 // snapshot which was damaged or wrongly assembled never becomes the state.
 func restoreCore(data []byte, rules Rules) (*core, error) {
 	var f snapshotFile
-	if err := decoder.Unmarshal(data, &f); err != nil {
+	if err := codec.Unmarshal(data, &f); err != nil {
 		return nil, fmt.Errorf("state: snapshot can't be decoded: %w", err)
 	}
 	if f.Version != snapshotVersion {
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 )
 
 // Command is one entry of the control log. Its parts are applied in the order
@@ -113,64 +113,34 @@
 	Machine MachineID
 }
 
-var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
-)
-
-// maxElements bounds one list of a command or snapshot.
-const maxElements = 1 << 20
-
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		IndefLength:       cbor.IndefLengthForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8:              cbor.UTF8DecodeInvalid,
-		MaxArrayElements:  maxElements,
-		MaxMapPairs:       maxElements,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options are constant
-	}
-	return mode
-}
-
 // Encode returns the bytes of a command for the control log.
-func Encode(c *Command) ([]byte, error) { return encMode.Marshal(c) }
+func Encode(c *Command) ([]byte, error) { return codec.Marshal(c) }
 
 // Decode is the inverse of Encode; it refuses unknown fields.
 func Decode(data []byte) (*Command, error) {
 	var c Command
-	if err := decMode.Unmarshal(data, &c); err != nil {
+	if err := codec.Unmarshal(data, &c); err != nil {
 		return nil, fmt.Errorf("workload: decode command: %w", err)
 	}
 	return &c, nil
 }
 
 // EncodeSpec returns the bytes of a job for a call between VMs.
-func EncodeSpec(s *JobSpec) ([]byte, error) { return encMode.Marshal(s) }
+func EncodeSpec(s *JobSpec) ([]byte, error) { return codec.Marshal(s) }
 
 // DecodeSpec is the inverse of EncodeSpec.
 func DecodeSpec(data []byte) (JobSpec, error) {
 	var s JobSpec
-	err := decMode.Unmarshal(data, &s)
+	err := codec.Unmarshal(data, &s)
 	return s, err
 }
 
 // EncodeConfig returns the bytes of a configuration for a call between VMs.
-func EncodeConfig(c *Config) ([]byte, error) { return encMode.Marshal(c) }
+func EncodeConfig(c *Config) ([]byte, error) { return codec.Marshal(c) }
 
 // DecodeConfig is the inverse of EncodeConfig.
 func DecodeConfig(data []byte) (*Config, error) {
 	c := &Config{}
-	err := decMode.Unmarshal(data, c)
+	err := codec.Unmarshal(data, c)
 	return c, err
 }
--- a/internal/workload/machine.go
+++ b/internal/workload/machine.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 
+	"github.com/comfreyloom/comfreyloom/internal/codec"
 	"github.com/comfreyloom/comfreyloom/internal/state"
 )
 
@@ -120,7 +121,7 @@
 	for _, id := range slices.Sorted(maps.Keys(t.Waves)) {
 		picture.Waves = append(picture.Waves, t.Waves[id])
 	}
-	return encMode.Marshal(picture)
+	return codec.Marshal(picture)
 }
 
 func compareQueues(a, b QueueID) int {
@@ -130,7 +131,7 @@
 // Restore replaces the state by a snapshot, wholly or not at all.
 func (m *Machine) Restore(data []byte) error {
 	var picture image
-	if err := decMode.Unmarshal(data, &picture); err != nil {
+	if err := codec.Unmarshal(data, &picture); err != nil {
 		return fmt.Errorf("workload: decode snapshot: %w", err)
 	}
 	if picture.Version != snapshotVersion {
