dispatch: a run that was given up is released also when its worker is back

Cause: a start got no answer, the worker was silent until its leases had passed, the run was given up, and the log took no command just then. Then the worker answered: the run was not sent any more, and its release asked for a passed lease while the lease was renewed for that very run. The job ran for ever.

Ruled out: room, strangers on the worker (none in the trace).

Change: the verdict stands until a list names the run.

--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -241,10 +241,13 @@
 }
 
 // surelyOver says whether a run on a worker that does not answer can't run any
-// more: it was never ordered, or every lease has passed.
+// more: it was never ordered, or every lease has passed. That stands when the
+// worker answers again before the release is committed, as the run is not
+// ordered any more; only a list that names the run speaks against it.
 func (l *link) surelyOver(run workload.RunRef, o *order, now time.Duration) bool {
-	if !l.silent(now) && !o.dropped {
-		return false
+	if !l.silent(now) {
+		_, listed := l.running[run]
+		return o.dropped && !listed
 	}
 	if !o.start.sent && !l.inherited[run] {
 		return true
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -4,9 +4,9 @@
 package standin
 
 import (
-	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -24,8 +24,11 @@
 	Dead bool
 	// Fails makes every run end failed.
 	Fails bool
-	// Acked is told of each end that was acknowledged, Ended of each end.
-	Acked, Ended func(workload.End)
+	// Acked is told of each end that was acknowledged, and whether the lease
+	// held since the end: otherwise the end does not count as taken note of.
+	Acked func(end workload.End, held bool)
+	// Ended is told of each end.
+	Ended func(workload.End)
 
 	fence   uint64
 	until   int64
@@ -33,6 +36,8 @@
 	highest map[workload.TaskRef]int
 	ends    []workload.End
 	next    uint64
+	// lapsed is the number of the last end that was listed when the lease lapsed.
+	lapsed uint64
 }
 
 type run struct{ started time.Duration }
@@ -55,6 +60,7 @@
 	if w.ClockMS(now) < w.until {
 		return
 	}
+	w.lapsed = w.next
 	for r := range w.runs {
 		w.End(r, workload.EndLapsed)
 	}
@@ -139,7 +145,7 @@
 	w.until = max(w.until, o.LeaseUntilMS)
 	for len(w.ends) > 0 && w.ends[0].Number <= o.Acked {
 		if w.Acked != nil {
-			w.Acked(w.ends[0])
+			w.Acked(w.ends[0], w.ends[0].Number > w.lapsed)
 		}
 		w.ends = w.ends[1:]
 	}
