explain: what happened to a job, task or worker, told from logs

Cause: from an id to its cause took a grep on every VM and the page that says what each line means.

Change: internal/explain reads the lines of many processes, orders those that name an id, says in words what they mean, and puts between them what changed around it: who led, workers it used that fell silent, its pools while they had less than they needed. comfreyloom explain ID FILE...

--- /dev/null
+++ b/internal/explain/story_test.go
@@ -0,0 +1,73 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const entryLog = `{"time":"2026-01-18T14:00:01Z","level":"info","message":"answered","fields":{"id":"a1","kind":"submit","status":504,"took_ms":1050,"error":"control: the request may have run"}}
+{"time":"2026-01-18T14:00:03Z","level":"info","message":"answered","fields":{"id":"a1","kind":"submit","status":200,"took_ms":9}}
+{"time":"2026-01-18T14:00:03Z","level":"info","message":"answered","fields":{"id":"a11","kind":"submit","status":200,"took_ms":9}}
+not a log line
+`
+
+const coreLog = `core-1 {"time":"2026-01-18T14:00:00Z","level":"info","message":"worker announced","fields":{"worker":"w1","pool":"p","draining":false}}
+core-1 {"time":"2026-01-18T14:00:00.5Z","level":"info","message":"no longer leading","fields":{"term":2}}
+core-1 {"time":"2026-01-18T14:00:02Z","level":"info","message":"leading","fields":{"term":3}}
+core-1 {"time":"2026-01-18T14:00:03.1Z","level":"info","message":"runs committed","fields":{"job":"a1","occurrence":0,"step":0,"runs":"0@w1#1 1@w2#1","term":3}}
+core-1 {"time":"2026-01-18T14:00:04Z","level":"info","message":"balance","fields":{"pool":"p","have_mcpu":64000,"need_mcpu":96000}}
+core-1 {"time":"2026-01-18T14:00:04Z","level":"info","message":"balance","fields":{"pool":"q","have_mcpu":64000,"need_mcpu":96000}}
+core-1 {"time":"2026-01-18T14:00:04.5Z","level":"warn","message":"worker does not answer","fields":{"worker":"w2","age_ms":300}}
+core-1 {"time":"2026-01-18T14:00:04.6Z","level":"warn","message":"worker does not answer","fields":{"worker":"w9","age_ms":300}}
+core-1 {"time":"2026-01-18T14:00:09Z","level":"info","message":"run released","fields":{"job":"a1","task":"a1/0/0/1","attempt":1,"worker":"w2","term":3}}
+core-1 {"time":"2026-01-18T14:10:00Z","level":"info","message":"leading","fields":{"term":4}}
+`
+
+func readBoth(t *testing.T) []Line {
+	t.Helper()
+	is := is.New(t)
+	entry, skipped, err := Read(strings.NewReader(entryLog), "entry-1")
+	is.NoErr(err)
+	is.Equal(skipped, 1)
+	core, _, err := Read(strings.NewReader(coreLog), "other")
+	is.NoErr(err)
+	return append(core, entry...)
+}
+
+// A story holds the lines of the id from all processes in the order of time, and
+// of the others only what had to do with it.
+func TestAStoryIsTheIDAndWhatChangedAroundIt(t *testing.T) {
+	is := is.New(t)
+	var got []string
+	for _, e := range Story(readBoth(t), "a1") {
+		mark := ""
+		if e.Context {
+			mark = "| "
+		}
+		got = append(got, mark+e.Source+": "+e.Words)
+	}
+	is.Equal(strings.Join(got, "\n"), strings.Join([]string{
+		"| core-1: this VM no longer leads; nothing is accepted until another one does",
+		"entry-1: submit given up: it may or may not have been taken; the next try with this id tells after 1050 ms (504): control: the request may have run",
+		"| core-1: this VM leads from here, term 3",
+		"entry-1: submit accepted after 9 ms (200)",
+		"core-1: step 0 starts: 0@w1#1 1@w2#1 (task@worker#attempt)",
+		"| core-1: pool p has 64 of 96 cores that it needs",
+		"| core-1: worker w2 does not answer; its last word is 300 ms old",
+		"core-1: task a1/0/0/1, attempt 1, is given up on w2: it surely does not run there",
+	}, "\n"))
+}
+
+func TestAWorkerHasAStoryToo(t *testing.T) {
+	is := is.New(t)
+	own := 0
+	for _, e := range Story(readBoth(t), "w2") {
+		if !e.Context {
+			own++
+		}
+	}
+	is.Equal(own, 3) // starts there, its silence, the run that was given up
+	is.Equal(len(Story(readBoth(t), "w")), 0)
+}
--- /dev/null
+++ b/internal/explain/words.go
@@ -0,0 +1,99 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// words say what a line means; a message that is not known here is told with
+// its fields.
+func words(l *Line) string {
+	switch l.Message {
+	case "started":
+		return "the process starts (" + l.text("role") + ")"
+	case "stopped", "ended":
+		return "the process ends"
+	case "leading":
+		return "this VM leads from here, term " + l.text("term")
+	case "no longer leading":
+		return "this VM no longer leads; nothing is accepted until another one does"
+	case "answered":
+		return answered(l)
+	case "worker announced":
+		return announced(l)
+	case "worker does not answer":
+		return fmt.Sprintf("worker %s does not answer; its last word is %s ms old", l.text("worker"), l.text("age_ms"))
+	case "worker gone":
+		return "worker " + l.text("worker") + " is over, with all that ran on it"
+	case "runs committed":
+		return fmt.Sprintf("step %s starts: %s (task@worker#attempt)", l.text("step"), l.text("runs"))
+	case "run ended":
+		return ended(l)
+	case "run released":
+		return fmt.Sprintf("task %s, attempt %s, is given up on %s: it surely does not run there", l.text("task"), l.text("attempt"), l.text("worker"))
+	case "start refused":
+		return fmt.Sprintf("worker %s refused task %s: %s", l.text("worker"), l.text("task"), l.text("refusal"))
+	case "run stands still":
+		return fmt.Sprintf("task %s stands still at %s %% on %s for %s ms; it is stopped and started elsewhere", l.text("task"), l.text("percent"), l.text("worker"), l.text("age_ms"))
+	case "balance":
+		return fmt.Sprintf("pool %s has %d of %d cores that it needs", l.text("pool"), l.number("have_mcpu")/1000, l.number("need_mcpu")/1000)
+	case "log lines were left out":
+		return l.text("lines") + " log lines are missing here"
+	default:
+		return l.Message + fields(l)
+	}
+}
+
+func answered(l *Line) string {
+	meaning := "answered"
+	switch status := l.number("status"); {
+	case status == 503 || status == 429:
+		meaning = "refused: it was not run and will not be"
+	case status == 502 || status == 504:
+		meaning = "given up: it may or may not have been taken; the next try with this id tells"
+	case status >= 400:
+		meaning = "refused as invalid"
+	case status >= 200 && status < 300:
+		meaning = "accepted"
+	}
+	text := fmt.Sprintf("%s %s after %s ms (%s)", l.text("kind"), meaning, l.text("took_ms"), l.text("status"))
+	if err := l.text("error"); err != "" {
+		text += ": " + err
+	}
+	return text
+}
+
+func announced(l *Line) string {
+	text := fmt.Sprintf("worker %s announces itself in pool %s", l.text("worker"), l.text("pool"))
+	if l.text("draining") == "true" {
+		text = fmt.Sprintf("worker %s is about to leave pool %s", l.text("worker"), l.text("pool"))
+	}
+	return text
+}
+
+func ended(l *Line) string {
+	why := map[string]string{
+		"failed":  "failed",
+		"stopped": "was stopped",
+		"lapsed":  "was ended by its worker, whose lease had passed",
+		"broken":  "ended because another member of its gang did",
+		"alone":   "ended because the other members of its gang did not come",
+	}[l.text("end")]
+	if why == "" {
+		why = "ended " + l.text("end")
+	}
+	return fmt.Sprintf("task %s, attempt %s, %s on %s", l.text("task"), l.text("attempt"), why, l.text("worker"))
+}
+
+func fields(l *Line) string {
+	var parts []string
+	for field := range l.Fields {
+		parts = append(parts, field+" "+l.text(field))
+	}
+	slices.Sort(parts)
+	if len(parts) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(parts, ", ") + ")"
+}
