dispatch: counters by kind, of jobs and of workers, with a page for them

Cause: an on-call engineer could not tell from the metrics address how many jobs wait, how old they are, how many workers are usable, or why starts are refused.

--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
@@ -14,27 +13,9 @@
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
-// counters are the figures of the leader's duty.
-type counters struct {
-	unknown, callsFailed, standstills metrics.Counter
-	starts, ends, releases            metrics.Counter
-	roundTime                         metrics.Timer
-}
-
-func newCounters(r metrics.Registry) *counters {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("dispatch."+name, r) }
-	return &counters{
-		unknown: counter("unknown"), callsFailed: counter("calls_failed"), standstills: counter("standstills"),
-		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"),
-		roundTime: metrics.GetOrRegisterTimer("dispatch.round", r),
-	}
-}
-
 // logDecisions writes a line for each decision of a committed round.
 func (d *Dispatcher) logDecisions(c *workload.Command) {
-	d.counters.starts.Inc(int64(len(c.Starts)))
-	d.counters.ends.Inc(int64(len(c.Ends)))
-	d.counters.releases.Inc(int64(len(c.Releases)))
+	d.counters.committed(c)
 	for first := 0; first < len(c.Starts); {
 		next := first + 1
 		for next < len(c.Starts) && sameStep(c.Starts[first].Run.Task, c.Starts[next].Run.Task) {
@@ -89,6 +70,7 @@
 }
 
 func (d *Dispatcher) logRefusal(to workers.Target, run workload.RunRef, a workers.Answer) {
+	d.counters.refusal(a.Refusal).Inc(1)
 	d.config.Logger.WithField("worker", string(to.ID)).WithField("task", run.Task.String()).
 		WithField("attempt", run.Attempt).WithField("refusal", a.Refusal.String()).Info("start refused")
 }
@@ -128,6 +110,7 @@
 }
 
 func (d *Dispatcher) logFleetAnswer(o capacity.Order, a FleetAnswer) {
+	d.counters.order(a).Inc(1)
 	d.fleetLine(o).WithField("answer", a.String()).Info("order to the platform")
 }
 
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -302,8 +302,12 @@
 func (d *Dispatcher) schedule(t *workload.Tables, c *workload.Command) {
 	now := d.now()
 	workers := make(map[workload.WorkerID]schedule.Worker, len(d.links))
+	silent := 0
 	for id, l := range d.links {
 		l.mu.Lock()
+		if l.silent(now) {
+			silent++
+		}
 		workers[id] = schedule.Worker{
 			Usable:    l.usable(now) && !l.foreign,
 			Closing:   l.closing,
@@ -312,9 +316,12 @@
 		}
 		l.mu.Unlock()
 	}
+	nowMS := d.config.WallMS()
+	d.counters.measure(t, workers, silent, now, nowMS)
 	plan := schedule.Make(schedule.Input{
-		Tables: t, Workers: workers, Freed: freed(t, c), Advice: d.advice.get, NowMS: d.config.WallMS(), MaxStarts: maxStarts,
+		Tables: t, Workers: workers, Freed: freed(t, c), Advice: d.advice.get, NowMS: nowMS, MaxStarts: maxStarts,
 	})
+	d.counters.waited(t, plan.Starts, nowMS)
 	c.Starts, c.Due = plan.Starts, plan.Due
 	d.advice.ask(plan.Ask)
 }
