control: a try ends before a silent leader is replaced

Cause: a leader that loses power is replaced after 0.5 to 1 s, but whoever had asked it waited 600 ms for the answer, and then left it alone for 400 ms, also when it was back.

Ruled out: nothing else waits that long on the way from an entry VM.

Change: a try takes 350 ms at most, a silent core VM is left alone for 250 ms.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// attemptTimeout bounds one try at one process: several times what a
-	// commit takes on a slow disk, and well below a caller's deadline.
-	attemptTimeout = 600 * time.Millisecond
+	// attemptTimeout bounds one try at one process: well above what a commit
+	// takes, and below the time in which a silent leader is replaced, so that
+	// whoever waited for the old one asks the new one at once.
+	attemptTimeout = 350 * time.Millisecond
 	// retryPause is the pause after the first try that failed; it doubles up
 	// to maxRetryPause, so that an election is not flooded with questions.
 	retryPause    = 5 * time.Millisecond
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -63,7 +63,7 @@
 // silentFor is how long a core VM that did not answer is left alone. Others go
 // on naming it as the leader until they elect another; each request that goes
 // there waits for nothing, and its outcome is unknown.
-const silentFor = 400 * time.Millisecond
+const silentFor = 250 * time.Millisecond
 
 // DidNotAnswer notes that a core VM gave no answer in time.
 func (d *Directory) DidNotAnswer(core model.NodeID) {
