--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -20,11 +20,10 @@
 	messageOverhead = 64
 	// bulkBytes is the size from which quorum messages use the bulk link.
 	bulkBytes = 64 << 10
-	// exchangeTimeout bounds a small delivery of quorum messages. With the time
-	// between two heartbeats it lies below the shortest election time (480 ms):
-	// the messages behind one that is stuck on a silent connection must go out
-	// before the followers give the leader up.
-	exchangeTimeout = 250 * time.Millisecond
+	// exchangeTimeout bounds a small delivery of quorum messages. It lies below
+	// the shortest election time (480 ms): the messages behind one that is stuck
+	// on a silent connection must go out before the followers give the leader up.
+	exchangeTimeout = 400 * time.Millisecond
 	// bulkTimeout bounds a delivery on the bulk link.
 	bulkTimeout = 5 * time.Second
 	// failurePause is the least time between a failed delivery and the next,
