dispatch, explain: a lost worker and a released run are logged with reason and ages

An answer of another incarnation no longer counts as a word of the one that is over, so that ages end where the worker was last heard.

--- a/internal/dispatch/flights.go
+++ b/internal/dispatch/flights.go
@@ -178,6 +178,10 @@
 	}
 	if err := d.propose(ctx, c); err != nil {
 		d.logFleetError("what the platform did is not committed; it is asked for again", err)
+		return
+	}
+	for _, id := range c.Gone {
+		d.logGone(term, id, goneReason{why: goneOrdered})
 	}
 }
 
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -92,6 +92,8 @@
 	tries int
 	// dropped: the run is given up; it must not be sent any more.
 	dropped bool
+	// standing: the run was judged to stand still.
+	standing bool
 }
 
 // surelyNot says that the start was refused and can't be carried out later.
@@ -174,14 +176,16 @@
 // heard notes an answer of the worker.
 func (l *link) heard(a workers.Answer, sentAt time.Duration) {
 	now := l.d.now()
+	l.dirty = true
+	if a.Refusal == workers.RefusedIncarnation {
+		l.gone = true
+		return // another incarnation answered
+	}
 	l.lease.hear(a.ClockMS, sentAt, now)
 	l.contact, l.answered, l.failures = now, now, 0
-	l.dirty = true
 	switch a.Refusal {
 	case workers.RefusedFence:
 		l.outranked = true
-	case workers.RefusedIncarnation:
-		l.gone = true
 	case workers.RefusedBusy, workers.RefusedRoom:
 		l.refusedUntil = now + refusedPause
 	}
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -14,7 +14,7 @@
 )
 
 // logDecisions writes a line for each decision of a committed round.
-func (d *Dispatcher) logDecisions(c *workload.Command) {
+func (d *Dispatcher) logDecisions(c *workload.Command, why *reasons) {
 	d.counters.committed(c)
 	for first := 0; first < len(c.Starts); {
 		next := first + 1
@@ -30,13 +30,20 @@
 		}
 	}
 	for _, r := range c.Releases {
-		d.runLine(c.Term, r.Run, r.Worker, "").Info("run released")
+		d.runLine(c.Term, r.Run, r.Worker, "").WithField("why", why.released[r.Run]).Info("run released")
 	}
 	for _, id := range c.Gone {
-		d.config.Logger.WithField("term", c.Term).WithField("worker", string(id)).Info("worker gone")
+		d.logGone(c.Term, id, why.gone[id])
 	}
 }
 
+// logGone writes why a worker is over and what may have been running there.
+func (d *Dispatcher) logGone(term uint64, id workload.WorkerID, reason goneReason) {
+	d.config.Logger.WithFields(log.Fields{
+		"term": term, "worker": string(id), "why": reason.why, "runs": len(reason.lost), "lost": tellLost(reason.lost),
+	}).Info("worker gone")
+}
+
 func sameStep(a, b workload.TaskRef) bool {
 	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -131,7 +131,11 @@
 	if !known {
 		return nil
 	}
-	return d.config.Log.Propose(ctx, &workload.Command{Gone: []workload.WorkerID{id}})
+	if err := d.config.Log.Propose(ctx, &workload.Command{Gone: []workload.WorkerID{id}}); err != nil {
+		return err
+	}
+	d.logGone(0, id, goneReason{why: goneLeft})
+	return nil
 }
 
 // poolOf lists the workers of a pool in order.
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -16,12 +16,13 @@
 func (d *Dispatcher) round(ctx context.Context, term uint64) time.Duration {
 	began := time.Now()
 	command := &workload.Command{Term: term}
+	why := newReasons()
 	d.mu.Lock()
 	d.syncLinks(ctx)
 	d.config.Machine.Read(func(t *workload.Tables) {
 		held := 0
 		for _, l := range d.links {
-			d.reconcile(t, l, command)
+			d.reconcile(t, l, command, why)
 			held += min(len(t.Runs[l.target.ID]), 1)
 		}
 		d.held.Store(int64(held))
@@ -34,7 +35,7 @@
 	if !isEmpty(command) {
 		sortCommand(command)
 		if d.propose(ctx, command) == nil {
-			d.logDecisions(command)
+			d.logDecisions(command, why)
 		}
 	}
 	return work
@@ -99,7 +100,7 @@
 }
 
 // reconcile compares what is committed on a worker with what it listed.
-func (d *Dispatcher) reconcile(t *workload.Tables, l *link, c *workload.Command) {
+func (d *Dispatcher) reconcile(t *workload.Tables, l *link, c *workload.Command, why *reasons) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := d.now()
@@ -115,6 +116,7 @@
 	l.takeAcked(worker.Acked)
 	if l.gone {
 		c.Gone = append(c.Gone, worker.ID)
+		why.gone[worker.ID] = goneReason{why: goneReplaced, lost: l.lostRuns(runs)}
 		return
 	}
 	for _, e := range l.ends {
@@ -125,7 +127,8 @@
 	}
 	for run := range runs {
 		_, stopping := t.Stopping[run]
-		if l.absent(run, stopping || l.evicted[run], now) {
+		if reason := l.absent(run, stopping || l.evicted[run], now); reason != "" {
+			why.released[run] = reason
 			c.Releases = append(c.Releases, workload.Release{Worker: worker.ID, Run: run})
 		}
 	}
@@ -137,6 +140,7 @@
 	l.noteIdle(len(runs) == 0 && len(l.running) == 0, now)
 	if len(runs) == 0 && now-l.contact > forgetWorker && l.contact > 0 {
 		c.Gone = append(c.Gone, worker.ID)
+		why.gone[worker.ID] = goneReason{why: goneSilent}
 	}
 }
 
@@ -197,16 +201,19 @@
 	}
 }
 
-// absent orders what a committed run needs, and reports whether it is certain
-// that the run neither runs nor will.
-func (l *link) absent(run workload.RunRef, stopping bool, now time.Duration) bool {
+// absent orders what a committed run needs, and returns why it is certain that
+// the run neither runs nor will; empty when it is not.
+func (l *link) absent(run workload.RunRef, stopping bool, now time.Duration) string {
 	if l.isEnding(run) {
-		return false
+		return ""
 	}
 	o := l.orderOf(run)
 	if l.surelyOver(run, o, now) {
 		o.dropped = true
-		return true
+		if !o.start.sent && !l.inherited[run] {
+			return releasedUnsent
+		}
+		return releasedLapsed
 	}
 	_, listed := l.running[run]
 	if listed {
@@ -217,28 +224,36 @@
 		if stopping {
 			l.orderStop(run, o, now)
 		}
-		return false
+		return ""
 	}
 	if o.surelyNot() {
-		return true
+		return releasedRefused
 	}
 	if l.inherited[run] {
 		if l.listedAt == 0 {
-			return false
+			return ""
 		}
 		delete(l.inherited, run)
 	}
-	newer := func(p progress) bool { return p.answered && l.listedAt > p.answeredAt }
 	switch {
 	case stopping || o.refusal != workers.Accepted && o.uncertain:
 		l.orderStop(run, o, now)
-		return newer(o.stop)
+		return l.unlistedSince(o.stop)
 	case !o.start.answered:
 		l.orderStart(run, o, now)
-		return false
+		return ""
 	default:
-		return newer(o.start)
+		return l.unlistedSince(o.start)
+	}
+}
+
+// unlistedSince returns releasedUnlisted when a list was asked for after the
+// answer to a call; the caller has seen that it lacks the run.
+func (l *link) unlistedSince(p progress) string {
+	if p.answered && l.listedAt > p.answeredAt {
+		return releasedUnlisted
 	}
+	return ""
 }
 
 // surelyOver says whether a run on a worker that does not answer can't run any
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -30,7 +30,8 @@
 		if spec.Gang || spec.Fills || spec.Lasting && seen.Percent >= atWork {
 			continue
 		}
-		if o := l.orderOf(run); !o.stop.queued && !o.stop.answered {
+		if o := l.orderOf(run); !o.standing {
+			o.standing = true
 			l.suspicion.inRow += suspicionFrom
 			l.suspicion.last = now
 			l.d.counters.standstills.Inc(1)
--- a/internal/explain/words.go
+++ b/internal/explain/words.go
@@ -25,13 +25,13 @@
 	case "worker does not answer":
 		return fmt.Sprintf("worker %s does not answer; its last word is %s ms old", l.text("worker"), l.text("age_ms"))
 	case "worker gone":
-		return "worker " + l.text("worker") + " is over, with all that ran on it"
+		return workerGone(l)
 	case "runs committed":
 		return fmt.Sprintf("step %s starts: %s (task@worker#attempt)", l.text("step"), l.text("runs"))
 	case "run ended":
 		return ended(l)
 	case "run released":
-		return fmt.Sprintf("task %s, attempt %s, is given up on %s: it surely does not run there", l.text("task"), l.text("attempt"), l.text("worker"))
+		return released(l)
 	case "start refused":
 		return fmt.Sprintf("worker %s refused task %s: %s", l.text("worker"), l.text("task"), l.text("refusal"))
 	case "run stands still":
@@ -72,6 +72,22 @@
 	return text
 }
 
+func workerGone(l *Line) string {
+	text := "worker " + l.text("worker") + " is over, with all that ran on it"
+	if why := l.text("why"); why != "" {
+		text += fmt.Sprintf(" (%s; %s runs)", why, l.text("runs"))
+	}
+	return text
+}
+
+func released(l *Line) string {
+	text := fmt.Sprintf("task %s, attempt %s, is given up on %s: it surely does not run there", l.text("task"), l.text("attempt"), l.text("worker"))
+	if why := l.text("why"); why != "" {
+		text += " (" + why + ")"
+	}
+	return text
+}
+
 func ended(l *Line) string {
 	why := map[string]string{
 		"failed":  "failed",
