dispatch: a test of tasks that crash their workers; red

Four jobs (tasks that end, one that lasts, a gang, one task a worker) whose first task crashes each worker that starts it, among sound jobs and changes of leader. Its counterpart, sound tasks that outlive workers lost for other reasons, passes and must go on passing.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -34,6 +34,8 @@
 	sequence uint64
 	// cut: nothing from the leader arrives; the worker runs on.
 	cut bool
+	// down is when the next incarnation begins after a crash; 0 while one is up.
+	down time.Duration
 }
 
 // bear replaces the incarnation at an address.
@@ -66,6 +68,9 @@
 		if f.address != to.Address {
 			continue
 		}
+		if f.down > 0 {
+			return nil, 0, &workers.CallError{Verdict: model.NotRun, Err: io.EOF}
+		}
 		if f.cut || n.w.chance(n.w.trouble/3) {
 			return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
 		}
@@ -103,6 +108,7 @@
 		a := worker.Start(o, n.w.now)
 		if len(worker.Running()) > before {
 			n.w.started(worker, o.Run)
+			n.w.crashUnder(worker, o.Run)
 		}
 		return a
 	}
@@ -110,7 +116,11 @@
 	if err != nil || refusal != workers.Accepted {
 		return workers.Answer{Refusal: refusal}, err
 	}
-	return start(worker), n.lostAnswer()
+	answer := start(worker)
+	if worker.Dead && n.w.chance(50) {
+		return workers.Answer{}, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
+	}
+	return answer, n.lostAnswer()
 }
 
 func (n fakeNet) Stop(_ context.Context, to workers.Target, run workload.RunRef, fence uint64) (workers.Answer, error) {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -47,6 +47,8 @@
 	births  int
 	// refuse lets the log take no command.
 	refuse bool
+	// crashers holds the jobs whose first task crashes each worker that starts it.
+	crashers map[workload.JobID]*crasher
 	// garble is the share of lists with a row that can't be read, out of 100.
 	garble int
 }
@@ -60,6 +62,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, machine: workload.NewMachine(),
 		done: map[workload.TaskRef]bool{}, failed: map[workload.TaskRef]int{}, trouble: 12,
+		crashers: map[workload.JobID]*crasher{},
 	}
 	for i := range 4 {
 		w.workers = append(w.workers, &fakeWorker{address: fmt.Sprintf("10.0.0.%d:80", i)})
@@ -187,6 +190,7 @@
 		w.check()
 	}
 	w.now = until
+	w.revive()
 	w.expire()
 }
 
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -78,6 +78,14 @@
 	return all
 }
 
+// Age returns for how long a run has been running, 0 when it is not there.
+func (w *Worker) Age(r workload.RunRef, now time.Duration) time.Duration {
+	if w.runs[r] == nil {
+		return 0
+	}
+	return now - w.runs[r].started
+}
+
 // End ends a run.
 func (w *Worker) End(r workload.RunRef, kind workload.EndKind) {
 	delete(w.runs, r)
