--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -20,6 +20,7 @@
 	releasedLapsed   = "its leases have passed"
 	releasedUnsent   = "it was never ordered"
 	releasedRefused  = "its start was refused"
+	releasedNoRoom   = "its worker's room has shrunk"
 	releasedUnlisted = "a later list does not hold it"
 )
 
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -33,10 +33,10 @@
 	}
 	d.askSuccessors(r)
 	d.mu.Unlock()
-	if !d.isNews(r.Worker) {
+	if !d.isNews(r) {
 		return nil
 	}
-	if err := d.config.Log.Propose(ctx, &workload.Command{Workers: []workload.Worker{r.Worker}}); err != nil {
+	if err := d.config.Log.Propose(ctx, &workload.Command{Workers: []workload.Worker{r.Worker}, Sequences: []uint64{r.Sequence}}); err != nil {
 		return err
 	}
 	d.logWorker(r)
@@ -105,10 +105,13 @@
 }
 
 // isNews says whether the tables lack what a worker announced.
-func (d *Dispatcher) isNews(w workload.Worker) bool {
-	news := true
+func (d *Dispatcher) isNews(r control.Report) bool {
+	news, w := true, r.Worker
 	d.config.Machine.Read(func(t *workload.Tables) {
 		old := t.Workers[w.ID]
+		if r.Sequence < t.Sequences[w.ID] {
+			w.Capacity = old.Capacity // it was overtaken
+		}
 		news = old == nil || old.Pool != w.Pool || old.Address != w.Address || old.Capacity != w.Capacity ||
 			old.Kind != w.Kind || old.Rack != w.Rack || w.Draining && !old.Draining
 	})
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -130,9 +130,10 @@
 		}
 	}
 	lapsed := false
+	over := !t.Used[worker.ID].Fits(worker.Capacity)
 	for run := range runs {
 		_, stopping := t.Stopping[run]
-		if reason := l.absent(run, stopping || l.evicted[run], now); reason != "" {
+		if reason := l.absent(run, stopping || l.evicted[run], over, now); reason != "" {
 			why.released[run] = reason
 			lapsed = lapsed || reason == releasedLapsed
 			c.Releases = append(c.Releases, workload.Release{Worker: worker.ID, Run: run})
@@ -216,8 +217,9 @@
 }
 
 // absent orders what a committed run needs, and returns why it is certain that
-// the run neither runs nor will; empty when it is not.
-func (l *link) absent(run workload.RunRef, stopping bool, now time.Duration) string {
+// the run neither runs nor will; empty when it is not. On a worker whose room has
+// shrunk below what is committed there (over) nothing more begins.
+func (l *link) absent(run workload.RunRef, stopping, over bool, now time.Duration) string {
 	if l.isEnding(run) {
 		return ""
 	}
@@ -253,6 +255,8 @@
 	case stopping || o.refusal != workers.Accepted && o.uncertain:
 		l.orderStop(run, o, now)
 		return l.unlistedSince(o.stop)
+	case !o.start.answered && over:
+		return l.withhold(run, o, now)
 	case !o.start.answered:
 		l.orderStart(run, o, now)
 		return ""
@@ -261,6 +265,17 @@
 	}
 }
 
+// withhold keeps a start back for which the worker has no room any more, and
+// returns why it is certain that it will not happen; empty when it is not yet.
+func (l *link) withhold(run workload.RunRef, o *order, now time.Duration) string {
+	if !o.start.sent {
+		o.dropped = true
+		return releasedNoRoom
+	}
+	l.orderStop(run, o, now)
+	return l.unlistedSince(o.stop)
+}
+
 // unlistedSince returns releasedUnlisted when a list was asked for after the
 // answer to a call; the caller has seen that it lacks the run.
 func (l *link) unlistedSince(p progress) string {
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -49,6 +49,8 @@
 	refuse bool
 	// crashers holds the jobs whose first task crashes each worker that starts it.
 	crashers map[workload.JobID]*crasher
+	// roomChanges: what runs may exceed a room that has shrunk under it.
+	roomChanges bool
 	// garble is the share of lists with a row that can't be read, out of 100.
 	garble int
 }
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -23,9 +23,7 @@
 	for _, d := range c.Due {
 		t.occur(d)
 	}
-	for i := range c.Starts {
-		t.start(&c.Starts[i])
-	}
+	t.startAll(c.Starts)
 	t.applyWaves(c)
 	for _, machine := range c.Ordered {
 		t.Ordered[machine] = c.AtMS
@@ -38,7 +36,11 @@
 
 func (t *Tables) applyWorkers(c *Command) {
 	for i := range c.Workers {
-		t.putWorker(c.Workers[i])
+		var sequence uint64
+		if i < len(c.Sequences) {
+			sequence = c.Sequences[i]
+		}
+		t.putWorker(c.Workers[i], sequence)
 	}
 	for i := range c.Ends {
 		t.end(&c.Ends[i], c.AtMS)
@@ -138,15 +140,21 @@
 	job.Next++
 }
 
-// putWorker enters a worker or what changed about it. The number of committed
-// ends and a draining state stay.
-func (t *Tables) putWorker(w Worker) {
+// putWorker enters a worker or what changed about it, unless a later report came
+// before. The number of committed ends and a draining state stay.
+func (t *Tables) putWorker(w Worker, sequence uint64) {
 	if old := t.Workers[w.ID]; old != nil {
+		if sequence < t.Sequences[w.ID] {
+			w.Capacity = old.Capacity
+		}
 		w.Acked = max(w.Acked, old.Acked)
 		w.Draining = w.Draining || old.Draining
 		w.Closed = old.Closed
 	}
 	t.Workers[w.ID] = &w
+	if sequence > t.Sequences[w.ID] {
+		t.Sequences[w.ID] = sequence
+	}
 }
 
 // end takes note of an end. Ends come in the order of their numbers; one that
@@ -295,12 +303,62 @@
 	}
 	t.dropLosses(id)
 	delete(t.Workers, id)
+	delete(t.Sequences, id)
 	delete(t.Runs, id)
 	delete(t.Used, id)
 	delete(t.Kinds, id)
 	delete(t.Changes, id)
 }
 
+// startAll commits runs; those of one gang together or not at all.
+func (t *Tables) startAll(starts []Start) {
+	for len(starts) > 0 {
+		n := t.together(starts)
+		if n == 1 || t.haveRoom(starts[:n]) {
+			for i := range starts[:n] {
+				t.start(&starts[i])
+			}
+		}
+		starts = starts[n:]
+	}
+}
+
+// together counts the starts at the beginning of a list that are of one gang; 1
+// for any other.
+func (t *Tables) together(starts []Start) int {
+	first := starts[0].Run
+	job, step, _ := t.Task(first.Task)
+	if step == nil || !job.Spec.Steps[first.Task.Step].Gang {
+		return 1
+	}
+	n := 1
+	for n < len(starts) && sameGang(first, starts[n].Run) {
+		n++
+	}
+	return n
+}
+
+func sameGang(a, b RunRef) bool {
+	return a.Task.Job == b.Task.Job && a.Task.Occurrence == b.Task.Occurrence && a.Task.Step == b.Task.Step && a.Attempt == b.Attempt
+}
+
+// haveRoom says whether the members of a gang all fit on their workers.
+func (t *Tables) haveRoom(starts []Start) bool {
+	taken := map[WorkerID]Resources{}
+	for i := range starts {
+		worker := t.Workers[starts[i].Worker]
+		if worker == nil {
+			return false
+		}
+		charge := t.Jobs[starts[i].Run.Task.Job].Spec.Steps[starts[i].Run.Task.Step].Charge()
+		taken[worker.ID] = taken[worker.ID].Plus(charge)
+		if !taken[worker.ID].Fits(worker.Capacity.Minus(t.Used[worker.ID])) {
+			return false
+		}
+	}
+	return true
+}
+
 // start commits a run if the task still wants one. The leader decided on a
 // state that may have changed since.
 func (t *Tables) start(s *Start) {
@@ -319,6 +377,9 @@
 	if !job.Find(s.Run.Task.Occurrence).Ready(&job.Spec, s.Run.Task.Step) {
 		return
 	}
+	if !spec.Charge().Fits(worker.Capacity.Minus(t.Used[s.Worker])) {
+		return
+	}
 	task.Attempt = s.Run.Attempt
 	job.State = JobRunning
 	t.countStart(s.Run.Task)
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -40,6 +40,9 @@
 	Lost     []Loss     `cbor:"19,keyasint,omitempty"`
 	Crashed  []WorkerID `cbor:"20,keyasint,omitempty"`
 	Returned []WorkerID `cbor:"21,keyasint,omitempty"`
+	// Sequences holds the numbers of the reports that Workers come from, in the
+	// same order; none where they don't come from reports.
+	Sequences []uint64 `cbor:"23,keyasint,omitempty"`
 	// Proven lists the suspects that have run long enough to be sound.
 	Proven []TaskRef `cbor:"22,keyasint,omitempty"`
 	// ForgetBeforeMS drops jobs that ended before; 0 drops none.
--- a/internal/workload/machine.go
+++ b/internal/workload/machine.go
@@ -127,6 +127,8 @@
 	Ordered  map[MachineID]int64
 	Losses   []Loss
 	Suspects []*Suspect
+	// Sequences is Tables.Sequences.
+	Sequences map[WorkerID]uint64
 }
 
 // imageV1 is version 1, which this build reads as well.
@@ -165,6 +167,7 @@
 	for _, id := range slices.Sorted(maps.Keys(t.Waves)) {
 		picture.Waves = append(picture.Waves, t.Waves[id])
 	}
+	picture.Sequences = t.Sequences
 	picture.Losses, picture.Suspects = t.sortedLosses(), t.sortedSuspects()
 	return codec.Marshal(picture)
 }
@@ -235,6 +238,9 @@
 		t.Losses[loss.Worker] = append(t.Losses[loss.Worker], loss)
 		t.indexLoss(&loss)
 	}
+	if p.Sequences != nil {
+		t.Sequences = p.Sequences
+	}
 	for _, s := range p.Suspects {
 		t.Suspects[s.Task] = s
 	}
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -24,6 +24,9 @@
 	// steady clock. It is not replicated; without a clock it stays empty.
 	Learnt map[MachineID]time.Duration
 
+	// Sequences is the number of the last report of each worker that changed
+	// something, 0 where it is not known.
+	Sequences map[WorkerID]uint64
 	// Losses holds the runs lost with a worker that may still come back, Suspects
 	// the tasks under which workers crashed.
 	Losses   map[WorkerID][]Loss
@@ -78,7 +81,8 @@
 	return &Tables{
 		Queues: map[QueueID]*Queue{}, Jobs: map[JobID]*Job{},
 		Workers: map[WorkerID]*Worker{}, Waves: map[int64]*Wave{}, Ordered: map[MachineID]int64{}, Learnt: map[MachineID]time.Duration{},
-		Losses: map[WorkerID][]Loss{}, Suspects: map[TaskRef]*Suspect{}, missing: map[TaskRef]missing{},
+		Sequences: map[WorkerID]uint64{},
+		Losses:    map[WorkerID][]Loss{}, Suspects: map[TaskRef]*Suspect{}, missing: map[TaskRef]missing{},
 		Live: map[QueueID][]*Job{}, Runs: map[WorkerID]map[RunRef]bool{},
 		Used: map[WorkerID]Resources{}, Kinds: map[WorkerID]Kinds{}, Changes: map[WorkerID]uint64{}, Stopping: map[RunRef]WorkerID{},
 	}
