capacity: a VM counts with the room that its worker last reported

The platform's list may still hold the room of before; a pool whose workers had lost room got no VM for it (TestARoomThatShrankIsMadeUpFor failed without the change).

--- a/internal/capacity/decide_test.go
+++ b/internal/capacity/decide_test.go
@@ -213,3 +213,16 @@
 		is.Equal(len(d.Homeless(tables, 3*time.Hour)), 0)
 	})
 }
+
+// A pool whose workers have lost room must get VMs for it, whatever room the
+// platform still lists.
+func TestARoomThatShrankIsMadeUpFor(t *testing.T) {
+	is := is.New(t)
+	s := newSite(map[string]int{"a": 2, "spare": 2})
+	s.in.Need = map[string]int64{"a": 2 * cores32}
+	is.Equal(len(s.decide().Orders), 0)
+	s.apply(&workload.Command{Workers: []workload.Worker{{ID: "i-a-0", Pool: "a", Capacity: workload.Resources{CPU: cores32 / 4, MemoryMB: gib128}}}})
+	orders := s.decide().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Pool, "a")
+}
--- a/internal/capacity/waves.go
+++ b/internal/capacity/waves.go
@@ -19,6 +19,7 @@
 
 // Decide returns a plan.
 func Decide(in Input) Plan {
+	in.VMs = withReportedRoom(in.VMs, in.Tables)
 	p := &planner{Input: in, vms: map[workload.MachineID]*VM{}, taken: map[workload.MachineID]bool{}}
 	for i := range in.VMs {
 		p.vms[in.VMs[i].Machine] = &in.VMs[i]
@@ -32,6 +33,18 @@
 	return p.plan
 }
 
+// withReportedRoom gives each VM the room that its worker last reported: the
+// platform may still list the one that it had before.
+func withReportedRoom(vms []VM, t *workload.Tables) []VM {
+	all := slices.Clone(vms)
+	for i := range all {
+		if w := t.Workers[all[i].Worker]; w != nil {
+			all[i].Capacity = w.Capacity
+		}
+	}
+	return all
+}
+
 // orderEmptied orders what closing workers were emptied for.
 func (p *planner) orderEmptied() {
 	for _, machine := range sortedMachines(p.Closing) {
