dispatch: a standstill counts from list to list

Cause: the age of a progress ran on while no list arrived. It is now the time between the lists that showed it, by the worker's own clock.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -157,11 +157,11 @@
 	l.unread = list.Unread
 	l.running = make(map[workload.RunRef]*observed, len(list.Running))
 	for _, r := range list.Running {
-		seen := &observed{Running: r, since: now, first: now}
+		seen := &observed{Running: r, first: now, sinceMS: list.ClockMS, listedMS: list.ClockMS}
 		if old := before[r.Run]; old != nil {
 			seen.first = old.first
 			if old.Percent == r.Percent {
-				seen.since = old.since
+				seen.sinceMS = old.sinceMS
 			}
 		}
 		l.running[r.Run] = seen
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -79,8 +79,17 @@
 // observed is a run that the worker listed.
 type observed struct {
 	workers.Running
-	// since is when the progress last changed, first when it was first listed.
-	since, first time.Duration
+	// first is when it was first listed.
+	first time.Duration
+	// sinceMS and listedMS are the worker's clock when its progress was first
+	// listed as it is, and in the last list.
+	sinceMS, listedMS int64
+}
+
+// still returns for how long the worker has listed the same progress. It counts
+// from list to list: while none arrives nothing is known.
+func (o *observed) still() time.Duration {
+	return time.Duration(o.listedMS-o.sinceMS) * time.Millisecond
 }
 
 // order is what was asked of a worker about a run.
@@ -246,6 +255,15 @@
 	return seen != nil && seen.Percent >= atWork && !l.silent(l.d.now()) && !l.gone && !l.evicted[run]
 }
 
+// standsStill says whether a run showed no progress for too long in the lists of a
+// worker that answers, and is not being stopped.
+func (l *link) standsStill(run workload.RunRef) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := l.running[run]
+	return seen != nil && seen.still() >= standstill && !l.silent(l.d.now()) && !l.gone && !l.evicted[run]
+}
+
 // poke puts a token in a channel that holds one.
 func poke(c chan struct{}) {
 	select {
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -127,7 +127,7 @@
 func (d *Dispatcher) logStandstill(l *link, run workload.RunRef, seen *observed, now time.Duration) {
 	d.config.Logger.WithField("worker", string(l.target.ID)).WithField("task", run.Task.String()).
 		WithField("attempt", run.Attempt).WithField("percent", seen.Percent).
-		WithField("age_ms", (now - seen.since).Milliseconds()).Warn("run stands still")
+		WithField("age_ms", seen.still().Milliseconds()).WithField("list_age_ms", (now-l.listedAt).Milliseconds()).Warn("run stands still")
 }
 
 func (d *Dispatcher) logWorker(r control.Report) {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -19,7 +19,7 @@
 // renew its lease and report that it is well.
 func (l *link) watch(t *workload.Tables, now time.Duration) {
 	for run, seen := range l.running {
-		if now-seen.since < standstill {
+		if l.silent(now) || seen.still() < standstill {
 			continue
 		}
 		job, _, task := t.Task(run.Task)
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -24,6 +24,9 @@
 	Dead bool
 	// Fails makes every run end failed.
 	Fails bool
+	// Hangs keeps the progress of every run where it is, at HangsAt percent.
+	Hangs   bool
+	HangsAt int
 	// Acked is told of each end that was acknowledged, and whether the lease
 	// held since the end: otherwise the end does not count as taken note of.
 	Acked func(end workload.End, held bool)
@@ -160,6 +163,9 @@
 	list.Ends = append(list.Ends, w.ends...)
 	for r, running := range w.runs {
 		percent := int(min((now-running.started)/(10*time.Millisecond), 100))
+		if w.Hangs {
+			percent = w.HangsAt
+		}
 		list.Running = append(list.Running, workers.Running{Run: r, Percent: percent})
 	}
 	return list
