dispatch: a lasting task that stands still is stopped within the budget of its step

Cause: only evictions asked whether so many others of the step were away (mayStop); a standstill did not. Runs that hang don't wait for each other. The log line names the task that is waited for.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -88,6 +88,8 @@
 	// over remembers incarnations that ended, so that a late report of one
 	// does not bring it back.
 	over map[workload.WorkerID]time.Duration
+	// standing lists the lasting runs that stood still in the round.
+	standing []standingRun
 	// silences holds the workers that do not answer or were lately found over;
 	// poolSizes counts the workers of each pool.
 	silences  map[workload.WorkerID]silence
--- a/internal/dispatch/evict.go
+++ b/internal/dispatch/evict.go
@@ -83,7 +83,7 @@
 		case d.fleet.unplaced[pool]:
 		case !d.hasPlace(t, job, spec, step, id):
 			d.fleet.lacking[pool] = true
-		case leaving || d.mayStop(t, run, spec, step):
+		case leaving || d.awayBut(run, spec, step) == nil:
 			l.evictRun(run)
 			d.fleet.unplaced[pool] = true
 		}
@@ -133,28 +133,3 @@
 	}
 	return false
 }
-
-// mayStop says whether a lasting task may be stopped now: at most so many of
-// its step may be away at once, whatever the cause.
-func (d *Dispatcher) mayStop(t *workload.Tables, run workload.RunRef, spec *workload.StepSpec, step *workload.Step) bool {
-	away := 0
-	for i := range step.Tasks {
-		ref := run.Task
-		ref.Index = i
-		if i != run.Task.Index && !d.isAtWork(ref, &step.Tasks[i]) {
-			away++
-		}
-	}
-	return away < max(spec.MaxUnavailable, 1)
-}
-
-// isAtWork says whether a lasting task was at work in the last list, which is
-// recent, and is not being stopped.
-func (d *Dispatcher) isAtWork(ref workload.TaskRef, task *workload.Task) bool {
-	for _, run := range task.Runs {
-		if l := d.links[run.Worker]; l != nil && l.isAtWork(workload.RunRef{Task: ref, Attempt: run.Attempt}) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -124,10 +124,17 @@
 		WithField("rows", rows).WithField("acked", l.acked).Warn("rows of a worker's lists can't be read; it gets no new work")
 }
 
-func (d *Dispatcher) logStandstill(l *link, run workload.RunRef, seen *observed, now time.Duration) {
-	d.config.Logger.WithField("worker", string(l.target.ID)).WithField("task", run.Task.String()).
-		WithField("attempt", run.Attempt).WithField("percent", seen.Percent).
-		WithField("age_ms", seen.still().Milliseconds()).WithField("list_age_ms", (now-l.listedAt).Milliseconds()).Warn("run stands still")
+// logStandstill writes that a run shows no progress; waitsFor is the task of its
+// step for which it is not stopped yet, nil when it is.
+func (d *Dispatcher) logStandstill(l *link, run workload.RunRef, seen *observed, waitsFor *workload.TaskRef) {
+	fields := log.Fields{
+		"worker": string(l.target.ID), "task": run.Task.String(), "attempt": run.Attempt, "percent": seen.Percent,
+		"age_ms": seen.still().Milliseconds(), "list_age_ms": (d.now() - l.listedAt).Milliseconds(),
+	}
+	if waitsFor != nil {
+		fields["waits_for"] = waitsFor.String()
+	}
+	d.config.Logger.WithFields(fields).Warn("run stands still")
 }
 
 func (d *Dispatcher) logWorker(r control.Report) {
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -22,11 +22,13 @@
 	d.config.Machine.Read(func(t *workload.Tables) {
 		held := 0
 		d.noteSilences(t)
+		d.standing = d.standing[:0]
 		for _, l := range d.links {
 			d.reconcile(t, l, command, why)
 			held += min(len(t.Runs[l.target.ID]), 1)
 		}
 		d.held.Store(int64(held))
+		d.stopStanding(t)
 		d.schedule(t, command)
 	})
 	d.forget(command)
--- a/internal/dispatch/watch_test.go
+++ b/internal/dispatch/watch_test.go
@@ -52,3 +52,40 @@
 	w.play(3 * time.Second)
 	is.True(len(w.workers[0].worker.Running()) == 0 || w.workers[0].worker.Running()[0].Attempt > 1)
 }
+
+// A lasting task must not be stopped for standing still while another of its step
+// is away.
+func TestAStandstillWaitsForTheBudgetOfItsStep(t *testing.T) {
+	is := is.New(t)
+	w := lastingSite(t)
+	w.play(2 * time.Second)
+	is.Equal(w.attempts(), []int{1, 1})
+	w.crash(w.workers[1])
+	w.workers[1].down = w.now + 6*time.Second
+	w.workers[0].worker.Hangs, w.workers[0].worker.HangsAt = true, 60
+	w.play(5500 * time.Millisecond)
+	is.Equal(w.workers[0].worker.Running()[0].Attempt, 1)
+	w.play(6 * time.Second)
+	for _, f := range w.workers {
+		for _, run := range f.worker.Running() {
+			is.True(run.Attempt > 1) // the lost one is back, then the one that hangs was stopped
+		}
+	}
+}
+
+// Two tasks that hang must not wait for each other for ever.
+func TestTwoTasksThatHangAreStoppedInTurn(t *testing.T) {
+	is := is.New(t)
+	w := lastingSite(t)
+	w.play(200 * time.Millisecond)
+	for _, f := range w.workers {
+		f.worker.Hangs, f.worker.HangsAt = true, 18
+	}
+	w.play(4 * time.Second)
+	for _, f := range w.workers { // the one that was stopped works where it is now
+		f.worker.Hangs = f.worker.Running()[0].Attempt == 1
+	}
+	w.play(6 * time.Second)
+	got := w.attempts()
+	is.True(got[0] > 1 && got[1] > 1)
+}
