workload, dispatch: a job is given up after two crashes that its task was alone in

Cause: three crashes with the task alone at the last were taken for proof, and a run counted as just begun up to a second after its start, by the last answer.

Change: two crashes alone, each within half a second of the start by the first call that fails; starts that surely never began are not counted against a task. The bound of five starts in all stays.

--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -35,6 +35,8 @@
 	// got no answer.
 	answered time.Duration
 	failures int
+	// brokeAt is when the first of them failed.
+	brokeAt time.Duration
 	// lostHoldAt is when a call for the lists last got no answer; 0 for never.
 	lostHoldAt time.Duration
 	running    map[workload.RunRef]*observed
@@ -118,7 +120,9 @@
 	queued, calling, sent, answered bool
 	// answeredAt is when the answer came.
 	answeredAt time.Duration
-	queuedAt   time.Duration
+	// sentAt is when it was first sent.
+	sentAt   time.Duration
+	queuedAt time.Duration
 }
 
 // callKind is what a queued call does.
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -24,6 +24,11 @@
 	releasedUnlisted = "a later list does not hold it"
 )
 
+// isVoid says whether a run that was released for a reason surely never began.
+func isVoid(reason string) bool {
+	return reason == releasedUnsent || reason == releasedRefused || reason == releasedNoRoom
+}
+
 // reasons say for log lines why a round decided what it commits.
 type reasons struct {
 	released map[workload.RunRef]string
@@ -49,8 +54,9 @@
 	// age is for how long the run was known to be there when the worker last
 	// answered; negative when it is not known that it began.
 	age time.Duration
-	// inherited: an earlier leader ordered it, and how long ago is not known.
-	inherited bool
+	// most is for how long it can have been there when the worker was lost;
+	// negative where that is not known.
+	most time.Duration
 }
 
 // lostRuns lists what may have been running on a worker that is over, the
@@ -58,11 +64,10 @@
 func (l *link) lostRuns(runs map[workload.RunRef]bool) []lostRun {
 	var all []lostRun
 	for run := range runs {
-		o := l.orders[run]
-		if o != nil && (o.surelyNot() || !o.start.sent) && !l.inherited[run] {
+		if l.neverBegan(run) {
 			continue
 		}
-		all = append(all, lostRun{run: run, age: l.ageOf(run), inherited: l.inherited[run]})
+		all = append(all, lostRun{run: run, age: l.ageOf(run), most: l.mostAge(run)})
 	}
 	slices.SortFunc(all, func(a, b lostRun) int {
 		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.run.Task.String(), b.run.Task.String()))
@@ -70,6 +75,23 @@
 	return all
 }
 
+// neverBegan says whether a committed run surely never began on its worker.
+func (l *link) neverBegan(run workload.RunRef) bool {
+	o := l.orders[run]
+	return !l.inherited[run] && (o == nil || !o.start.sent || o.surelyNot())
+}
+
+// voidRuns lists the runs on a worker that surely never began.
+func (l *link) voidRuns(runs map[workload.RunRef]bool) []workload.RunRef {
+	var all []workload.RunRef
+	for run := range runs {
+		if l.neverBegan(run) {
+			all = append(all, run)
+		}
+	}
+	return all
+}
+
 // ageOf returns for how long a run was known to be on its worker at the
 // worker's last answer; negative when nothing shows that it began.
 func (l *link) ageOf(run workload.RunRef) time.Duration {
@@ -86,6 +108,17 @@
 	return max(l.answered-began, 0)
 }
 
+// mostAge returns for how long a run can have been on its worker when the worker
+// was lost: until the first call that got no answer. It is negative for a run that
+// an earlier leader ordered, and where no call was under way.
+func (l *link) mostAge(run workload.RunRef) time.Duration {
+	o := l.orders[run]
+	if o == nil || o.start.sentAt == 0 || l.brokeAt < o.start.sentAt {
+		return -1
+	}
+	return l.brokeAt - o.start.sentAt
+}
+
 // maxLostTold bounds the runs that one line names.
 const maxLostTold = 24
 
@@ -196,26 +229,23 @@
 	return losses
 }
 
-// isAlone says whether a lost run is the only one on its worker that had begun
-// so lately that it can have ended the worker soon after its start.
+// trial is for how long after its start a run may be what crashes its worker.
+const trial = workload.TrialMS * time.Millisecond
+
+// isAlone says whether a worker was lost soon after the start of a run, and all
+// others there had outlasted their trial.
 func isAlone(lost []lostRun, i int) bool {
-	if lost[i].inherited && lost[i].age < 0 || lost[i].isProven() {
+	if lost[i].most < 0 || lost[i].most > trial {
 		return false
 	}
 	for j := range lost {
-		if j != i && !lost[j].isProven() {
+		if j != i && lost[j].age < trial {
 			return false
 		}
 	}
 	return true
 }
 
-// trial is for how long after its start a run may be what crashes its worker.
-const trial = workload.TrialMS * time.Millisecond
-
-// isProven says whether a run outlasted its trial.
-func (r *lostRun) isProven() bool { return r.age >= trial }
-
 // lapsedLosses returns the losses of the runs that are released as every lease of
 // a silent worker has passed. All its runs are, but for those that never began.
 func (l *link) lapsedLosses(t *workload.Tables, runs map[workload.RunRef]bool, why *reasons) []workload.Loss {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -90,6 +90,9 @@
 	}
 	o.LeaseUntilMS = l.grant(sentAt)
 	o.Fence = l.fence
+	if !record.start.sent {
+		record.start.sentAt = sentAt
+	}
 	record.start.sent, record.start.calling = true, true
 	l.mu.Unlock()
 	answer, err := l.d.config.Workers.Start(ctx, l.target, o)
@@ -171,6 +174,9 @@
 	if context.Cause(l.d.leading) != nil {
 		return
 	}
+	if l.failures == 0 {
+		l.brokeAt = l.d.now()
+	}
 	l.failures++
 	l.dirty = true
 	l.d.counters.callsFailed.Inc(1)
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -122,6 +122,7 @@
 		c.Gone = append(c.Gone, worker.ID)
 		c.Lost = append(c.Lost, lossesOf(worker.ID, lost, d.lostTogether(worker.Pool, l.contact))...)
 		c.Crashed = append(c.Crashed, worker.ID)
+		c.Void = append(c.Void, l.voidRuns(runs)...)
 		why.gone[worker.ID] = goneReason{why: goneReplaced, lost: lost, tasks: liveTasks(t, worker.ID, lost)}
 		return
 	}
@@ -138,6 +139,9 @@
 		if reason := l.absent(run, stopping || l.evicted[run], over, now); reason != "" {
 			why.released[run] = reason
 			lapsed = lapsed || reason == releasedLapsed
+			if isVoid(reason) {
+				c.Void = append(c.Void, run)
+			}
 			c.Releases = append(c.Releases, workload.Release{Worker: worker.ID, Run: run})
 		}
 	}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -70,6 +70,9 @@
 	for _, id := range c.Returned {
 		t.dropLosses(id)
 	}
+	for _, run := range c.Void {
+		t.uncountStart(run)
+	}
 	for _, task := range c.Proven {
 		delete(t.Suspects, task)
 	}
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -43,6 +43,8 @@
 	// Sequences holds the numbers of the reports that Workers come from, in the
 	// same order; none where they don't come from reports.
 	Sequences []uint64 `cbor:"23,keyasint,omitempty"`
+	// Void lists the runs among Releases that surely never began.
+	Void []RunRef `cbor:"24,keyasint,omitempty"`
 	// Proven lists the suspects that have run long enough to be sound.
 	Proven []TaskRef `cbor:"22,keyasint,omitempty"`
 	// ForgetBeforeMS drops jobs that ended before; 0 drops none.
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -14,8 +14,7 @@
 	// AgeMS is for how long the run was known to be there when the worker last
 	// answered, 0 when nothing shows that it began.
 	AgeMS int64
-	// Alone: no other run there had begun so lately, so that none but this one
-	// can have ended the worker soon after its start.
+	// Alone: the worker was lost soon after the start of this run, and of no other.
 	Alone bool
 	// AtMS is when the loss was committed, by the leader's time of day.
 	AtMS int64
@@ -27,9 +26,7 @@
 	Task TaskRef
 	// Crashes counts them all, Alone those under which the task ran alone.
 	Crashes, Alone int
-	// LastAlone says that the last of them is among these.
-	LastAlone bool
-	// Later counts the starts since crashesMost workers were lost, those that may
+	// Later counts the starts since lostMost workers were lost, those that may
 	// still come back included.
 	Later int
 	// SinceMS is when the last crash was counted, by the leader's time of day.
@@ -37,12 +34,14 @@
 }
 
 const (
-	// crashesLeast is the number of crashes with the task alone that show that it
-	// is the cause, crashesMost the number that do when it was alone at the last.
+	// aloneMost is the number of crashes with the task alone that show that it is
+	// the cause. One happens to sound tasks.
+	aloneMost = 2
+	// laterMost bounds the starts after lostMost lost workers, if crashesLeast of
+	// them are known to be over.
+	lostMost     = 3
+	laterMost    = 2
 	crashesLeast = 2
-	crashesMost  = 3
-	// laterMost bounds the starts after crashesMost lost workers.
-	laterMost = 2
 	// IsolateFrom is the number of workers lost under a task from which on it
 	// is started alone on a worker.
 	IsolateFrom = 2
@@ -51,13 +50,11 @@
 	ProvenMS = 20_000
 	// TrialMS is for how long after its start a run may be what crashes its
 	// worker, in milliseconds. Nothing else is started beside a suspect meanwhile.
-	TrialMS = 1000
+	TrialMS = 500
 )
 
 // isGuilty says whether the crashes show that the task is their cause.
-func (s *Suspect) isGuilty() bool {
-	return s.Alone >= crashesLeast || s.Crashes >= crashesMost && s.LastAlone
-}
+func (s *Suspect) isGuilty() bool { return s.Alone >= aloneMost }
 
 // isSpent says whether no further start may follow. Of the workers lost before
 // its last starts one may not be known to be over yet.
@@ -146,7 +143,6 @@
 		t.Suspects[ref] = s
 	}
 	s.Crashes++
-	s.LastAlone = loss.Alone
 	if loss.Alone {
 		s.Alone++
 	}
@@ -158,7 +154,7 @@
 
 // countStart counts a start against what a suspect may still have.
 func (t *Tables) countStart(ref TaskRef) {
-	if lost, _ := t.Suspicion(ref); lost < crashesMost {
+	if lost, _ := t.Suspicion(ref); lost < lostMost {
 		return
 	}
 	if t.Suspects[ref] == nil {
@@ -167,6 +163,18 @@
 	t.Suspects[ref].Later++
 }
 
+// uncountStart takes back what countStart counted for a run that never began. A
+// command that is applied again finds the run released.
+func (t *Tables) uncountStart(run RunRef) {
+	_, _, task := t.Task(run.Task)
+	if task == nil || !slices.ContainsFunc(task.Runs, func(r Run) bool { return r.Attempt == run.Attempt }) {
+		return
+	}
+	if s := t.Suspects[run.Task]; s != nil && s.Later > 0 {
+		s.Later--
+	}
+}
+
 // giveUpSpent fails a job when a run of a suspect that may have no further start
 // has ended without showing that the task is sound.
 func (t *Tables) giveUpSpent(job *Job, ref TaskRef, task *Task, nowMS int64) {
--- a/internal/workload/crash_test.go
+++ b/internal/workload/crash_test.go
@@ -78,10 +78,9 @@
 	is.Equal(l.suspicion(), 0)
 }
 
-// A task is given up after two crashes that it was alone in, or after three if it
-// was alone at the last.
+// A task is given up after two crashes that it was alone in.
 func TestTheCauseOfCrashesIsGivenUp(t *testing.T) {
-	for name, alone := range map[string][]bool{"two alone": {true, true}, "alone at the last": {false, false, true}} {
+	for name, alone := range map[string][]bool{"at once": {true, true}, "in company first": {false, false, true, true}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := crashLog()
@@ -108,7 +107,7 @@
 		l.startOn(id, starts+1)
 		l.crash(id, starts+1, 0, false)
 	}
-	is.Equal(starts, crashesMost+laterMost)
+	is.Equal(starts, lostMost+laterMost)
 }
 
 // What a run shows by ending, or by lasting, clears its task: a sound one outlives
