workload, dispatch: the rest of a lasting step works on when its job has failed

Cause: a job that fails stopped everything of it.

Change: the lasting tasks of a step with a budget outlive a failed job; they are not started again, and the caller's cancelling ends them. What of it had not begun does not begin any more. An eviction asks the budget as before, so that a VM with such a task waits with its maintenance.

TestTheRestOfALastingStepWorksOn and TestARestartLeavesTheRestOfALastingStepAlone failed before.

--- a/internal/control/desk.go
+++ b/internal/control/desk.go
@@ -71,7 +71,7 @@
 	live := false
 	s.machine.Read(func(t *workload.Tables) {
 		if job := known(t, name); job != nil {
-			reply.Finding, live = controlpb.Finding_FINDING_OK, !job.State.Final()
+			reply.Finding, live = controlpb.Finding_FINDING_OK, job.MayCancel()
 			return
 		}
 		reply.Finding = missing(t)
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -256,3 +256,32 @@
 		}
 	}
 }
+
+// When a lasting job is given up for one of its tasks, the others must not be
+// stopped: their step has used up what may be away. Its caller's cancelling ends
+// them.
+func TestTheRestOfALastingStepWorksOn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	w.trouble = 0
+	w.play(time.Second)
+	w.crashers["lasts"] = &crasher{}
+	w.submitJob("lasts", workload.StepSpec{Count: 4, Need: workload.Resources{CPU: 300}, Lasting: true, MaxUnavailable: 1})
+	w.play(25 * time.Second)
+	is.Equal(w.stateOf("lasts"), workload.JobFailed)
+	running := func() (n int) {
+		for _, f := range w.workers {
+			n += len(f.worker.Running())
+		}
+		return n
+	}
+	rest := running()
+	is.True(rest >= 2) // one may have been lost with the last worker
+	w.elect()
+	w.play(8 * time.Second)
+	is.Equal(running(), rest) // a new leader goes on with them
+	w.apply(&workload.Command{AtMS: w.now.Milliseconds(), Cancel: []workload.JobID{"lasts"}})
+	w.play(2 * time.Second)
+	is.Equal(running(), 0)
+	is.Equal(len(w.broken), 0)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -255,7 +255,7 @@
 			return
 		}
 		job, _, task := t.Task(run.Task)
-		if task == nil {
+		if task == nil || job.State.Final() {
 			return
 		}
 		o = workers.StartOrder{Run: run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint}
--- a/internal/dispatch/evict.go
+++ b/internal/dispatch/evict.go
@@ -80,6 +80,10 @@
 			if all {
 				l.evictRun(run)
 			}
+		case job.State.Final():
+			if leaving || d.awayBut(run, spec, step) == nil {
+				l.evictRun(run) // nothing comes in its place
+			}
 		case d.fleet.unplaced[pool]:
 		case !d.hasPlace(t, job, spec, step, id):
 			d.fleet.lacking[pool] = true
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -20,13 +20,13 @@
 	releasedLapsed   = "its leases have passed"
 	releasedUnsent   = "it was never ordered"
 	releasedRefused  = "its start was refused"
-	releasedNoRoom   = "its worker's room has shrunk"
+	releasedWithheld = "it may not begin any more"
 	releasedUnlisted = "a later list does not hold it"
 )
 
 // isVoid says whether a run that was released for a reason surely never began.
 func isVoid(reason string) bool {
-	return reason == releasedUnsent || reason == releasedRefused || reason == releasedNoRoom
+	return reason == releasedUnsent || reason == releasedRefused || reason == releasedWithheld
 }
 
 // reasons say for log lines why a round decided what it commits.
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -136,7 +136,7 @@
 	over := !t.Used[worker.ID].Fits(worker.Capacity)
 	for run := range runs {
 		_, stopping := t.Stopping[run]
-		if reason := l.absent(run, stopping || l.evicted[run], over, now); reason != "" {
+		if reason := l.absent(run, stopping || l.evicted[run], over || isFinal(t, run), now); reason != "" {
 			why.released[run] = reason
 			lapsed = lapsed || reason == releasedLapsed
 			if isVoid(reason) {
@@ -223,9 +223,9 @@
 }
 
 // absent orders what a committed run needs, and returns why it is certain that
-// the run neither runs nor will; empty when it is not. On a worker whose room has
-// shrunk below what is committed there (over) nothing more begins.
-func (l *link) absent(run workload.RunRef, stopping, over bool, now time.Duration) string {
+// the run neither runs nor will; empty when it is not. A run that is withheld, as
+// its worker's room has shrunk or its job is final, does not begin any more.
+func (l *link) absent(run workload.RunRef, stopping, withheld bool, now time.Duration) string {
 	if l.isEnding(run) {
 		return ""
 	}
@@ -261,7 +261,7 @@
 	case stopping || o.refusal != workers.Accepted && o.uncertain:
 		l.orderStop(run, o, now)
 		return l.unlistedSince(o.stop)
-	case !o.start.answered && over:
+	case !o.start.answered && withheld:
 		return l.withhold(run, o, now)
 	case !o.start.answered:
 		l.orderStart(run, o, now)
@@ -271,12 +271,19 @@
 	}
 }
 
-// withhold keeps a start back for which the worker has no room any more, and
+// isFinal says whether a run belongs to a job that is final: some work on, but
+// none begins.
+func isFinal(t *workload.Tables, run workload.RunRef) bool {
+	job := t.Jobs[run.Task.Job]
+	return job == nil || job.State.Final()
+}
+
+// withhold keeps a start back that may not happen any more, and
 // returns why it is certain that it will not happen; empty when it is not yet.
 func (l *link) withhold(run workload.RunRef, o *order, now time.Duration) string {
 	if !o.start.sent {
 		o.dropped = true
-		return releasedNoRoom
+		return releasedWithheld
 	}
 	l.orderStop(run, o, now)
 	return l.unlistedSince(o.stop)
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -125,7 +125,7 @@
 }
 
 func (t *Tables) cancel(id JobID, nowMS int64) {
-	if job := t.Jobs[id]; job != nil && !job.State.Final() {
+	if job := t.Jobs[id]; job != nil && job.MayCancel() {
 		t.finish(job, JobCancelled, nowMS)
 	}
 }
--- a/internal/workload/crash_test.go
+++ b/internal/workload/crash_test.go
@@ -167,3 +167,32 @@
 	is.Equal(m.Applied(), uint64(7))
 	m.Read(func(tables *Tables) { is.Equal(tables.Jobs["j"].Order, uint64(1)) })
 }
+
+// After a restart the tasks of a lasting step work on as before, and still end with
+// the caller's cancelling.
+func TestARestartLeavesTheRestOfALastingStepAlone(t *testing.T) {
+	is := is.New(t)
+	l := newLog()
+	lasting := step(2)
+	lasting.Lasting, lasting.MaxUnavailable = true, 1
+	l.submit("j", lasting)
+	other := TaskRef{Job: "j", Index: 1}
+	l.start(other, 1)
+	for i, id := range []WorkerID{"a", "b"} {
+		l.startOn(id, i+1)
+		l.crash(id, i+1, 0, true)
+	}
+	is.Equal(l.job("j").State, JobFailed)
+	data, err := l.Snapshot()
+	is.NoErr(err)
+	is.NoErr(l.Restore(data))
+	stopping := func() (n int) {
+		l.Read(func(tables *Tables) { n = len(tables.Stopping) })
+		return n
+	}
+	is.Equal(stopping(), 0)
+	l.do(&Command{AtMS: 3000, Cancel: []JobID{"j"}})
+	is.Equal(stopping(), 1)
+	l.do(&Command{Releases: []Release{{Worker: "w", Run: RunRef{Task: other, Attempt: 1}}}})
+	is.Equal(len(l.job("j").Occurrences), 0)
+}
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -188,16 +188,39 @@
 	}
 }
 
-// finish makes a job final. What still runs of it is to be stopped.
+// finish makes a job final. What still runs of it is to be stopped, but for what
+// outlives it.
 func (t *Tables) finish(job *Job, state JobState, nowMS int64) {
 	job.State = state
 	job.EndedMS = nowMS
-	job.eachTask(func(ref TaskRef, _ *Step, task *Task) { t.stopRuns(ref, task) })
+	t.stopFinal(job)
 	t.clearSuspects(job.ID)
 	t.Live[job.Queue] = slices.DeleteFunc(t.Live[job.Queue], func(j *Job) bool { return j == job })
 	t.shrink(job)
 }
 
+// stopFinal marks the runs of a final job as no longer needed.
+func (t *Tables) stopFinal(job *Job) {
+	job.eachTask(func(ref TaskRef, _ *Step, task *Task) {
+		if !job.outlives(ref) {
+			t.stopRuns(ref, task)
+		}
+	})
+}
+
+// outlives says whether a task works on though its job has failed. The tasks of a
+// lasting step serve users of their own, and with the one that failed as many are
+// away as the step allows: only the caller's cancelling ends them.
+func (j *Job) outlives(ref TaskRef) bool {
+	spec := &j.Spec.Steps[ref.Step]
+	return j.State == JobFailed && spec.Lasting && spec.MaxUnavailable > 0
+}
+
+// MayCancel says whether cancelling a job still changes something.
+func (j *Job) MayCancel() bool {
+	return !j.State.Final() || j.State == JobFailed && j.IsActive()
+}
+
 // shrink drops the steps of a final job of which nothing runs any more: only
 // its state is asked for then.
 func (t *Tables) shrink(job *Job) {
@@ -218,7 +241,7 @@
 			for _, run := range task.Runs {
 				t.indexRun(job, RunRef{Task: ref, Attempt: run.Attempt}, run.Worker)
 			}
-			if task.Done || job.State.Final() {
+			if task.Done || job.State.Final() && !job.outlives(ref) {
 				t.stopRuns(ref, task)
 			}
 		})
