--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -90,10 +90,8 @@
 	over map[workload.WorkerID]time.Duration
 	// standing lists the lasting runs that stood still in the round.
 	standing []standingRun
-	// silences holds the workers that do not answer or were lately found over;
-	// poolSizes counts the workers of each pool.
-	silences  map[workload.WorkerID]silence
-	poolSizes map[string]int
+	// silences holds the workers that do not answer or were lately found over.
+	silences map[workload.WorkerID]silence
 	// forgotAt is when jobs were last forgotten.
 	forgotAt time.Duration
 	leading  context.Context
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -156,8 +156,8 @@
 // the next incarnation begins seconds later, each at its own time.
 const silenceKept = 15 * time.Second
 
-// noteSilences notes which workers do not answer or were found over, since when,
-// and how many workers each pool has.
+// noteSilences notes which workers do not answer or were found over, and since
+// when.
 func (d *Dispatcher) noteSilences(t *workload.Tables) {
 	now := d.now()
 	for id, s := range d.silences {
@@ -165,19 +165,9 @@
 			delete(d.silences, id)
 		}
 	}
-	d.poolSizes = map[string]int{}
-	counted := map[string]bool{} // an incarnation that is over and the next one share an address
 	for id, l := range d.links {
-		worker := t.Workers[id]
-		if worker == nil {
-			continue
-		}
-		if !counted[worker.Address] {
-			counted[worker.Address] = true
-			d.poolSizes[worker.Pool]++
-		}
 		l.mu.Lock()
-		if l.gone || l.failures > 0 {
+		if worker := t.Workers[id]; worker != nil && (l.gone || l.failures > 0) {
 			d.silences[id] = silence{pool: worker.Pool, at: l.contact}
 		} else {
 			delete(d.silences, id)
@@ -189,14 +179,23 @@
 // lostTogether says whether a large part of a pool fell silent at about the time
 // of one worker: then a rack or its power failed, and no task shows itself to be
 // the cause.
-func (d *Dispatcher) lostTogether(pool string, at time.Duration) bool {
+func (d *Dispatcher) lostTogether(t *workload.Tables, pool string, at time.Duration) bool {
 	together := 0
 	for _, s := range d.silences {
 		if s.pool == pool && max(s.at-at, at-s.at) <= massWindow {
 			together++
 		}
 	}
-	return together >= massLeast && float64(together) >= massShare*float64(d.poolSizes[pool])
+	if together < massLeast {
+		return false
+	}
+	places := map[string]bool{} // an incarnation that is over and the next one share an address
+	for _, w := range t.Workers {
+		if w.Pool == pool {
+			places[w.Address] = true
+		}
+	}
+	return float64(together) >= massShare*float64(len(places))
 }
 
 // liveTasks lists the tasks that are lost with a worker and belong to jobs that
@@ -250,7 +249,7 @@
 // a silent worker has passed. All its runs are, but for those that never began.
 func (l *link) lapsedLosses(t *workload.Tables, runs map[workload.RunRef]bool, why *reasons) []workload.Loss {
 	var some []workload.Loss
-	for _, loss := range lossesOf(l.target.ID, l.lostRuns(runs), l.d.lostTogether(t.Workers[l.target.ID].Pool, l.contact)) {
+	for _, loss := range lossesOf(l.target.ID, l.lostRuns(runs), l.d.lostTogether(t, t.Workers[l.target.ID].Pool, l.contact)) {
 		if why.released[loss.Run] == releasedLapsed {
 			some = append(some, loss)
 		}
@@ -270,19 +269,52 @@
 	}
 }
 
-// unproven counts the runs on the worker that began so lately that they may yet
-// crash it, and the suspects among them; isolated says that nothing else is to be
-// started here until one of these is through.
-func (l *link) unproven(t *workload.Tables) (runs, suspects int, isolated bool) {
-	for run := range t.Runs[l.target.ID] {
-		if l.ageOf(run) >= trial {
-			continue
+// doubt is what the runs on a worker say of the next one there.
+type doubt struct {
+	// suspects counts those that began lately and whose task lost a worker before.
+	suspects int
+	// isolated: one of them is to be alone until it has outlasted its trial.
+	isolated bool
+}
+
+// doubts finds the workers with suspects on their trial, and whether a task that
+// lost a worker waits for a start.
+func (d *Dispatcher) doubts(t *workload.Tables) (on map[workload.WorkerID]doubt, waiting bool) {
+	on = map[workload.WorkerID]doubt{}
+	t.EachSuspicion(func(ref workload.TaskRef, lost int) {
+		_, _, task := t.Task(ref)
+		if task == nil || task.Done {
+			return
+		}
+		waiting = waiting || len(task.Runs) == 0
+		for _, run := range task.Runs {
+			l := d.links[run.Worker]
+			if l == nil || !l.onTrial(workload.RunRef{Task: ref, Attempt: run.Attempt}) {
+				continue
+			}
+			at := on[run.Worker]
+			at.suspects++
+			at.isolated = at.isolated || lost >= workload.IsolateFrom
+			on[run.Worker] = at
 		}
-		runs++
-		if lost, _ := t.Suspicion(run.Task); lost > 0 {
-			suspects++
-			isolated = isolated || lost >= workload.IsolateFrom
+	})
+	return on, waiting
+}
+
+// onTrial says whether a run may yet crash its worker soon after its start.
+func (l *link) onTrial(run workload.RunRef) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ageOf(run) < trial
+}
+
+// unproven counts the runs on the worker that are on trial.
+func (l *link) unproven(runs map[workload.RunRef]bool) int {
+	n := 0
+	for run := range runs {
+		if l.ageOf(run) < trial {
+			n++
 		}
 	}
-	return runs, suspects, isolated
+	return n
 }
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -120,7 +120,7 @@
 	if l.gone {
 		lost := l.lostRuns(runs)
 		c.Gone = append(c.Gone, worker.ID)
-		c.Lost = append(c.Lost, lossesOf(worker.ID, lost, d.lostTogether(worker.Pool, l.contact))...)
+		c.Lost = append(c.Lost, lossesOf(worker.ID, lost, d.lostTogether(t, worker.Pool, l.contact))...)
 		c.Crashed = append(c.Crashed, worker.ID)
 		c.Void = append(c.Void, l.voidRuns(runs)...)
 		why.gone[worker.ID] = goneReason{why: goneReplaced, lost: lost, tasks: liveTasks(t, worker.ID, lost)}
@@ -360,6 +360,7 @@
 	now := d.now()
 	workers := make(map[workload.WorkerID]schedule.Worker, len(d.links))
 	silent := 0
+	doubts, waiting := d.doubts(t)
 	for id, l := range d.links {
 		l.mu.Lock()
 		if l.silent(now) {
@@ -370,9 +371,11 @@
 			Closing:   l.closing,
 			Doomed:    l.doomed,
 			Suspicion: l.suspicion.level(now),
+			Suspects:  doubts[id].suspects,
+			Trial:     doubts[id].isolated,
 		}
-		if t.HasSuspicions() {
-			w.Unproven, w.Suspects, w.Trial = l.unproven(t)
+		if waiting {
+			w.Unproven = l.unproven(t.Runs[id])
 		}
 		workers[id] = w
 		l.mu.Unlock()
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -73,6 +73,18 @@
 // HasSuspicions says whether a worker was lost under any live task.
 func (t *Tables) HasSuspicions() bool { return len(t.Suspects)+len(t.missing) > 0 }
 
+// EachSuspicion calls f for every task under which workers were lost, in no order.
+func (t *Tables) EachSuspicion(f func(ref TaskRef, lost int)) {
+	for ref, s := range t.Suspects {
+		f(ref, s.Crashes+t.missing[ref].count)
+	}
+	for ref, m := range t.missing {
+		if t.Suspects[ref] == nil {
+			f(ref, m.count)
+		}
+	}
+}
+
 // missing counts the workers that were lost under a task and may come back.
 type missing struct {
 	count   int
