--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -90,6 +90,8 @@
 	over map[workload.WorkerID]time.Duration
 	// standing lists the lasting runs that stood still in the round.
 	standing []standingRun
+	// waiting holds the tasks that lost workers and wait for a start, since when.
+	waiting map[workload.TaskRef]time.Duration
 	// silences holds the workers that do not answer or were lately found over.
 	silences map[workload.WorkerID]silence
 	// forgotAt is when jobs were last forgotten.
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -35,7 +35,7 @@
 	// got no answer.
 	answered time.Duration
 	failures int
-	// brokeAt is when the first of them failed.
+	// brokeAt is when the first of them failed, 0 while none has.
 	brokeAt time.Duration
 	// lostHoldAt is when a call for the lists last got no answer; 0 for never.
 	lostHoldAt time.Duration
@@ -198,7 +198,7 @@
 		return // another incarnation answered
 	}
 	l.lease.hear(a.ClockMS, sentAt, now)
-	l.contact, l.answered, l.failures = now, now, 0
+	l.contact, l.answered, l.failures, l.brokeAt = now, now, 0, 0
 	l.asked = false
 	switch a.Refusal {
 	case workers.RefusedFence:
--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -277,16 +277,23 @@
 	isolated bool
 }
 
-// doubts finds the workers with suspects on their trial, and whether a task that
-// lost a worker waits for a start.
-func (d *Dispatcher) doubts(t *workload.Tables) (on map[workload.WorkerID]doubt, waiting bool) {
-	on = map[workload.WorkerID]doubt{}
+// doubts finds the workers with suspects on their trial, and notes since when the
+// others wait for a start.
+func (d *Dispatcher) doubts(t *workload.Tables) map[workload.WorkerID]doubt {
+	on := map[workload.WorkerID]doubt{}
+	before := d.waiting
+	d.waiting = map[workload.TaskRef]time.Duration{}
 	t.EachSuspicion(func(ref workload.TaskRef, lost int) {
 		_, _, task := t.Task(ref)
 		if task == nil || task.Done {
 			return
 		}
-		waiting = waiting || len(task.Runs) == 0
+		if len(task.Runs) == 0 {
+			d.waiting[ref] = d.now()
+			if since, waited := before[ref]; waited {
+				d.waiting[ref] = since
+			}
+		}
 		for _, run := range task.Runs {
 			l := d.links[run.Worker]
 			if l == nil || !l.onTrial(workload.RunRef{Task: ref, Attempt: run.Attempt}) {
@@ -298,7 +305,21 @@
 			on[run.Worker] = at
 		}
 	})
-	return on, waiting
+	return on
+}
+
+// suspectPatience is how long a suspect waits for a worker of its own.
+const suspectPatience = 2 * time.Second
+
+// overdue lists the suspects that have waited for that long.
+func (d *Dispatcher) overdue(now time.Duration) map[workload.TaskRef]bool {
+	all := map[workload.TaskRef]bool{}
+	for ref, since := range d.waiting {
+		if now-since >= suspectPatience {
+			all[ref] = true
+		}
+	}
+	return all
 }
 
 // onTrial says whether a run may yet crash its worker soon after its start.
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -148,8 +148,8 @@
 	if lapsed {
 		c.Lost = append(c.Lost, l.lapsedLosses(t, runs, why)...)
 	}
-	missed := len(t.Losses[worker.ID]) > 0
-	if missed && l.failures == 0 && l.answered > 0 {
+	hasLosses := len(t.Losses[worker.ID]) > 0
+	if hasLosses && l.failures == 0 && l.answered > 0 {
 		c.Returned = append(c.Returned, worker.ID)
 	}
 	l.proveSuspects(t, c)
@@ -157,7 +157,7 @@
 	l.forgetOrders(runs)
 	l.watch(t, now)
 	l.steerPace(t, now)
-	l.want(len(runs) > 0 || missed && now-l.reported < freshContact)
+	l.want(len(runs) > 0 || hasLosses && now-l.reported < freshContact)
 	l.noteIdle(len(runs) == 0 && len(l.running) == 0, now)
 	if len(runs) == 0 && now-l.contact > forgetWorker && l.contact > 0 {
 		c.Gone = append(c.Gone, worker.ID)
@@ -360,7 +360,8 @@
 	now := d.now()
 	workers := make(map[workload.WorkerID]schedule.Worker, len(d.links))
 	silent := 0
-	doubts, waiting := d.doubts(t)
+	doubts := d.doubts(t)
+	overdue := d.overdue(now)
 	for id, l := range d.links {
 		l.mu.Lock()
 		if l.silent(now) {
@@ -374,7 +375,7 @@
 			Suspects:  doubts[id].suspects,
 			Trial:     doubts[id].isolated,
 		}
-		if waiting {
+		if len(d.waiting) > 0 {
 			w.Unproven = l.unproven(t.Runs[id])
 		}
 		workers[id] = w
@@ -383,7 +384,7 @@
 	nowMS := d.config.WallMS()
 	d.counters.measure(t, workers, silent, now, nowMS)
 	plan := schedule.Make(schedule.Input{
-		Tables: t, Workers: workers, Freed: freed(t, c), Advice: d.advice.get, NowMS: nowMS, MaxStarts: maxStarts,
+		Tables: t, Workers: workers, Freed: freed(t, c), Advice: d.advice.get, Overdue: overdue, NowMS: nowMS, MaxStarts: maxStarts,
 	})
 	d.counters.waited(t, plan.Starts, nowMS)
 	c.Starts, c.Due = plan.Starts, plan.Due
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -183,19 +183,18 @@
 		if tasks[i].Done || len(tasks[i].Runs) > 0 {
 			continue
 		}
-		isolated := p.isolated(w.ref(i))
-		if isolated && !spec.Gang {
+		d := p.doubtOf(w.ref(i))
+		if d.isolated && !spec.Gang {
 			continue // placeSuspects sees to it
 		}
-		lost := p.lost(w.ref(i))
-		best := p.best(spec, fit, here, doubt{lost: lost, isolated: isolated})
+		best := p.best(spec, fit, here, d)
 		if best == nil {
 			p.noteFull(w, fit)
 			break // the tasks of a step are alike: no other one fits either
 		}
 		p.take(w, best)
-		best.suspects += min(lost, 1)
-		best.reserved = best.reserved || isolated
+		best.suspects += min(d.lost, 1)
+		best.reserved = best.reserved || d.isolated
 		here[best.worker.ID]++
 		placed = append(placed, placement{index: i, candidate: best})
 		if len(p.plan.Starts)+len(placed) >= p.MaxStarts && !spec.Gang {
@@ -238,11 +237,11 @@
 	trust int
 	// near says that the data lies on the candidate's rack.
 	near int
+	// apart says that no task disturbs another's latency.
+	apart int
 	// company is lower where the task and another would put each other in doubt,
 	// should the worker crash.
 	company int
-	// apart says that no task disturbs another's latency.
-	apart int
 	// staying is lower where the VM will be maintained soon.
 	staying int
 	// spread is lower where many lasting tasks of the step run: a VM that is
@@ -284,8 +283,8 @@
 	return cmp.Or(
 		cmp.Compare(s.trust, o.trust),
 		cmp.Compare(s.near, o.near),
-		cmp.Compare(s.company, o.company),
 		cmp.Compare(s.apart, o.apart),
+		cmp.Compare(s.company, o.company),
 		cmp.Compare(s.staying, o.staying),
 		cmp.Compare(s.spread, o.spread),
 		cmp.Compare(s.pinned, o.pinned),
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -48,6 +48,9 @@
 	// Freed is the room of the runs whose ends are committed with the plan,
 	// before its starts take effect.
 	Freed map[workload.WorkerID]workload.Resources
+	// Overdue holds the suspects that have waited long enough for a worker of their
+	// own; they are started like any other task.
+	Overdue map[workload.TaskRef]bool
 	// Advice returns what the advisor said, nil when it must be asked first.
 	Advice func(StepRef) *Advice
 	// NowMS is the time of day in Unix milliseconds.
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/comfreyloom/comfreyloom/internal/order"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -14,9 +13,6 @@
 	// runs there proves itself.
 	reservedShare     = 0.125
 	idleReservedShare = 0.5
-	// patienceMS is how long a suspect waits for a worker of its own; then it is
-	// started like any other task.
-	patienceMS = 2000
 )
 
 // doubt is what the lost workers say of a task.
@@ -37,23 +33,21 @@
 
 // company ranks a candidate by whom the task would put in doubt there.
 func (d doubt) company(c *candidate) int {
-	if d.lost > 0 {
+	switch {
+	case d.isolated:
+		return -c.runs
+	case d.lost > 0:
 		return -c.unproven
+	default:
+		return -min(c.suspects, 1)
 	}
-	return -min(c.suspects, 1)
 }
 
-// isolated says whether a task is to be started alone on a worker, so that a
-// crash shows whether it is the cause.
-func (p *planner) isolated(ref workload.TaskRef) bool {
-	lost, sinceMS := p.Tables.Suspicion(ref)
-	return lost >= workload.IsolateFrom && p.NowMS-sinceMS < patienceMS
-}
-
-// lost returns how many workers were lost under a task.
-func (p *planner) lost(ref workload.TaskRef) int {
-	lost, _ := p.Tables.Suspicion(ref)
-	return lost
+// doubtOf says how a task is to be started after the workers that it lost: from
+// IsolateFrom on alone, so that a crash shows whether it is the cause.
+func (p *planner) doubtOf(ref workload.TaskRef) doubt {
+	lost := p.Tables.Suspicion(ref)
+	return doubt{lost: lost, isolated: lost >= workload.IsolateFrom && !p.Overdue[ref]}
 }
 
 // placeSuspects starts the suspects that find a worker of their own, and keeps
@@ -71,7 +65,7 @@
 			continue
 		}
 		for _, index := range suspects {
-			if c := p.clean(w, fit); c != nil {
+			if c := p.best(w.spec(), fit, tasksOn(w), p.doubtOf(w.ref(index))); c != nil {
 				p.take(w, c)
 				p.commit(w, []placement{{index: index, candidate: c}})
 				c.reserved = true
@@ -87,37 +81,13 @@
 	var all []int
 	tasks := w.occurrence.Steps[w.step].Tasks
 	for i := range tasks {
-		if !tasks[i].Done && len(tasks[i].Runs) == 0 && p.isolated(w.ref(i)) {
+		if !tasks[i].Done && len(tasks[i].Runs) == 0 && p.doubtOf(w.ref(i)).isolated {
 			all = append(all, i)
 		}
 	}
 	return all
 }
 
-// clean returns the candidate with the fewest runs on which nothing began lately
-// and the step has room; nil when there is none.
-func (p *planner) clean(w waitingStep, fit []*candidate) *candidate {
-	var best *candidate
-	here := tasksOn(w)
-	for _, c := range fit {
-		if c.unproven > 0 || !p.hasRoom(w.spec(), c, here) {
-			continue
-		}
-		if best == nil || isCleaner(w.spec(), c, best) {
-			best = c
-		}
-	}
-	return best
-}
-
-// isCleaner prefers the rack of the data, then the worker with fewer runs.
-func isCleaner(spec *workload.StepSpec, a, b *candidate) bool {
-	return cmp.Or(
-		order.Bools(spec.DataRack != "" && b.worker.Rack == spec.DataRack, spec.DataRack != "" && a.worker.Rack == spec.DataRack),
-		cmp.Compare(a.runs, b.runs),
-	) < 0
-}
-
 func (p *planner) hasRoom(spec *workload.StepSpec, c *candidate, here map[workload.WorkerID]int) bool {
 	return spec.Charge().Fits(c.free) && (spec.MaxPerWorker == 0 || here[c.worker.ID] < spec.MaxPerWorker)
 }
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -62,7 +62,7 @@
 
 func (t *Tables) applyLosses(c *Command) {
 	for _, loss := range c.Lost {
-		t.lose(loss, c.AtMS)
+		t.lose(loss)
 	}
 	for _, id := range c.Crashed {
 		t.crashed(id, c.AtMS)
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -16,8 +16,6 @@
 	AgeMS int64
 	// Alone: the worker was lost soon after the start of this run, and of no other.
 	Alone bool
-	// AtMS is when the loss was committed, by the leader's time of day.
-	AtMS int64
 }
 
 // Suspect counts the workers that crashed under a task, one after the other.
@@ -29,8 +27,6 @@
 	// Later counts the starts since lostMost workers were lost, those that may
 	// still come back included.
 	Later int
-	// SinceMS is when the last crash was counted, by the leader's time of day.
-	SinceMS int64
 }
 
 const (
@@ -61,13 +57,13 @@
 func (s *Suspect) isSpent() bool { return s.Crashes >= crashesLeast && s.Later >= laterMost }
 
 // Suspicion returns how many workers were lost under a task in a row, those that
-// may still come back included, and when the last one was, in Unix milliseconds.
-func (t *Tables) Suspicion(ref TaskRef) (lost int, sinceMS int64) {
+// may still come back included.
+func (t *Tables) Suspicion(ref TaskRef) int {
+	lost := t.missing[ref]
 	if s := t.Suspects[ref]; s != nil {
-		lost, sinceMS = s.Crashes, s.SinceMS
+		lost += s.Crashes
 	}
-	missing := t.missing[ref]
-	return lost + missing.count, max(sinceMS, missing.sinceMS)
+	return lost
 }
 
 // HasSuspicions says whether a worker was lost under any live task.
@@ -76,37 +72,23 @@
 // EachSuspicion calls f for every task under which workers were lost, in no order.
 func (t *Tables) EachSuspicion(f func(ref TaskRef, lost int)) {
 	for ref, s := range t.Suspects {
-		f(ref, s.Crashes+t.missing[ref].count)
+		f(ref, s.Crashes+t.missing[ref])
 	}
 	for ref, m := range t.missing {
 		if t.Suspects[ref] == nil {
-			f(ref, m.count)
+			f(ref, m)
 		}
 	}
 }
 
-// missing counts the workers that were lost under a task and may come back.
-type missing struct {
-	count   int
-	sinceMS int64
-}
-
 // lose notes a run that leaves the tables with its worker. It counts as a crash
 // once it is certain that the worker is over.
-func (t *Tables) lose(loss Loss, nowMS int64) {
+func (t *Tables) lose(loss Loss) {
 	if t.Workers[loss.Worker] == nil || !t.Runs[loss.Worker][loss.Run] {
 		return
 	}
-	loss.AtMS = nowMS
 	t.Losses[loss.Worker] = append(t.Losses[loss.Worker], loss)
-	t.indexLoss(&loss)
-}
-
-func (t *Tables) indexLoss(loss *Loss) {
-	m := t.missing[loss.Run.Task]
-	m.count++
-	m.sinceMS = max(m.sinceMS, loss.AtMS)
-	t.missing[loss.Run.Task] = m
+	t.missing[loss.Run.Task]++
 }
 
 // dropLosses forgets what was lost with a worker: it is back, or it was ended in
@@ -116,10 +98,8 @@
 	delete(t.Losses, id)
 	for i := range losses {
 		task := losses[i].Run.Task
-		m := t.missing[task]
-		m.count--
-		t.missing[task] = m
-		if m.count <= 0 {
+		t.missing[task]--
+		if t.missing[task] == 0 {
 			delete(t.missing, task)
 		}
 	}
@@ -158,7 +138,6 @@
 	if loss.Alone {
 		s.Alone++
 	}
-	s.SinceMS = nowMS
 	if s.isGuilty() {
 		t.finish(job, JobFailed, nowMS)
 	}
@@ -166,7 +145,7 @@
 
 // countStart counts a start against what a suspect may still have.
 func (t *Tables) countStart(ref TaskRef) {
-	if lost, _ := t.Suspicion(ref); lost < lostMost {
+	if t.Suspicion(ref) < lostMost {
 		return
 	}
 	if t.Suspects[ref] == nil {
--- a/internal/workload/machine.go
+++ b/internal/workload/machine.go
@@ -236,7 +236,7 @@
 	}
 	for _, loss := range p.Losses {
 		t.Losses[loss.Worker] = append(t.Losses[loss.Worker], loss)
-		t.indexLoss(&loss)
+		t.missing[loss.Run.Task]++
 	}
 	if p.Sequences != nil {
 		t.Sequences = p.Sequences
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -34,8 +34,8 @@
 
 	// What follows is derived from the above.
 
-	// missing counts Losses by task.
-	missing map[TaskRef]missing
+	// missing counts Losses by task: the workers lost under it that may come back.
+	missing map[TaskRef]int
 
 	// Live holds the jobs that are not final, by queue, in order of acceptance.
 	Live map[QueueID][]*Job
@@ -82,7 +82,7 @@
 		Queues: map[QueueID]*Queue{}, Jobs: map[JobID]*Job{},
 		Workers: map[WorkerID]*Worker{}, Waves: map[int64]*Wave{}, Ordered: map[MachineID]int64{}, Learnt: map[MachineID]time.Duration{},
 		Sequences: map[WorkerID]uint64{},
-		Losses:    map[WorkerID][]Loss{}, Suspects: map[TaskRef]*Suspect{}, missing: map[TaskRef]missing{},
+		Losses:    map[WorkerID][]Loss{}, Suspects: map[TaskRef]*Suspect{}, missing: map[TaskRef]int{},
 		Live: map[QueueID][]*Job{}, Runs: map[WorkerID]map[RunRef]bool{},
 		Used: map[WorkerID]Resources{}, Kinds: map[WorkerID]Kinds{}, Changes: map[WorkerID]uint64{}, Stopping: map[RunRef]WorkerID{},
 	}
