--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -278,8 +278,8 @@
 	return job == nil || job.State.Final()
 }
 
-// withhold keeps a start back that may not happen any more, and
-// returns why it is certain that it will not happen; empty when it is not yet.
+// withhold keeps a start back that may not happen any more, and returns why it is
+// certain that it will not; empty when it is not yet.
 func (l *link) withhold(run workload.RunRef, o *order, now time.Duration) string {
 	if !o.start.sent {
 		o.dropped = true
