replica, member, platform: lines that tell lost configurations apart

The logs could not tell whether an acknowledged configuration was stored by too few disks, not stored at all, or read from a leader that was replaced. No decision changes.

--- a/internal/member/log.go
+++ b/internal/member/log.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"github.com/apex/log"
+
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/datafolder"
 	"github.com/comfreyloom/comfreyloom/internal/quorum"
@@ -16,6 +18,7 @@
 type controlLog struct {
 	replica *replica.Replica
 	wallMS  func() int64
+	logger  log.Interface
 }
 
 var _ control.Log = controlLog{}
@@ -48,5 +51,16 @@
 	if result.Refused != "" {
 		return errors.Join(state.ErrNotProposed, errRefused, errors.New(string(result.Refused)))
 	}
+	if c.Config != nil {
+		l.logConfig(c.Config.Version, result.Index)
+	}
 	return nil
 }
+
+// logConfig logs that a configuration is committed, and with how many voters, so
+// that one which is lost later can be traced to the disks that held it.
+func (l controlLog) logConfig(version, index uint64) {
+	s := l.replica.Status()
+	l.logger.WithField("version", version).WithField("index", index).WithField("term", s.Term).
+		WithField("voters", len(s.Voters.Members)).Info("configuration committed")
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -123,7 +123,7 @@
 	m.nodes.SetReceiver(opened.Step)
 	m.nodeServer.SetVoter(node.FromReplica(opened))
 	wallMS := func() int64 { return time.Now().UnixMilli() }
-	controlled := controlLog{replica: opened, wallMS: wallMS}
+	controlled := controlLog{replica: opened, wallMS: wallMS, logger: m.Logger}
 	m.dispatcher = dispatch.New(dispatch.Config{
 		Self: string(m.Settings.Node.Name), Log: controlled, Machine: m.machine,
 		Workers: m.dependencies.Workers, Fleet: m.dependencies.Fleet, Advisor: m.dependencies.Advisor,
--- a/internal/quorum/status.go
+++ b/internal/quorum/status.go
@@ -25,6 +25,9 @@
 	Confirmed bool
 	// Transferring reports that a leadership transfer is in progress.
 	Transferring bool
+	// Granted is the number of voters, itself included, that granted this
+	// candidate their vote or pre-vote; 0 in other roles.
+	Granted int
 }
 
 // PeerStatus is the replication state of another voter as the leader sees it.
@@ -48,6 +51,7 @@
 		Voters: r.log.voters(), VotersPending: r.voterChangePending(),
 		Ready:     r.role == RoleLeader && r.ownTermCommitted(),
 		Confirmed: r.confirmed(), Transferring: r.transfer.to != "",
+		Granted: len(r.votes),
 	}
 }
 
--- a/internal/quorum/voters.go
+++ b/internal/quorum/voters.go
@@ -37,6 +37,11 @@
 	return Voters{Members: slices.DeleteFunc(slices.Clone(v.Members), isID)}
 }
 
+// Equal reports whether both sets have the same members.
+func (v Voters) Equal(o Voters) bool {
+	return slices.Equal(v.Members, o.Members)
+}
+
 // Quorum returns the size of a majority: any two majorities share a voter.
 func (v Voters) Quorum() int {
 	return len(v.Members)/2 + 1
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -34,6 +34,7 @@
 	syncTimes     syncTimes
 	saving        bool
 	fatalErr      error
+	report        report
 
 	toSave  *ring.Ring[quorum.Snapshot]
 	reviews *ring.Ring[struct{}]
@@ -208,6 +209,7 @@
 		return
 	}
 	d.trackRole()
+	d.logBeliefs(passed)
 	d.expireWaiters()
 	if d.ticksToReview <= 0 && d.raft.Status().Ready {
 		d.ticksToReview = d.config.ReviewTicks
--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -245,26 +245,26 @@
 	members := []model.NodeID{"a", "b", "c"}
 	known := identities{"a": active("a", "1"), "b": active("b", "2"), "c": active("c", "1")}
 	voters := quorum.Voters{Members: []quorum.ID{"a#1", "b#1", "c#1"}}
-	next, ok := nextStaticVoters(voters, known["a"], members, known)
-	is.True(ok)
+	next, why := nextStaticVoters(voters, known["a"], members, known)
+	is.Equal(why, voterLostDisk)
 	is.Equal(next.Members, []quorum.ID{"a#1", "c#1"}) // the old disk is removed first
-	next, ok = nextStaticVoters(next, known["a"], members, known)
-	is.True(ok)
+	next, why = nextStaticVoters(next, known["a"], members, known)
+	is.Equal(why, voterJoins)
 	is.Equal(next.Members, []quorum.ID{"a#1", "b#2", "c#1"}) // then the new one is added
-	_, ok = nextStaticVoters(next, known["a"], members, known)
-	is.True(!ok)
+	_, why = nextStaticVoters(next, known["a"], members, known)
+	is.Equal(why, noVoterChange)
 	known["c"] = Identity{Node: "c", Disk: "9", Phase: datafolder.PhaseEmpty}
-	_, ok = nextStaticVoters(next, known["a"], members, known)
-	is.True(!ok) // a disk that is not active is not added
+	_, why = nextStaticVoters(next, known["a"], members, known)
+	is.Equal(why, noVoterChange) // a disk that is not active is not added
 	foreign := active("c", "9")
 	foreign.Founding.ID = "other"
 	known["c"] = foreign
-	_, ok = nextStaticVoters(next, known["a"], members, known)
-	is.True(!ok) // nor is one of another founding
+	_, why = nextStaticVoters(next, known["a"], members, known)
+	is.Equal(why, noVoterChange) // nor is one of another founding
 	delete(known, "c")
-	_, ok = nextStaticVoters(next, known["a"], []model.NodeID{"a", "b", "x"}, known)
-	is.True(!ok) // a node that never replies replaces no voter
-	next, ok = nextStaticVoters(next, known["a"], []model.NodeID{"a", "b"}, known)
-	is.True(ok)
+	_, why = nextStaticVoters(next, known["a"], []model.NodeID{"a", "b", "x"}, known)
+	is.Equal(why, noVoterChange) // a node that never replies replaces no voter
+	next, why = nextStaticVoters(next, known["a"], []model.NodeID{"a", "b"}, known)
+	is.Equal(why, voterNotConfigured)
 	is.Equal(next.Members, []quorum.ID{"a#1", "b#2"}) // a node that is no longer configured is removed
 }
--- a/internal/replica/growing.go
+++ b/internal/replica/growing.go
@@ -31,16 +31,17 @@
 }
 
 // nextDynamicVoters returns the next change of one member when nodes come and
-// go and no list of them is configured; false when there is none.
+// go and no list of them is configured, and the reason; noVoterChange when there
+// is none.
 //
 // A voter that is lost for good must not stay a voter: with five voters, two of
 // them replaced by new nodes, a quorum of seven would need four of the five
 // that run. Removing an unresponsive voter is safe, since a quorum of the
 // voters commits its removal, and it is added again once it responds.
-func nextDynamicVoters(current quorum.Voters, self Identity, known identities, peers []quorum.PeerStatus, limits unresponsiveLimits) (quorum.Voters, bool) {
+func nextDynamicVoters(current quorum.Voters, self Identity, known identities, peers []quorum.PeerStatus, limits unresponsiveLimits) (quorum.Voters, voterChange) {
 	for _, id := range current.Members {
 		if hasNewDisk(id, self, known) {
-			return current.Without(id), true
+			return current.Without(id), voterLostDisk
 		}
 	}
 	unresponsive, ticks := longestUnresponsive(current, peers)
@@ -49,14 +50,14 @@
 			continue
 		}
 		if ticks >= limits.replace && len(current.Members) >= minVoters {
-			return current.Without(unresponsive), true
+			return current.Without(unresponsive), voterReplaced
 		}
-		return current.With(known[node].Voter()), true
+		return current.With(known[node].Voter()), voterJoins
 	}
 	if ticks >= limits.remove && len(current.Members) > minVoters {
-		return current.Without(unresponsive), true
+		return current.Without(unresponsive), voterUnresponsive
 	}
-	return quorum.Voters{}, false
+	return quorum.Voters{}, noVoterChange
 }
 
 // longestUnresponsive returns the voter that has not responded for the most
--- a/internal/replica/growing_test.go
+++ b/internal/replica/growing_test.go
@@ -33,14 +33,14 @@
 func TestNewNodeBecomesVoter(t *testing.T) {
 	is := is.New(t)
 	voters, known := fiveVoters()
-	_, changed := nextDynamicVoters(voters, known["a"], known, nil, testLimits)
-	is.True(!changed)
+	_, why := nextDynamicVoters(voters, known["a"], known, nil, testLimits)
+	is.Equal(why, noVoterChange)
 	known["f"] = activeDisk("f", "1")
 	next, _ := nextDynamicVoters(voters, known["a"], known, nil, testLimits)
 	is.True(next.Has("f#1"))
 	known["f"] = Identity{Site: "s", Node: "f", Disk: "1", Phase: datafolder.PhaseEmpty}
-	_, changed = nextDynamicVoters(voters, known["a"], known, nil, testLimits)
-	is.True(!changed) // an empty disk has not joined the site yet
+	_, why = nextDynamicVoters(voters, known["a"], known, nil, testLimits)
+	is.Equal(why, noVoterChange) // an empty disk has not joined the site yet
 }
 
 // Guards against lost voters that still count: two VMs are replaced by new ones
@@ -58,8 +58,8 @@
 	is.True(next.Has("f#1"))
 
 	delete(known, "f")
-	_, changed := nextDynamicVoters(voters, known["a"], known, unresponsivePeer("e#1", 40), testLimits)
-	is.True(!changed) // no node waits to vote, and the voter may return
+	_, why := nextDynamicVoters(voters, known["a"], known, unresponsivePeer("e#1", 40), testLimits)
+	is.Equal(why, noVoterChange) // no node waits to vote, and the voter may return
 	next, _ = nextDynamicVoters(voters, known["a"], known, unresponsivePeer("e#1", 100), testLimits)
 	is.True(!next.Has("e#1"))
 }
@@ -79,8 +79,8 @@
 	is := is.New(t)
 	voters, known := fiveVoters()
 	voters = voters.Without("d#1").Without("e#1")
-	_, changed := nextDynamicVoters(voters, known["a"], identities{"a": known["a"], "b": known["b"]}, unresponsivePeer("c#1", 1000), testLimits)
-	is.True(!changed)
+	_, why := nextDynamicVoters(voters, known["a"], identities{"a": known["a"], "b": known["b"]}, unresponsivePeer("c#1", 1000), testLimits)
+	is.Equal(why, noVoterChange)
 }
 
 // Guards against a second site: a seed loses its disk and restarts while it is
--- a/internal/replica/static_voters.go
+++ b/internal/replica/static_voters.go
@@ -9,8 +9,8 @@
 )
 
 // nextStaticVoters returns the next change of one member that brings the voters
-// closer to the configured nodes with their current disks; false when there is
-// none. Members are the configured voters, known the identities they reported,
+// closer to the configured nodes with their current disks, and the reason;
+// noVoterChange when there is none. Members are the configured voters, known the identities they reported,
 // self the leader.
 //
 // A voter that returned with a new disk is first removed and then added again.
@@ -25,10 +25,10 @@
 // A voter that is no longer configured is removed last, once every configured
 // node votes: a misspelt name in the settings of the leader then changes
 // nothing.
-func nextStaticVoters(current quorum.Voters, self Identity, members []model.NodeID, known identities) (quorum.Voters, bool) {
+func nextStaticVoters(current quorum.Voters, self Identity, members []model.NodeID, known identities) (quorum.Voters, voterChange) {
 	for _, id := range current.Members {
 		if hasNewDisk(id, self, known) {
-			return current.Without(id), true
+			return current.Without(id), voterLostDisk
 		}
 	}
 	all := true
@@ -37,16 +37,16 @@
 			continue
 		}
 		if identity, ok := known[node]; ok && isReadyToVote(identity, self) {
-			return current.With(identity.Voter()), true
+			return current.With(identity.Voter()), voterJoins
 		}
 		all = false
 	}
 	for _, id := range current.Members {
 		if all && !slices.Contains(members, datafolder.NodeOf(id)) {
-			return current.Without(id), true
+			return current.Without(id), voterNotConfigured
 		}
 	}
-	return quorum.Voters{}, false
+	return quorum.Voters{}, noVoterChange
 }
 
 // hasNewDisk reports whether the node of a voter returned with another disk.
