--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -91,6 +91,8 @@
 	// acknowledged holds every voter identity that granted a vote or
 	// acknowledged entries.
 	acknowledged map[quorum.ID]bool
+	// founded is set once the site may not be founded again.
+	founded bool
 	// adjustConfig changes the configuration of a voter.
 	adjustConfig func(*Config)
 }
