replica: a site is founded by as many voters as its tolerated losses need

Callers saw: a configuration was acknowledged, two core VMs lost their disks, which the site tolerates, and it was never read back; no request was served again (CONFIG, 'no config in time').

Cause: three seeds founded the site whatever it must tolerate, and it accepted commands from then on while it grew to nine voters one by one. Two disks are a majority of three: the one voter left can neither be elected nor prove what it holds. What the platform tolerates was not in our settings at all.

Change: lost_disks in [bounds], from the platform's fault-tolerance; the first seed lists that many founders, twice the losses and one more, of the empty disks that answered.

Weighed: refusing commands until the site has grown. It would keep the acknowledged, but the same two losses would still leave a site that nobody can elect a leader of.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -175,7 +175,7 @@
 	return replica.Config{
 		Folder: m.Settings.Node.DataFolder, Site: siteName, Self: self, Members: founders,
 		Candidates: m.directory.Cores, StateMachine: m.machine, Transport: m.nodes, Bootstrapper: m.nodes,
-		TickInterval: tick, ReviewTicks: reviewTicks, Log: m.Logger, Metrics: m.Metrics,
+		LostDisks: m.Settings.Bounds.LostDisks, TickInterval: tick, ReviewTicks: reviewTicks, Log: m.Logger, Metrics: m.Metrics,
 		// Only the leader replies to requests and acts on the state.
 		PiggybackCommit: true,
 	}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -48,6 +48,11 @@
 	// unresponsive.
 	Candidates func() []model.NodeID
 
+	// LostDisks is how many voters may lose their disks at once without the loss
+	// of a committed command. When Candidates is set, a site is founded by, and
+	// keeps, as many voters as that takes.
+	LostDisks int
+
 	StateMachine StateMachine
 	Transport    Transport
 	Bootstrapper Bootstrapper
--- a/internal/replica/enter_site.go
+++ b/internal/replica/enter_site.go
@@ -25,7 +25,7 @@
 			return ctx.Err()
 		}
 		unanswered = r.logUnanswered(unanswered, current)
-		next := nextStep(r.Identity(), r.config.Members, previous, current)
+		next := nextStep(r.Identity(), r.founders(), previous, current)
 		if err := r.applyStep(next, current); err != nil {
 			return oops.In("replica").Wrapf(err, "enter the site")
 		}
@@ -42,6 +42,16 @@
 	return nil
 }
 
+// founders returns the configured voters, and how many founders the site needs
+// where voters are discovered at run time.
+func (r *Replica) founders() founders {
+	by := founders{configured: r.config.Members}
+	if r.config.dynamicVoters {
+		by.count = votersToTolerate(r.config.LostDisks)
+	}
+	return by
+}
+
 // nodesToQuery returns the configured voters or, on a disk that adopted a
 // founding, perhaps under other settings, the voters that this founding lists.
 func (r *Replica) nodesToQuery() []model.NodeID {
@@ -64,6 +74,7 @@
 	list := strings.Join(unanswered, " ")
 	if list != previous {
 		r.config.Log.WithField("phase", r.Identity().Phase.String()).WithField("silent", list).
+			WithField("founders", max(r.founders().count, len(r.config.Members))).
 			Info("data folder is not active yet; asking the other voters")
 	}
 	return list
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -16,8 +16,10 @@
 // A disk has a random identity and a phase: empty, adopted, active. Only an
 // active disk takes part in the quorum. The first of the configured voters (by
 // name) creates a founding, which lists the disks of all configured voters, but
-// only when every one of them has replied that its disk is empty. By this it
-// adopts the founding itself. Another empty disk adopts a founding that lists
+// only when every one of them has replied that its disk is empty. Where these are
+// too few to tolerate the loss of as many disks as the site must, the founding
+// lists empty disks of other nodes that replied as well; without enough of them it
+// is not created. By this the first voter adopts the founding itself. Another empty disk adopts a founding that lists
 // it, unless a disk that replied is active already: it joins that one's site
 // then. An adopted disk becomes active once every other listed disk replied that
 // it has adopted the founding, or one disk replied that it is active under it.
@@ -80,10 +82,10 @@
 
 // nextStep returns the next step of this disk. All queries of current were sent
 // after the replies of previous had arrived.
-func nextStep(self Identity, members []model.NodeID, previous, current identities) step {
+func nextStep(self Identity, by founders, previous, current identities) step {
 	switch self.Phase {
 	case datafolder.PhaseEmpty:
-		return nextStepEmpty(self, members, current)
+		return nextStepEmpty(self, by, current)
 	case datafolder.PhaseAdopted:
 		return nextStepAdopted(self, previous, current)
 	default:
@@ -95,7 +97,7 @@
 // while the replies show disks that are active under two foundings. Otherwise it
 // joins the site of an active disk, or adopts a founding that lists this disk, or
 // founds the site, in this order.
-func nextStepEmpty(self Identity, members []model.NodeID, current identities) step {
+func nextStepEmpty(self Identity, by founders, current identities) step {
 	if len(conflictingFoundings(current)) > 0 {
 		return step{}
 	}
@@ -109,17 +111,30 @@
 			return step{kind: stepAdopt, founding: other.Founding}
 		}
 	}
-	return foundSite(self, members, current)
+	return foundSite(self, by, current)
 }
 
-// foundSite founds the site when this is the first voter and all disks are
-// empty.
-func foundSite(self Identity, members []model.NodeID, current identities) step {
-	if len(members) == 0 || self.Node != slices.Min(members) {
+// votersToTolerate returns the smallest number of voters that can lose as many
+// disks: a quorum of them survives, and of each quorum at least one voter does.
+func votersToTolerate(lostDisks int) int { return 2*lostDisks + 1 }
+
+// founders are the nodes that may found a site.
+type founders struct {
+	// configured are founders in any case. The first of them by name creates the
+	// founding; nobody does when there are none.
+	configured []model.NodeID
+	// count is the least number of founders.
+	count int
+}
+
+// foundSite founds the site when this is the first configured founder, the disks
+// of all configured ones are empty, and there are enough of other nodes.
+func foundSite(self Identity, by founders, current identities) step {
+	if len(by.configured) == 0 || self.Node != slices.Min(by.configured) {
 		return step{}
 	}
 	voters := []quorum.ID{self.Voter()}
-	for _, node := range members {
+	for _, node := range by.configured {
 		if node == self.Node {
 			continue
 		}
@@ -129,6 +144,15 @@
 		}
 		voters = append(voters, other.Voter())
 	}
+	for _, node := range slices.Sorted(maps.Keys(current)) {
+		isFree := current[node].Phase == datafolder.PhaseEmpty && !slices.Contains(by.configured, node)
+		if isFree && len(voters) < by.count {
+			voters = append(voters, current[node].Voter())
+		}
+	}
+	if len(voters) < by.count {
+		return step{}
+	}
 	return step{kind: stepAdopt, founding: datafolder.NewFounding(voters)}
 }
 
--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -21,6 +21,7 @@
 type foundingSimulation struct {
 	random   *rand.Rand
 	members  []model.NodeID
+	by       founders
 	disks    map[model.NodeID]*fakedisk.Disk
 	folders  map[model.NodeID]*datafolder.Folder
 	previous map[model.NodeID]identities
@@ -34,11 +35,11 @@
 	abandoned map[string]bool
 }
 
-func newFoundingSimulation(seed uint64) *foundingSimulation {
+func newFoundingSimulation(seed uint64, members []model.NodeID, by founders) *foundingSimulation {
 	s := &foundingSimulation{
 		random:  rand.New(rand.NewPCG(seed, 3)),
-		members: []model.NodeID{"a", "b", "c"},
-		disks:   map[model.NodeID]*fakedisk.Disk{}, folders: map[model.NodeID]*datafolder.Folder{},
+		members: members, by: by,
+		disks: map[model.NodeID]*fakedisk.Disk{}, folders: map[model.NodeID]*datafolder.Folder{},
 		previous: map[model.NodeID]identities{}, current: map[model.NodeID]identities{},
 		everActive: map[string]map[quorum.ID]bool{}, founded: map[string]quorum.Voters{},
 		committed: map[string]bool{}, abandoned: map[string]bool{},
@@ -83,7 +84,7 @@
 	r := &Replica{config: Config{Self: node}, folder: folder, counters: newCounters(nil)}
 	r.config.completeEnvironment()
 	r.config.Log = discardLogger
-	next := nextStep(folder.Identity(), s.members, s.previous[node], s.current[node])
+	next := nextStep(folder.Identity(), s.by, s.previous[node], s.current[node])
 	s.previous[node], s.current[node] = s.current[node], identities{}
 	if next.kind == stepRenewDisk {
 		s.abandoned[folder.Identity().Founding.ID] = true
@@ -171,9 +172,20 @@
 // failure follows when a voter takes part in two foundings or founds on
 // outdated replies.
 func TestFoundingIsOnlyOne(t *testing.T) {
+	seeds := []model.NodeID{"a", "b", "c"}
+	checkFounding(t, seeds, founders{configured: seeds})
+}
+
+// The same where the seeds need two more founders of four other nodes.
+func TestFoundingWithOtherNodesIsOnlyOne(t *testing.T) {
+	members := []model.NodeID{"a", "b", "c", "d", "e", "f", "g"}
+	checkFounding(t, members, founders{configured: members[:3], count: 5})
+}
+
+func checkFounding(t *testing.T, members []model.NodeID, by founders) {
 	stuck, runs := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := newFoundingSimulation(rapid.Uint64().Draw(t, "seed"))
+		s := newFoundingSimulation(rapid.Uint64().Draw(t, "seed"), members, by)
 		node := rapid.SampledFrom(s.members)
 		// A third loss may destroy the last disk that belongs to the site;
 		// founding a new one is correct then.
@@ -229,12 +241,12 @@
 	self := disk("b", "1", datafolder.PhaseAdopted)
 	lost := identities{"a": Identity{Node: "a", Disk: "2", Phase: datafolder.PhaseEmpty}, "c": disk("c", "1", datafolder.PhaseAdopted)}
 	one := identities{"a": disk("a", "1", datafolder.PhaseAdopted)}
-	is.Equal(nextStep(self, nil, nil, one).kind, stepWait)        // c may still adopt another founding
-	is.Equal(nextStep(self, nil, nil, lost).kind, stepWait)       // c was queried before a was known to be lost
-	is.Equal(nextStep(self, nil, lost, one).kind, stepWait)       // c did not reply
-	is.Equal(nextStep(self, nil, lost, lost).kind, stepRenewDisk) // a is lost, and c was still not active after that
+	is.Equal(nextStep(self, founders{}, nil, one).kind, stepWait)        // c may still adopt another founding
+	is.Equal(nextStep(self, founders{}, nil, lost).kind, stepWait)       // c was queried before a was known to be lost
+	is.Equal(nextStep(self, founders{}, lost, one).kind, stepWait)       // c did not reply
+	is.Equal(nextStep(self, founders{}, lost, lost).kind, stepRenewDisk) // a is lost, and c was still not active after that
 	lost["c"] = disk("c", "1", datafolder.PhaseActive)
-	is.Equal(nextStep(self, nil, lost, lost).kind, stepActivate) // c is active, so the founding is in use
+	is.Equal(nextStep(self, founders{}, lost, lost).kind, stepActivate) // c is active, so the founding is in use
 }
 
 func TestVotersFollowDisks(t *testing.T) {
@@ -268,3 +280,21 @@
 	is.Equal(why, voterNotConfigured)
 	is.Equal(next.Members, []quorum.ID{"a#1", "b#2"}) // a node that is no longer configured is removed
 }
+
+// Guards against a site founded by three seeds that must tolerate two lost disks.
+func TestFoundersTolerateLostDisks(t *testing.T) {
+	is := is.New(t)
+	empty := func(node model.NodeID) Identity {
+		return Identity{Site: "s", Node: node, Disk: "1", Phase: datafolder.PhaseEmpty}
+	}
+	by := founders{configured: []model.NodeID{"a", "b", "c"}, count: 5}
+	replied := identities{"b": empty("b"), "c": empty("c"), "x": empty("x")}
+	is.Equal(nextStep(empty("a"), by, nil, replied).kind, stepWait) // one founder is missing
+	replied["y"], replied["z"] = empty("y"), empty("z")
+	is.Equal(nextStep(empty("x"), by, nil, replied).kind, stepWait) // x is not configured to found
+	step := nextStep(empty("a"), by, nil, replied)
+	is.Equal(step.kind, stepAdopt)
+	is.Equal(step.founding.Voters.Members, []quorum.ID{"a#1", "b#1", "c#1", "x#1", "y#1"})
+	delete(replied, "c")
+	is.Equal(nextStep(empty("a"), by, nil, replied).kind, stepWait) // a configured founder is missing
+}
--- a/internal/replica/growing_test.go
+++ b/internal/replica/growing_test.go
@@ -88,9 +88,9 @@
 func TestEmptySeedJoinsAndNeverFounds(t *testing.T) {
 	is := is.New(t)
 	empty := Identity{Site: "s", Node: "a", Disk: "2", Phase: datafolder.PhaseEmpty}
-	is.Equal(nextStep(empty, nil, nil, identities{}).kind, stepWait)
+	is.Equal(nextStep(empty, founders{}, nil, identities{}).kind, stepWait)
 	others := identities{"b": {Site: "s", Node: "b", Disk: "1", Phase: datafolder.PhaseEmpty}}
-	is.Equal(nextStep(empty, nil, nil, others).kind, stepWait)
+	is.Equal(nextStep(empty, founders{}, nil, others).kind, stepWait)
 	others["c"] = activeDisk("c", "1")
-	is.Equal(nextStep(empty, nil, nil, others).kind, stepJoin)
+	is.Equal(nextStep(empty, founders{}, nil, others).kind, stepJoin)
 }
--- a/internal/replica/lost_disks_test.go
+++ b/internal/replica/lost_disks_test.go
@@ -22,6 +22,7 @@
 func newGrowingCluster(t *testing.T) *cluster {
 	c := newCluster(t, "a", "b", "c", "d", "e", "f", "g", "h", "i")
 	c.adjustConfig = func(config *Config) {
+		config.LostDisks = lostDisks
 		config.Members = nil
 		if !c.founded {
 			config.Members = []model.NodeID{"a", "b", "c"}
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -62,13 +62,19 @@
 	Nodes, Metrics string
 }
 
-// MemberBounds holds times that the site or its environment guarantees.
+// maxLostDisks bounds the setting lost_disks: the voters that it takes, twice as
+// many and one more, are the largest set that a leader can serve.
+const maxLostDisks = 8
+
+// MemberBounds holds times and numbers that the site or its environment guarantees.
 type MemberBounds struct {
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
 	// FleetTakeOver is the time within which orders for one VM of the platform must
 	// not alternate between two VMs of the site.
 	FleetTakeOver time.Duration
+	// LostDisks is how many core VMs may lose their disks at once.
+	LostDisks int
 	// StopTimeout is the time from a request to stop until the process is killed.
 	StopTimeout time.Duration
 }
@@ -110,6 +116,7 @@
 		Bounds: MemberBounds{
 			LeaseMax:      bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
 			FleetTakeOver: bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
+			LostDisks:     int(bounds.Int("lost_disks", "1", 0, maxLostDisks)),
 			StopTimeout:   bounds.Duration("stop_within", "6s", time.Second, time.Minute),
 		},
 		Fleet:     f.Section("fleet").Address("address", ""),
--- a/internal/settings/member_test.go
+++ b/internal/settings/member_test.go
@@ -22,6 +22,7 @@
 addresses = 10.1.0.9:8623,10.2.0.9:8623,10.3.0.9
 [bounds]
 worker_lease_max = 6000ms
+lost_disks = 2
 [fleet]
 address = 10.200.0.1:80
 orders_per_second = 64.0
@@ -38,6 +39,7 @@
 	is.Equal(string(m.NodeID("10.2.0.9")), "10.2.0.9:7060")
 	is.Equal(m.Bounds.LeaseMax, 6*time.Second)
 	is.Equal(m.FleetRate, 64.0)
+	is.Equal(m.Bounds.LostDisks, 2)
 }
 
 func TestMemberProblemsNameTheKey(t *testing.T) {
@@ -48,6 +50,7 @@
 		"bad role":     {"role = core", "role = other", "role"},
 		"unknown key":  {"ip = 10.1.0.9", "ip = 10.1.0.9\nspeed = 3", "speed"},
 		"no unit":      {"6000ms", "6000", "worker_lease_max"},
+		"too many":     {"lost_disks = 2", "lost_disks = 9", "lost_disks"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, problems := ParseMember("core.ini", []byte(strings.Replace(coreSettings, c.from, c.to, 1)))
