replica: unresponsive voters are removed only while the rest tolerate lost disks

Cause: voters that did not respond were removed one by one down to three, and below while a node waited to vote; each waiting node let all unresponsive voters be removed before it was added. Then two lost disks are a majority again, though the voters that were removed still have theirs.

Change: no voter with its disk is removed while fewer than the required ones would be left; a node that waits is added first then. Replaced disks are exchanged one by one, so that at most one is missing. The logic for sites with configured voters is unchanged: there the founders are configured.

--- a/internal/replica/growing_test.go
+++ b/internal/replica/growing_test.go
@@ -10,7 +10,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/quorum"
 )
 
-var testLimits = unresponsiveLimits{replace: 30, remove: 100}
+var testLimits = voterLimits{replace: 30, remove: 100, required: 3}
 
 func activeDisk(node model.NodeID, disk string) Identity {
 	return Identity{Site: "s", Node: node, Disk: disk, Phase: datafolder.PhaseActive, Founding: datafolder.Founding{ID: "f"}}
@@ -75,6 +75,46 @@
 	is.True(next.Has("c#2"))
 }
 
+// Guards against removals of voters that only don't respond until two lost disks
+// are all that held an acknowledged command. Five voters tolerate two lost disks;
+// a node that waits to vote is added before a voter is removed.
+func TestNeverFewerVotersThanLossesNeed(t *testing.T) {
+	is := is.New(t)
+	limits := testLimits
+	limits.required = 5
+	voters, known := fiveVoters()
+	delete(known, "e")
+	silent := unresponsivePeer("e#1", 1000)
+	_, why := nextDynamicVoters(voters, known["a"], known, silent, limits)
+	is.Equal(why, noVoterChange)
+	known["f"] = activeDisk("f", "1")
+	next, why := nextDynamicVoters(voters, known["a"], known, silent, limits)
+	is.Equal(why, voterJoins)
+	is.Equal(len(next.Members), 6)
+	next, why = nextDynamicVoters(next, known["a"], known, silent, limits)
+	is.Equal(why, voterUnresponsive)
+	is.True(!next.Has("e#1"))
+}
+
+// Guards against two replaced disks that are both removed before either node is
+// added again: three voters are left, and two more lost disks end the site.
+func TestReplacedDisksAreExchangedOneByOne(t *testing.T) {
+	is := is.New(t)
+	limits := testLimits
+	limits.required = 5
+	voters, known := fiveVoters()
+	known["d"], known["e"] = activeDisk("d", "2"), activeDisk("e", "2")
+	for _, expected := range []struct {
+		why  voterChange
+		size int
+	}{{voterLostDisk, 4}, {voterJoins, 5}, {voterLostDisk, 4}, {voterJoins, 5}, {noVoterChange, 0}} {
+		next, why := nextDynamicVoters(voters, known["a"], known, nil, limits)
+		is.Equal(why, expected.why)
+		is.Equal(len(next.Members), expected.size)
+		voters = next
+	}
+}
+
 func TestNeverFewerThanThreeVoters(t *testing.T) {
 	is := is.New(t)
 	voters, known := fiveVoters()
--- a/internal/replica/review_voters.go
+++ b/internal/replica/review_voters.go
@@ -59,5 +59,5 @@
 	if !d.config.dynamicVoters {
 		return nextStaticVoters(current, d.Identity(), d.config.Members, known)
 	}
-	return nextDynamicVoters(current, d.Identity(), known, d.raft.Peers(), d.unresponsiveLimits())
+	return nextDynamicVoters(current, d.Identity(), known, d.raft.Peers(), d.voterLimits())
 }
