cmd: a soak of configurations with lost disks and losses of power

Real processes at any size: operators send changes, large ones, races, resends, overtaken and invalid ones; every core VM is read and every entry VM is asked for queues; each answer must agree with a version that may be in force, nothing older than what was acknowledged or read before.

--- /dev/null
+++ b/cmd/comfreyloom/durable_disk_test.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+
+	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+)
+
+// durableVariable names the folder in which a process of a test keeps what its
+// data folder would hold after a loss of power.
+const durableVariable = "COMFREYLOOM_TEST_DURABLE"
+
+// mainWithDurableDisk is main with a disk that can lose its power.
+func mainWithDurableDisk() {
+	if folder := os.Getenv(durableVariable); folder != "" {
+		dataDisk = &durableDisk{durable: folder, files: map[string]*durableFile{}}
+	}
+	main()
+}
+
+// durableDisk is the operating system's disk that also keeps a durable copy: the
+// content of a file up to its last sync, and names as of the last sync of their
+// directory. A new file becomes durable with its own sync. A test that kills the
+// process may go on with the durable copy, see losePower.
+type durableDisk struct {
+	datafolder.Disk
+	durable string
+
+	mu    sync.Mutex
+	files map[string]*durableFile // by name
+	next  int
+}
+
+// durableFile is one file; unsynced is what was written since the last sync.
+type durableFile struct {
+	store    string
+	unsynced []byte
+	named    bool
+}
+
+// path returns where the durable copy of a name is.
+func (d *durableDisk) path(name string) string { return filepath.Join(d.durable, "names", name) }
+
+// file returns the file of a name. One that an earlier process left is compared
+// with its durable copy.
+func (d *durableDisk) file(name string) *durableFile {
+	if f := d.files[name]; f != nil {
+		return f
+	}
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return nil
+	}
+	f := d.newFile()
+	if stored, err := os.ReadFile(d.path(name)); err == nil && bytes.HasPrefix(content, stored) {
+		f.store, f.named, content = d.path(name), true, content[len(stored):]
+	}
+	f.unsynced = content
+	d.files[name] = f
+	return f
+}
+
+func (d *durableDisk) newFile() *durableFile {
+	d.next++
+	return &durableFile{store: filepath.Join(d.durable, "files", fmt.Sprintf("%d-%d", os.Getpid(), d.next))}
+}
+
+// Create implements datafolder.FS.
+func (d *durableDisk) Create(name string) (datafolder.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	file, err := d.Disk.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	f := d.newFile()
+	d.files[name] = f
+	return &openDurableFile{File: file, disk: d, file: f, name: name}, nil
+}
+
+// Rename implements datafolder.FS.
+func (d *durableDisk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.file(from)
+	if err := d.Disk.Rename(from, to); err != nil {
+		return err
+	}
+	delete(d.files, from)
+	f.named = false
+	d.files[to] = f
+	return nil
+}
+
+// Remove implements datafolder.FS.
+func (d *durableDisk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.files, name)
+	return d.Disk.Remove(name)
+}
+
+// SyncDir implements datafolder.FS.
+func (d *durableDisk) SyncDir(dir string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names, err := d.List(dir)
+	if err != nil {
+		return err
+	}
+	kept := map[string]bool{}
+	for _, base := range names {
+		name := filepath.Join(dir, base)
+		kept[base] = true
+		if info, err := os.Stat(name); err != nil || info.IsDir() {
+			continue
+		}
+		if err := d.storeName(name, d.file(name)); err != nil {
+			return err
+		}
+	}
+	stored, err := d.List(d.path(dir))
+	if err != nil {
+		return ignoreMissing(err)
+	}
+	for _, base := range stored {
+		if !kept[base] {
+			if err := os.RemoveAll(filepath.Join(d.path(dir), base)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// storeName makes a name of a file durable.
+func (d *durableDisk) storeName(name string, f *durableFile) error {
+	if f.named {
+		return nil
+	}
+	to := d.path(name)
+	if err := os.MkdirAll(filepath.Dir(to), 0o700); err != nil {
+		return err
+	}
+	if _, err := os.Stat(f.store); err != nil {
+		if err := f.append(nil); err != nil {
+			return err
+		}
+	}
+	link := f.store + ".link"
+	if err := os.Link(f.store, link); err != nil {
+		return err
+	}
+	f.named = true
+	return os.Rename(link, to)
+}
+
+func (f *durableFile) append(data []byte) error {
+	if err := os.MkdirAll(filepath.Dir(f.store), 0o700); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(f.store, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := out.Write(data); err != nil {
+		return err
+	}
+	return out.Close()
+}
+
+type openDurableFile struct {
+	datafolder.File
+	disk *durableDisk
+	file *durableFile
+	name string
+}
+
+// Write implements datafolder.File.
+func (o *openDurableFile) Write(data []byte) (int, error) {
+	n, err := o.File.Write(data)
+	o.disk.mu.Lock()
+	defer o.disk.mu.Unlock()
+	o.file.unsynced = append(o.file.unsynced, data[:n]...)
+	return n, err
+}
+
+// Sync implements datafolder.File.
+func (o *openDurableFile) Sync() error {
+	o.disk.mu.Lock()
+	defer o.disk.mu.Unlock()
+	if err := o.file.append(o.file.unsynced); err != nil {
+		return err
+	}
+	o.file.unsynced = nil
+	if o.disk.files[o.name] != o.file || o.file.named {
+		return nil // it was renamed since: its name becomes durable with the directory
+	}
+	if _, err := os.Stat(o.disk.path(o.name)); err == nil {
+		return nil // the name is that of an older file until the directory is synced
+	}
+	return o.disk.storeName(o.name, o.file)
+}
+
+func ignoreMissing(err error) error {
+	if os.IsNotExist(err) {
+		return nil
+	}
+	return err
+}
+
+// losePower replaces a data folder of a process that was killed by what a loss of
+// power leaves of it: the durable copy, and of each unsynced tail nothing or, where
+// random allows it, a part.
+func losePower(random *rand.Rand, durable, folder string) error {
+	keepTails := random.IntN(2) == 0
+	kept := map[string][]byte{}
+	from := filepath.Join(durable, "names", folder)
+	err := filepath.WalkDir(from, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return ignoreMissing(err)
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		name := filepath.Join(folder, strings.TrimPrefix(path, from))
+		written, err := os.ReadFile(name)
+		if err == nil && keepTails && len(written) > len(data) && bytes.HasPrefix(written, data) {
+			data = written[:len(data)+random.IntN(len(written)-len(data))]
+		}
+		kept[name] = data
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return err
+	}
+	for name, data := range kept {
+		if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
+			return err
+		}
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var _ io.Closer = (*openDurableFile)(nil)
--- a/cmd/comfreyloom/member_test.go
+++ b/cmd/comfreyloom/member_test.go
@@ -34,20 +34,27 @@
 // memberSite is a site of real processes that discover each other. Each has its
 // own loopback IP; all use the same ports.
 type memberSite struct {
-	t         *testing.T
-	folder    string
-	network   string
-	ports     [5]int
-	processes map[string]*exec.Cmd
-	workers   []*standin.Worker
-	client    *http.Client
+	t       *testing.T
+	folder  string
+	network string
+	ports   [5]int
+	// lostDisks is how many core VMs may lose their disks at once.
+	coreCount, entryCount, lostDisks int
+	processes                        map[string]*exec.Cmd
+	workers                          []*standin.Worker
+	client                           *http.Client
 	// listenOffset is added to the last number of the IP at which a process listens
 	// for the others. A relay then listens at the IP that the process announces.
 	listenOffset int
 }
 
 func newMemberSite(t *testing.T) *memberSite {
+	return newSizedMemberSite(t, memberCores, memberEntries, 1)
+}
+
+func newSizedMemberSite(t *testing.T, cores, entries, lostDisks int) *memberSite {
 	s := &memberSite{
+		coreCount: cores, entryCount: entries, lostDisks: lostDisks,
 		t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{},
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -55,7 +62,7 @@
 	for i := range s.ports {
 		s.ports[i] = freePort(t, s.network+".1")
 	}
-	for range memberCores + memberEntries {
+	for range s.slots() {
 		processSlots <- struct{}{}
 	}
 	t.Cleanup(s.stopAll)
@@ -78,13 +85,18 @@
 	for _, w := range s.workers {
 		w.Close()
 	}
-	for range memberCores + memberEntries {
+	for range s.slots() {
 		<-processSlots
 	}
 }
 
+// slots returns how many slots for processes the site takes.
+func (s *memberSite) slots() int { return min(s.coreCount+s.entryCount, cap(processSlots)) }
+
 func (s *memberSite) ip(name string) string {
-	number := int(name[len(name)-1]-'0') + 1
+	number, err := strconv.Atoi(strings.TrimLeft(name, "coreynt"))
+	s.must(err)
+	number++
 	if strings.HasPrefix(name, "entry") {
 		number += 100
 	}
@@ -126,20 +138,27 @@
 [seeds]
 addresses = %s,%s,%s
 [bounds]
+lost_disks = %d
 stop_within = 5s
-`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"))
+`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"), s.lostDisks)
 	file := filepath.Join(s.folder, name+".ini")
 	s.must(os.WriteFile(file, []byte(text), 0o600))
 	output, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.must(err)
 	defer func() { _ = output.Close() }()
 	process := exec.Command("comfreyloom", "serve")
-	process.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "GORACE=log_path="+filepath.Join(s.folder, "race"))
+	process.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "GORACE=log_path="+filepath.Join(s.folder, "race"),
+		durableVariable+"="+s.durableFolder(name))
 	process.Stdout, process.Stderr = output, output
 	s.must(process.Start())
 	s.processes[name] = process
 }
 
+// durableFolder returns where a process keeps what survives a loss of power.
+func (s *memberSite) durableFolder(name string) string {
+	return filepath.Join(s.folder, "durable", name)
+}
+
 func (s *memberSite) must(err error) {
 	s.t.Helper()
 	if err != nil {
--- a/cmd/comfreyloom/script_test.go
+++ b/cmd/comfreyloom/script_test.go
@@ -18,7 +18,7 @@
 // separate processes.
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"comfreyloom": main,
+		"comfreyloom": mainWithDurableDisk,
 		"attempt":     attemptMain,
 		"platform":    platformMain,
 		"upstream":    upstreamMain,
--- /dev/null
+++ b/cmd/comfreyloom/soak_config_test.go
@@ -0,0 +1,458 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/platform/standin"
+)
+
+const (
+	// configSoakSize is the size of a normal run of TestConfigSoak as cores:entries;
+	// COMFREYLOOM_SOAK_SIZE selects another.
+	configSoakSize = "5:2"
+	// configSoakRounds is the number of rounds, each of which ends with lost disks.
+	configSoakRounds = 2
+	// configFaultTime is how long faults are injected in a round.
+	configFaultTime = 7 * time.Second
+	// catchUp is how long a VM counts as lost after it is back.
+	catchUp = 6 * time.Second
+	// largeConfig is the number of queues of a large configuration.
+	largeConfig = 1400
+	// recoverWithin is the time within which the site serves after lost disks.
+	recoverWithin = 15 * time.Second
+)
+
+// sentConfig is a configuration that an operator sent. Two operators may send
+// different ones under one version; the others are variants.
+type sentConfig struct {
+	text     string
+	prefixes map[string]bool
+}
+
+// configLedger records what operators sent and were told, and what must hold of
+// every later answer.
+type configLedger struct {
+	mu sync.Mutex
+	// sent holds the variants of each version.
+	sent map[int][]sentConfig
+	// floor is the highest version that was acknowledged or read.
+	floor, maxSent int
+	violations     []string
+	reads, probes  int
+}
+
+func (l *configLedger) addViolation(format string, args ...any) {
+	l.violations = append(l.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// bounds returns the lowest and the highest version that may be in force now.
+func (l *configLedger) bounds() (floor, highest int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.floor, l.maxSent
+}
+
+func (l *configLedger) add(version int, c sentConfig) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[version] = append(l.sent[version], c)
+	l.maxSent = max(l.maxSent, version)
+}
+
+func (l *configLedger) acknowledged(version int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.floor = max(l.floor, version)
+}
+
+// read checks a configuration that a VM returned to a request sent when floor
+// held. What was read stays in force under its version.
+func (l *configLedger) read(vm string, floor int, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	version := standin.ConfigVersion(text)
+	if version < floor {
+		l.addViolation("%s returns version %d after %d", vm, version, floor)
+	}
+	i := slices.IndexFunc(l.sent[version], func(c sentConfig) bool { return c.text == text })
+	if i < 0 {
+		l.addViolation("%s returns version %d, which is not what was sent or read under it", vm, version)
+		return
+	}
+	l.sent[version] = []sentConfig{l.sent[version][i]}
+	l.floor = max(l.floor, version)
+}
+
+// probe checks whether a VM's answer to a caller agrees with one of the versions
+// that may have been in force.
+func (l *configLedger) probe(vm, prefix string, floor int, served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probes++
+	for version, variants := range l.sent {
+		if version < floor {
+			continue
+		}
+		for _, c := range variants {
+			if c.prefixes[prefix] == served {
+				return
+			}
+		}
+	}
+	l.addViolation("%s serves %s: %v, as no version from %d on allows", vm, prefix, served, floor)
+}
+
+// configSoak changes the configuration of a site under fault injection.
+type configSoak struct {
+	*soak
+	changes configLedger
+	// lostUntil holds until when each core VM counts as lost.
+	lostUntil map[string]time.Time
+}
+
+func newConfigSoak(site *memberSite, seed uint64) *configSoak {
+	s := &configSoak{soak: newSizedSoak(site, seed), lostUntil: map[string]time.Time{}}
+	s.changes.sent = map[int][]sentConfig{}
+	for version := 1; version <= s.sentVersion; version++ {
+		text := standin.ConfigBody(version, 3000+version)
+		s.changes.add(version, sentConfig{text: text, prefixes: map[string]bool{}})
+	}
+	s.changes.acknowledged(s.ackedVersion)
+	return s
+}
+
+// nextConfig draws a configuration with another set of queues and records it.
+func (s *configSoak) nextConfig(random *rand.Rand, version int) string {
+	count := 1 + random.IntN(8)
+	if random.IntN(8) == 0 {
+		count = largeConfig
+	}
+	c := sentConfig{prefixes: map[string]bool{}}
+	var prefixes []string
+	for i := range count {
+		prefix := fmt.Sprintf("/v%d-%d/", random.IntN(3), i)
+		prefixes = append(prefixes, prefix)
+		c.prefixes[prefix] = true
+	}
+	c.text = standin.ConfigWithQueues(version, prefixes)
+	s.changes.add(version, c)
+	return c.text
+}
+
+// send sends a valid configuration, to one core VM after another, until it is
+// acknowledged. A clear refusal breaks the rules.
+func (s *configSoak) send(random *rand.Rand, text string, stop <-chan struct{}) {
+	version := standin.ConfigVersion(text)
+	for pause := 50 * time.Millisecond; ; pause = min(2*pause, time.Second) {
+		core := s.cores()[random.IntN(s.coreCount)]
+		status, _ := s.call(http.MethodPost, s.address(core, 1), standin.ConfigPath, text)
+		switch {
+		case status == http.StatusOK:
+			s.changes.acknowledged(version)
+			return
+		case status >= 400 && status < 500:
+			s.changes.mu.Lock()
+			s.changes.addViolation("%s refuses version %d with %d", core, version, status)
+			s.changes.mu.Unlock()
+			return
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
+// operate sends changes, races, resends, overtaken and invalid configurations.
+func (s *configSoak) operate(random *rand.Rand, stop <-chan struct{}) {
+	for !stopped(stop, time.Duration(20+random.IntN(300))*time.Millisecond) {
+		_, highest := s.changes.bounds()
+		next := highest + 1 + random.IntN(3)
+		switch random.IntN(10) {
+		case 0, 1:
+			first, second := s.nextConfig(random, next), s.nextConfig(random, next)
+			var both sync.WaitGroup
+			other := rand.New(rand.NewPCG(random.Uint64(), 1))
+			both.Go(func() { s.send(other, second, stop) })
+			s.send(random, first, stop)
+			both.Wait()
+		case 2, 3:
+			s.resend(random, stop)
+		case 4:
+			bodies := standin.InvalidConfigs(next)
+			s.sendInvalid(random, bodies[random.IntN(len(bodies))])
+		default:
+			s.send(random, s.nextConfig(random, next), stop)
+		}
+	}
+}
+
+// resend sends an earlier configuration again.
+func (s *configSoak) resend(random *rand.Rand, stop <-chan struct{}) {
+	s.changes.mu.Lock()
+	var texts []string
+	for version, variants := range s.changes.sent {
+		if version+8 > s.changes.maxSent {
+			texts = append(texts, variants[0].text)
+		}
+	}
+	s.changes.mu.Unlock()
+	slices.Sort(texts)
+	s.send(random, texts[random.IntN(len(texts))], stop)
+}
+
+func (s *configSoak) sendInvalid(random *rand.Rand, text string) {
+	core := s.cores()[random.IntN(s.coreCount)]
+	status, _ := s.call(http.MethodPost, s.address(core, 1), standin.ConfigPath, text)
+	if status == http.StatusOK {
+		s.changes.mu.Lock()
+		defer s.changes.mu.Unlock()
+		s.changes.addViolation("%s acknowledges an invalid configuration: %.80q", core, text)
+	}
+}
+
+// stopped waits and reports whether stop was closed meanwhile.
+func stopped(stop <-chan struct{}, wait time.Duration) bool {
+	select {
+	case <-stop:
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
+// readBack reads the configuration at each core VM in turn.
+func (s *configSoak) readBack(random *rand.Rand, stop <-chan struct{}) {
+	for !stopped(stop, time.Duration(random.IntN(40))*time.Millisecond) {
+		s.readAt(s.cores()[random.IntN(s.coreCount)])
+	}
+}
+
+// readAt reads the configuration at a core VM and reports whether it answered.
+func (s *configSoak) readAt(core string) bool {
+	floor, _ := s.changes.bounds()
+	status, text := s.call(http.MethodGet, s.address(core, 1), standin.ConfigReadPath, "")
+	if status != http.StatusOK {
+		return false
+	}
+	s.changes.read(core, floor, text)
+	return true
+}
+
+// probe asks entry VMs for queues that some versions have and others don't.
+func (s *configSoak) probe(random *rand.Rand, stop <-chan struct{}) {
+	for !stopped(stop, time.Duration(random.IntN(40))*time.Millisecond) {
+		entry := fmt.Sprintf("entry%d", random.IntN(s.entryCount))
+		prefix := fmt.Sprintf("/v%d-%d/", random.IntN(3), random.IntN(9))
+		floor, _ := s.changes.bounds()
+		status, _ := s.call(http.MethodGet, s.address(entry, 2), prefix, "")
+		if status == http.StatusOK || status == http.StatusNotFound {
+			s.changes.probe(entry, prefix, floor, status == http.StatusOK)
+		}
+	}
+}
+
+// powerOff kills processes at one moment. Core VMs go on from what a loss of power
+// leaves of their disks, those named in lost from empty ones.
+func (s *configSoak) powerOff(names, lost []string, until time.Time) {
+	running := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return s.processes[n] == nil })
+	for _, name := range running {
+		s.must(s.processes[name].Process.Signal(syscall.SIGKILL))
+	}
+	for _, name := range running {
+		_ = s.processes[name].Wait()
+		delete(s.processes, name)
+		delete(s.frozenUntil, name)
+		s.downUntil[name] = until
+	}
+	for _, name := range names {
+		switch {
+		case slices.Contains(lost, name):
+			s.removeDisk(name)
+		case strings.HasPrefix(name, "core"):
+			s.must(losePower(s.random, s.durableFolder(name), filepath.Join(s.folder, name)))
+		}
+	}
+}
+
+func (s *configSoak) all() []string {
+	all := s.cores()
+	for i := range s.entryCount {
+		all = append(all, fmt.Sprintf("entry%d", i))
+	}
+	return all
+}
+
+// injectConfigFault injects a fault of the soak, or a loss of power or of disks.
+func (s *configSoak) injectConfigFault() {
+	until := time.Now().Add(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
+	switch s.random.IntN(8) {
+	case 0:
+		s.powerOff(s.cores(), nil, until)
+	case 1:
+		s.powerOff(s.draw(1+s.random.IntN(s.coreCount)), nil, until)
+	case 2:
+		s.loseDisks(s.draw(s.lostDisks), false)
+	default:
+		s.injectFault()
+	}
+}
+
+// draw returns some core VMs.
+func (s *configSoak) draw(count int) []string {
+	cores := s.cores()
+	s.random.Shuffle(len(cores), func(i, j int) { cores[i], cores[j] = cores[j], cores[i] })
+	return cores[:count]
+}
+
+// loseDisks loses the disks of core VMs unless others count as lost. With power
+// set, all other processes lose their power as well.
+func (s *configSoak) loseDisks(lost []string, power bool) bool {
+	now := time.Now()
+	for _, until := range s.lostUntil {
+		if now.Before(until) {
+			return false
+		}
+	}
+	if now.Before(s.lastWipe.Add(catchUp + time.Second)) {
+		return false
+	}
+	names := lost
+	if power {
+		names = s.all()
+	}
+	back := now.Add(time.Duration(300+s.random.IntN(1500)) * time.Millisecond)
+	s.powerOff(names, lost, back)
+	for _, core := range lost {
+		s.lostUntil[core] = back.Add(catchUp)
+	}
+	s.lastWipe = back
+	return true
+}
+
+// round injects faults while operators and callers work, then waits until all VMs
+// are back, acknowledges one more change and loses disks.
+func (s *configSoak) round(seed uint64) {
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	client := func(n uint64, f func(*rand.Rand, <-chan struct{})) {
+		clients.Go(func() { f(rand.New(rand.NewPCG(seed, n)), stop) })
+	}
+	for n := range uint64(3) {
+		client(n, s.operate)
+		client(10+n, s.readBack)
+		client(20+n, s.probe)
+	}
+	for start, next := time.Now(), time.Now(); time.Since(start) < configFaultTime; time.Sleep(20 * time.Millisecond) {
+		s.recoverFaults(time.Now())
+		if time.Now().After(next) {
+			s.injectConfigFault()
+			next = time.Now().Add(time.Duration(100+s.random.IntN(900)) * time.Millisecond)
+		}
+	}
+	s.recoverFaults(time.Now().Add(time.Hour))
+	time.Sleep(time.Until(s.lastWipe.Add(catchUp + time.Second)))
+	s.waitFor("a change is acknowledged", func() bool { return s.closingChange() })
+	s.loseDisksAndPower()
+	close(stop)
+	clients.Wait()
+}
+
+// loseDisksAndPower loses the disks of as many core VMs as the site tolerates,
+// while all other processes lose their power, and waits for the configuration.
+func (s *configSoak) loseDisksAndPower() {
+	if !s.loseDisks(s.draw(s.lostDisks), true) {
+		s.t.Fatal("other disks still count as lost")
+	}
+	for len(s.downUntil) > 0 {
+		time.Sleep(20 * time.Millisecond)
+		s.recoverFaults(time.Now())
+	}
+	s.awaitReadBack()
+}
+
+// closingChange sends one change and reports whether it was acknowledged.
+func (s *configSoak) closingChange() bool {
+	_, highest := s.changes.bounds()
+	text := s.nextConfig(s.random, highest+1)
+	core := s.cores()[s.random.IntN(s.coreCount)]
+	status, _ := s.call(http.MethodPost, s.address(core, 1), standin.ConfigPath, text)
+	if status == http.StatusOK {
+		s.changes.acknowledged(highest + 1)
+	}
+	return status == http.StatusOK
+}
+
+// awaitReadBack waits until every core VM returns the configuration.
+func (s *configSoak) awaitReadBack() {
+	deadline := time.Now().Add(recoverWithin)
+	for _, core := range s.cores() {
+		for !s.readAt(core) {
+			if time.Now().After(deadline) {
+				s.t.Fatalf("%s does not return the configuration %s after disks were lost\n%s", core, recoverWithin, s.logTails())
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (s *configSoak) check() {
+	s.changes.mu.Lock()
+	defer s.changes.mu.Unlock()
+	if len(s.changes.violations) > 0 {
+		s.t.Fatalf("%s\n%s", strings.Join(s.changes.violations[:min(len(s.changes.violations), 10)], "\n"), s.logTails())
+	}
+	races, _ := filepath.Glob(filepath.Join(s.folder, "race.*"))
+	if len(races) > 0 {
+		s.t.Fatalf("data race\n%s", s.logTails())
+	}
+}
+
+// TestConfigSoak changes the configuration of a site of real processes under
+// random faults, losses of power and lost disks. It checks at every VM what
+// operators and callers see: what was acknowledged stays, is read back and is
+// obeyed, nothing older follows, and nothing invalid is accepted.
+func TestConfigSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	first, count := 1, 1
+	if from, number, ok := strings.Cut(os.Getenv("COMFREYLOOM_SOAK"), ":"); ok {
+		first, _ = strconv.Atoi(from)
+		count, _ = strconv.Atoi(number)
+	}
+	size := configSoakSize
+	if asked := os.Getenv("COMFREYLOOM_SOAK_SIZE"); asked != "" {
+		size = asked
+	}
+	var cores, entries int
+	if _, err := fmt.Sscanf(size, "%d:%d", &cores, &entries); err != nil {
+		t.Fatal(err)
+	}
+	for seed := uint64(first); seed < uint64(first+count); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newConfigSoak(newSizedMemberSite(t, cores, entries, min(2, (cores-1)/2)), seed)
+			if s.random.IntN(2) == 0 {
+				s.loseDisksAndPower() // right after the first acknowledged configuration
+			}
+			for round := range uint64(configSoakRounds) {
+				s.round(seed*100 + round)
+				s.check()
+			}
+			s.t.Logf("%d versions, %d reads, %d probes", s.changes.maxSent, s.changes.reads, s.changes.probes)
+		})
+	}
+}
--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -107,8 +107,14 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
+	return newSizedSoak(newMemberSite(t), seed)
+}
+
+// newSizedSoak starts the processes of a site behind relays.
+func newSizedSoak(site *memberSite, seed uint64) *soak {
+	t := site.t
 	s := &soak{
-		memberSite: newMemberSite(t), random: rand.New(rand.NewPCG(seed, 11)), ledger: newTaskLedger(),
+		memberSite: site, random: rand.New(rand.NewPCG(seed, 11)), ledger: newTaskLedger(),
 		relays: map[string]*relay{}, downUntil: map[string]time.Time{}, frozenUntil: map[string]time.Time{}, relayFaultUntil: map[string]time.Time{},
 		accepted: map[string]bool{}, refused: map[string]bool{}, unchecked: map[string]bool{},
 	}
@@ -122,7 +128,7 @@
 		s.relays[core] = r
 		s.start(core, true)
 	}
-	for i := range memberEntries {
+	for i := range s.entryCount {
 		s.start(fmt.Sprintf("entry%d", i), false)
 	}
 	s.waitFor("the first configuration is accepted", func() bool { return s.configure() })
@@ -134,7 +140,7 @@
 
 func (s *soak) cores() []string {
 	var all []string
-	for i := range memberCores {
+	for i := range s.coreCount {
 		all = append(all, fmt.Sprintf("core%d", i))
 	}
 	return all
@@ -162,7 +168,7 @@
 	s.sentVersion++
 	version := s.sentVersion
 	s.mu.Unlock()
-	core := s.cores()[s.random.IntN(memberCores)]
+	core := s.cores()[s.random.IntN(s.coreCount)]
 	status, _ := s.call(http.MethodPost, s.address(core, 1), standin.ConfigPath, standin.ConfigBody(version, 3000+version))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -182,7 +188,7 @@
 		}
 		id := fmt.Sprintf("%016x", n)
 		body := standin.Job{RunMS: 20 + random.IntN(900), Count: 1 + random.IntN(4), MilliCPU: 700}.Body()
-		entry := s.address(fmt.Sprintf("entry%d", random.IntN(memberEntries)), 2)
+		entry := s.address(fmt.Sprintf("entry%d", random.IntN(s.entryCount)), 2)
 		status, _ := s.call(http.MethodPost, entry, standin.JobPath(id), body)
 		s.mu.Lock()
 		switch status {
@@ -209,8 +215,8 @@
 	randomTime := func(minMS, maxMS int) time.Time {
 		return now.Add(time.Duration(minMS+s.random.IntN(maxMS-minMS)) * time.Millisecond)
 	}
-	core := s.cores()[s.random.IntN(memberCores)]
-	entry := fmt.Sprintf("entry%d", s.random.IntN(memberEntries))
+	core := s.cores()[s.random.IntN(s.coreCount)]
+	entry := fmt.Sprintf("entry%d", s.random.IntN(s.entryCount))
 	switch s.random.IntN(13) {
 	case 0, 1:
 		s.stopFor(core, randomTime(100, 2500), syscall.SIGKILL)
@@ -268,7 +274,13 @@
 	}
 	s.lastWipe = time.Now()
 	s.stopFor(core, time.Now().Add(300*time.Millisecond), syscall.SIGKILL)
+	s.removeDisk(core)
+}
+
+// removeDisk deletes the disk of a core VM that is down.
+func (s *soak) removeDisk(core string) {
 	s.must(os.RemoveAll(filepath.Join(s.folder, core)))
+	s.must(os.RemoveAll(s.durableFolder(core)))
 }
 
 // recoverFaults ends the faults whose time is up.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,6 +53,9 @@
 	Workers   workers.Client
 	Fleet     dispatch.Fleet
 	Advisor   dispatch.Advisor
+	// Disk is the file system of the data folder; nil selects that of the
+	// operating system.
+	Disk datafolder.FS
 }
 
 // Member is one process of the site.
@@ -173,7 +176,7 @@
 		founders = m.seeds(m.Settings)
 	}
 	return replica.Config{
-		Folder: m.Settings.Node.DataFolder, Site: siteName, Self: self, Members: founders,
+		Disk: m.dependencies.Disk, Folder: m.Settings.Node.DataFolder, Site: siteName, Self: self, Members: founders,
 		Candidates: m.directory.Cores, StateMachine: m.machine, Transport: m.nodes, Bootstrapper: m.nodes,
 		LostDisks: m.Settings.Bounds.LostDisks, TickInterval: tick, ReviewTicks: reviewTicks, Log: m.Logger, Metrics: m.Metrics,
 		// Only the leader replies to requests and acts on the state.
