cmd: lost disks right after the first configuration, with real processes

Nine core VMs whose disks take 9 ms a sync; two seeds lose their disks and all else its power right after the first acknowledgement.

--- a/cmd/comfreyloom/durable_disk_test.go
+++ b/cmd/comfreyloom/durable_disk_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/datafolder"
 )
@@ -18,6 +19,9 @@
 // data folder would hold after a loss of power.
 const durableVariable = "COMFREYLOOM_TEST_DURABLE"
 
+// syncTime is how long a sync takes, as on the disks of the grown sites.
+const syncTime = 9 * time.Millisecond
+
 // mainWithDurableDisk is main with a disk that can lose its power.
 func mainWithDurableDisk() {
 	if folder := os.Getenv(durableVariable); folder != "" {
@@ -110,6 +114,7 @@
 
 // SyncDir implements datafolder.FS.
 func (d *durableDisk) SyncDir(dir string) error {
+	time.Sleep(syncTime)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	names, err := d.List(dir)
@@ -195,6 +200,7 @@
 
 // Sync implements datafolder.File.
 func (o *openDurableFile) Sync() error {
+	time.Sleep(syncTime)
 	o.disk.mu.Lock()
 	defer o.disk.mu.Unlock()
 	if err := o.file.append(o.file.unsynced); err != nil {
--- a/cmd/comfreyloom/soak_config_test.go
+++ b/cmd/comfreyloom/soak_config_test.go
@@ -366,15 +366,15 @@
 	s.recoverFaults(time.Now().Add(time.Hour))
 	time.Sleep(time.Until(s.lastWipe.Add(catchUp + time.Second)))
 	s.waitFor("a change is acknowledged", func() bool { return s.closingChange() })
-	s.loseDisksAndPower()
+	s.loseDisksAndPower(s.draw(s.lostDisks))
 	close(stop)
 	clients.Wait()
 }
 
-// loseDisksAndPower loses the disks of as many core VMs as the site tolerates,
-// while all other processes lose their power, and waits for the configuration.
-func (s *configSoak) loseDisksAndPower() {
-	if !s.loseDisks(s.draw(s.lostDisks), true) {
+// loseDisksAndPower loses the disks of core VMs while all other processes lose
+// their power, and waits for the configuration.
+func (s *configSoak) loseDisksAndPower(lost []string) {
+	if !s.loseDisks(lost, true) {
 		s.t.Fatal("other disks still count as lost")
 	}
 	for len(s.downUntil) > 0 {
@@ -421,6 +421,18 @@
 	}
 }
 
+// Guards against a site that is founded by fewer voters than the losses that it
+// tolerates need: two seeds lose their disks and all other processes their power
+// right after the first configuration was acknowledged.
+func TestFirstConfigSurvivesLostDisks(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := newConfigSoak(newSizedMemberSite(t, 9, 1, 2), 1)
+	s.loseDisksAndPower(s.cores()[:2])
+	s.check()
+}
+
 // TestConfigSoak changes the configuration of a site of real processes under
 // random faults, losses of power and lost disks. It checks at every VM what
 // operators and callers see: what was acknowledged stays, is read back and is
@@ -446,7 +458,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			s := newConfigSoak(newSizedMemberSite(t, cores, entries, min(2, (cores-1)/2)), seed)
 			if s.random.IntN(2) == 0 {
-				s.loseDisksAndPower() // right after the first acknowledged configuration
+				s.loseDisksAndPower(s.cores()[:s.lostDisks]) // seeds, right after the first configuration
 			}
 			for round := range uint64(configSoakRounds) {
 				s.round(seed*100 + round)
