replica: a voter whose disk crashed is awaited before the power cuts end

Cause: in the test. A voter ends a moment after its disk crashed. Where that moment fell on the end of the faults, restartCrashed did not see it, and the dead voter was expected to agree.

--- a/internal/datafolder/fakedisk/crash.go
+++ b/internal/datafolder/fakedisk/crash.go
@@ -111,3 +111,11 @@
 	delete(d.names, name)
 	delete(d.durable, name)
 }
+
+// Crashed reports whether a fault crashed the machine, so that every later call
+// fails.
+func (d *Disk) Crashed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashed
+}
--- a/internal/replica/storage_test.go
+++ b/internal/replica/storage_test.go
@@ -229,9 +229,13 @@
 	return false
 }
 
+// restartCrashed restarts the voters whose machine crashed on what their disks
+// kept. A voter ends a moment after its disk crashed; without the wait it could be
+// left dead for the rest of a run that expects all voters to agree.
 func (c *cluster) restartCrashed(random *rand.Rand) {
 	for name, n := range c.reachable() {
-		if len(n.ended) > 0 {
+		if n.disk.Crashed() {
+			c.waitFor(string(name)+" ends", func() bool { return len(n.ended) > 0 })
 			c.mu.Lock()
 			delete(c.nodes, name)
 			c.mu.Unlock()
