--- a/internal/replica/lost_disks_test.go
+++ b/internal/replica/lost_disks_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -115,6 +117,7 @@
 // site tolerates, because voters that were cut off for long had been removed until
 // too few were left.
 func TestCommandSurvivesLostDisksAfterRemovals(t *testing.T) {
+	t.Parallel()
 	c := newGrowingCluster(t)
 	c.startAll()
 	c.waitForVoters()
@@ -132,6 +135,54 @@
 	c.checkSurvives(rand.New(rand.NewPCG(1, 17)), "late")
 }
 
+// Guards against the same with any disks, again and again: a minority is cut off
+// for up to fifteen seconds, commands are acknowledged meanwhile, two disks are
+// lost while all others lose power, and the next two once the site has caught up.
+func TestCommandsSurviveRepeatedLostDisks(t *testing.T) {
+	seeds := uint64(3)
+	if steps, err := strconv.ParseUint(os.Getenv("COMFREYLOOM_STEPS"), 10, 64); err == nil {
+		seeds = max(seeds, steps/40) // a run is 40 commands
+	}
+	for seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			loseDisksRepeatedly(t, rand.New(rand.NewPCG(seed, 23)))
+		})
+	}
+}
+
+func loseDisksRepeatedly(t *testing.T, random *rand.Rand) {
+	c := newGrowingCluster(t)
+	c.startAll()
+	var acknowledged []string
+	for cycle := range 5 {
+		c.waitForVoters()
+		names := slices.Clone(c.members)
+		random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		for _, name := range names[:random.IntN(5)] {
+			c.setIsolated(name, true)
+		}
+		c.pass(time.Duration(random.IntN(15000)) * time.Millisecond)
+		for i := range 8 {
+			command := fmt.Sprintf("%d/%d", cycle, i)
+			c.propose(command)
+			acknowledged = append(acknowledged, command)
+		}
+		lost := names[len(names)-lostDisks:]
+		if random.IntN(2) == 0 {
+			lost = c.holders()[:lostDisks]
+		}
+		c.loseDisks(random, lost)
+		c.propose(fmt.Sprintf("%d/end", cycle))
+	}
+	found := c.waitForAgreement()
+	for _, command := range acknowledged {
+		if !slices.Contains(found, command) {
+			t.Fatalf("%s was acknowledged and is lost", command)
+		}
+	}
+}
+
 // pass advances the clock by d.
 func (c *cluster) pass(d time.Duration) {
 	c.t.Helper()
