--- a/cmd/comfreyloom/soak_config_test.go
+++ b/cmd/comfreyloom/soak_config_test.go
@@ -120,6 +120,9 @@
 	changes configLedger
 	// lostUntil holds until when each core VM counts as lost.
 	lostUntil map[string]time.Time
+	// slowestReadBack is the longest time from the return of all processes until
+	// every core VM returned the configuration.
+	slowestReadBack time.Duration
 }
 
 func newConfigSoak(site *memberSite, seed uint64) *configSoak {
@@ -398,7 +401,8 @@
 
 // awaitReadBack waits until every core VM returns the configuration.
 func (s *configSoak) awaitReadBack() {
-	deadline := time.Now().Add(recoverWithin)
+	start := time.Now()
+	deadline := start.Add(recoverWithin)
 	for _, core := range s.cores() {
 		for !s.readAt(core) {
 			if time.Now().After(deadline) {
@@ -407,6 +411,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	s.slowestReadBack = max(s.slowestReadBack, time.Since(start))
 }
 
 func (s *configSoak) check() {
@@ -464,7 +469,8 @@
 				s.round(seed*100 + round)
 				s.check()
 			}
-			s.t.Logf("%d versions, %d reads, %d probes", s.changes.maxSent, s.changes.reads, s.changes.probes)
+			s.t.Logf("%d versions, %d reads, %d probes; read back after lost disks within %d ms",
+				s.changes.maxSent, s.changes.reads, s.changes.probes, s.slowestReadBack.Milliseconds())
 		})
 	}
 }
