replica: the next seed founds the site when the first lost its disk or restarted

Cause: only the first seed by name created the founding, and only a process that was started with may_found. A seed that restarts, or comes back with an empty disk, before it has adopted a founding is started without it. Then nobody founds.

Change: a disk records at its first start the seeds with which it may found the site. The first of these that still has its record creates the founding, also after a restart; a lost disk has none. All seeds must still have answered that their disks are empty, so two foundings can't both become active.

Tests: replica.TestNextSeedFoundsTheSite (did not compile before: there was no record), TestFoundingWithOtherNodesIsOnlyOne now with lost records.

Identities without a record are read as before.

--- a/internal/datafolder/folder.go
+++ b/internal/datafolder/folder.go
@@ -26,6 +26,8 @@
 	Path string
 	Site string
 	Node model.NodeID
+	// Founders are recorded in the identity of a new folder.
+	Founders []model.NodeID
 	// Disk is the file system; nil selects that of the operating system.
 	Disk FS
 }
@@ -124,7 +126,7 @@
 				Reason: "the file is missing while " + name + " is there", Hint: HintRejoin}
 		}
 	}
-	return f.SetIdentity(newIdentity(o.Site, o.Node))
+	return f.SetIdentity(newIdentity(o.Site, o.Node, o.Founders))
 }
 
 func checkOwner(name string, identity Identity, o Options) error {
@@ -187,7 +189,7 @@
 // when the disk never took part in the quorum.
 func (f *Folder) ResetIdentity() error {
 	old := f.Identity()
-	return f.SetIdentity(newIdentity(old.Site, old.Node))
+	return f.SetIdentity(newIdentity(old.Site, old.Node, old.Founders))
 }
 
 // FS returns the file system of the folder.
--- a/internal/datafolder/identity.go
+++ b/internal/datafolder/identity.go
@@ -60,6 +60,10 @@
 	Disk     string   `cbor:"4,keyasint"`
 	Phase    Phase    `cbor:"5,keyasint"`
 	Founding Founding `cbor:"6,keyasint"`
+	// Founders are the nodes that may found the site together. They are recorded
+	// with the folder: a process that restarts before the site is founded may
+	// still found it, one whose disk was lost may not.
+	Founders []model.NodeID `cbor:"7,keyasint,omitempty"`
 }
 
 // Voter returns the voter ID of this disk.
@@ -75,13 +79,15 @@
 	return i, err
 }
 
-func newIdentity(site string, node model.NodeID) Identity {
+func newIdentity(site string, node model.NodeID, founders []model.NodeID) Identity {
 	return Identity{
 		Format: FormatVersion,
 		Site:   site,
 		Node:   node,
 		Disk:   uuid.NewString(),
 		Phase:  PhaseEmpty,
+
+		Founders: founders,
 	}
 }
 
--- a/internal/replica/enter_site.go
+++ b/internal/replica/enter_site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,14 +43,13 @@
 	return nil
 }
 
-// founders returns the configured voters, and how many founders the site needs
-// where voters are discovered at run time.
+// founders returns the configured voters. Where voters are discovered at run
+// time, these are the nodes that the disk recorded at its first start.
 func (r *Replica) founders() founders {
-	by := founders{configured: r.config.Members}
-	if r.config.dynamicVoters {
-		by.count = votersToTolerate(r.config.LostDisks)
+	if !r.config.dynamicVoters {
+		return founders{configured: r.config.Members}
 	}
-	return by
+	return founders{configured: r.Identity().Founders, count: votersToTolerate(r.config.LostDisks), recorded: true}
 }
 
 // nodesToQuery returns the configured voters or, on a disk that adopted a
@@ -59,7 +59,9 @@
 	if identity.Phase == datafolder.PhaseAdopted {
 		return foundingPeers(identity)
 	}
-	return r.config.Candidates()
+	nodes := append(r.config.Candidates(), identity.Founders...)
+	slices.Sort(nodes)
+	return slices.Compact(nodes)
 }
 
 // logUnanswered logs which voters do not reply whenever that has changed. A new
@@ -74,7 +76,7 @@
 	list := strings.Join(unanswered, " ")
 	if list != previous {
 		r.config.Log.WithField("phase", r.Identity().Phase.String()).WithField("silent", list).
-			WithField("founders", max(r.founders().count, len(r.config.Members))).
+			WithField("founders", max(r.founders().count, len(r.founders().configured))).
 			Info("data folder is not active yet; asking the other voters")
 	}
 	return list
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -13,6 +13,11 @@
 // crash or lost disk on the way splits one site into two or lets a lost disk
 // vote again.
 //
+// Where voters are discovered at run time, a disk records at its first start that
+// it may found the site, and with which nodes. The first of these that still has
+// its disk creates the founding, so that the site is founded although another one
+// restarts, or loses its disk, before it is.
+//
 // A disk has a random identity and a phase: empty, adopted, active. Only an
 // active disk takes part in the quorum. The first of the configured voters (by
 // name) creates a founding, which lists the disks of all configured voters, but
@@ -125,12 +130,30 @@
 	configured []model.NodeID
 	// count is the least number of founders.
 	count int
+	// recorded is set when only those of configured may create the founding whose
+	// disks recorded the founders.
+	recorded bool
+}
+
+// creator returns the node that creates the founding, given the identities of all
+// configured founders; false when none may.
+func (f founders) creator(self Identity, current identities) (model.NodeID, bool) {
+	for _, node := range slices.Sorted(slices.Values(f.configured)) {
+		identity := current[node]
+		if node == self.Node {
+			identity = self
+		}
+		if !f.recorded || len(identity.Founders) > 0 {
+			return node, true
+		}
+	}
+	return "", false
 }
 
-// foundSite founds the site when this is the first configured founder, the disks
-// of all configured ones are empty, and there are enough of other nodes.
+// foundSite founds the site when this node creates the founding, the disks of all
+// configured founders are empty, and there are enough of other nodes.
 func foundSite(self Identity, by founders, current identities) step {
-	if len(by.configured) == 0 || self.Node != slices.Min(by.configured) {
+	if creator, ok := by.creator(self, current); !ok || self.Node != creator {
 		return step{}
 	}
 	voters := []quorum.ID{self.Voter()}
--- a/internal/replica/founding_test.go
+++ b/internal/replica/founding_test.go
@@ -45,25 +45,37 @@
 		committed: map[string]bool{}, abandoned: map[string]bool{},
 	}
 	for _, node := range s.members {
-		s.loseDisk(node)
+		s.disks[node] = fakedisk.New()
+		if err := s.open(node, by.configured); err != nil {
+			panic(err)
+		}
 	}
 	return s
 }
 
-func (s *foundingSimulation) open(node model.NodeID) error {
+func (s *foundingSimulation) open(node model.NodeID, founders []model.NodeID) error {
 	s.previous[node], s.current[node] = nil, identities{}
-	folder, err := datafolder.Open(datafolder.Options{Path: "/data", Site: "s", Node: node, Disk: s.disks[node]})
+	folder, err := datafolder.Open(datafolder.Options{Path: "/data", Site: "s", Node: node, Founders: founders, Disk: s.disks[node]})
 	s.folders[node] = folder
 	return err
 }
 
 func (s *foundingSimulation) loseDisk(node model.NodeID) {
 	s.disks[node] = fakedisk.New()
-	if err := s.open(node); err != nil {
+	if err := s.open(node, nil); err != nil {
 		panic(err)
 	}
 }
 
+// founders returns the founders that a node knows.
+func (s *foundingSimulation) founders(node model.NodeID) founders {
+	by := s.by
+	if by.recorded {
+		by.configured = s.folders[node].Identity().Founders
+	}
+	return by
+}
+
 // query records the identity of another voter for one voter.
 func (s *foundingSimulation) query(node, other model.NodeID) {
 	if node != other {
@@ -84,7 +96,7 @@
 	r := &Replica{config: Config{Self: node}, folder: folder, counters: newCounters(nil)}
 	r.config.completeEnvironment()
 	r.config.Log = discardLogger
-	next := nextStep(folder.Identity(), s.by, s.previous[node], s.current[node])
+	next := nextStep(folder.Identity(), s.founders(node), s.previous[node], s.current[node])
 	s.previous[node], s.current[node] = s.current[node], identities{}
 	if next.kind == stepRenewDisk {
 		s.abandoned[folder.Identity().Founding.ID] = true
@@ -94,7 +106,7 @@
 	}
 	if err := r.applyStep(next, nil); err != nil {
 		s.disks[node] = disk.Reboot(s.random)
-		return s.open(node)
+		return s.open(node, nil)
 	}
 	return nil
 }
@@ -179,7 +191,7 @@
 // The same where the seeds need two more founders of four other nodes.
 func TestFoundingWithOtherNodesIsOnlyOne(t *testing.T) {
 	members := []model.NodeID{"a", "b", "c", "d", "e", "f", "g"}
-	checkFounding(t, members, founders{configured: members[:3], count: 5})
+	checkFounding(t, members, founders{configured: members[:3], count: 5, recorded: true})
 }
 
 func checkFounding(t *testing.T, members []model.NodeID, by founders) {
@@ -281,6 +293,24 @@
 	is.Equal(next.Members, []quorum.ID{"a#1", "b#2"}) // a node that is no longer configured is removed
 }
 
+// Guards against a site that is never founded: the first seed loses its disk, or
+// restarts, before the others have adopted its founding, and may not found a site
+// any more. The next seed that still has its disk does.
+func TestNextSeedFoundsTheSite(t *testing.T) {
+	is := is.New(t)
+	seeds := []model.NodeID{"a", "b", "c"}
+	by := founders{configured: seeds, count: 3, recorded: true}
+	empty := func(node model.NodeID, founders []model.NodeID) Identity {
+		return Identity{Site: "s", Node: node, Disk: "1", Phase: datafolder.PhaseEmpty, Founders: founders}
+	}
+	replied := identities{"a": empty("a", nil), "c": empty("c", seeds)}
+	is.Equal(nextStep(empty("b", seeds), by, nil, replied).kind, stepAdopt)
+	is.Equal(nextStep(empty("c", seeds), by, nil, identities{"a": replied["a"], "b": empty("b", seeds)}).kind, stepWait)
+	is.Equal(nextStep(empty("a", nil), founders{count: 3, recorded: true}, nil, replied).kind, stepWait)
+	delete(replied, "a")
+	is.Equal(nextStep(empty("b", seeds), by, nil, replied).kind, stepWait) // a may have a founding
+}
+
 // Guards against a site founded by three seeds that must tolerate two lost disks.
 func TestFoundersTolerateLostDisks(t *testing.T) {
 	is := is.New(t)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -56,7 +56,7 @@
 	if err := c.complete(); err != nil {
 		return nil, err
 	}
-	folder, err := datafolder.Open(datafolder.Options{Path: c.Folder, Site: c.Site, Node: c.Self, Disk: c.Disk})
+	folder, err := datafolder.Open(datafolder.Options{Path: c.Folder, Site: c.Site, Node: c.Self, Founders: c.Members, Disk: c.Disk})
 	if err != nil {
 		return nil, oops.In("replica").Wrapf(err, "open data folder")
 	}
