--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -209,7 +209,7 @@
 		return
 	}
 	d.trackRole()
-	d.logBeliefs(passed)
+	d.logVotersAndLeader(passed)
 	d.expireWaiters()
 	if d.ticksToReview <= 0 && d.raft.Status().Ready {
 		d.ticksToReview = d.config.ReviewTicks
--- a/internal/replica/enter_site.go
+++ b/internal/replica/enter_site.go
@@ -59,7 +59,7 @@
 	if identity.Phase == datafolder.PhaseAdopted {
 		return foundingPeers(identity)
 	}
-	nodes := append(r.config.Candidates(), identity.Founders...)
+	nodes := slices.Concat(r.config.Candidates(), identity.Founders)
 	slices.Sort(nodes)
 	return slices.Compact(nodes)
 }
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -13,18 +13,11 @@
 // crash or lost disk on the way splits one site into two or lets a lost disk
 // vote again.
 //
-// Where voters are discovered at run time, a disk records at its first start that
-// it may found the site, and with which nodes. The first of these that still has
-// its disk creates the founding, so that the site is founded although another one
-// restarts, or loses its disk, before it is.
-//
 // A disk has a random identity and a phase: empty, adopted, active. Only an
 // active disk takes part in the quorum. The first of the configured voters (by
 // name) creates a founding, which lists the disks of all configured voters, but
-// only when every one of them has replied that its disk is empty. Where these are
-// too few to tolerate the loss of as many disks as the site must, the founding
-// lists empty disks of other nodes that replied as well; without enough of them it
-// is not created. By this the first voter adopts the founding itself. Another empty disk adopts a founding that lists
+// only when every one of them has replied that its disk is empty. By this it
+// adopts the founding itself. Another empty disk adopts a founding that lists
 // it, unless a disk that replied is active already: it joins that one's site
 // then. An adopted disk becomes active once every other listed disk replied that
 // it has adopted the founding, or one disk replied that it is active under it.
@@ -32,6 +25,13 @@
 // crash the step is either done or not done, and the next round of queries
 // decides again from the durable state.
 //
+// Where voters are discovered at run time, the seeds stand for the configured
+// voters. Each disk records them at its first start. The first seed that still
+// has this record creates the founding, so that the site is founded although
+// another seed restarts or loses its disk before. Where the seeds are too few to
+// lose as many disks as the site tolerates, the founding also lists empty disks
+// of other nodes; without enough of them it is not created.
+//
 //   - A disk adopts at most one founding in its life, and a founding becomes
 //     active only after every disk it lists has adopted it. Two foundings that
 //     share a disk can therefore not both become active. Two that share none
--- a/internal/replica/report.go
+++ b/internal/replica/report.go
@@ -19,10 +19,10 @@
 	leaderlessTicks uint64
 }
 
-// logBeliefs logs a change of the voters in force, and that no leader is known.
+// logVotersAndLeader logs a change of the voters in force, and that no leader is known.
 // Without these lines a site that can't elect a leader, because too few of its
 // voters are left, looks like one that is starting.
-func (d *driver) logBeliefs(passedTicks uint64) {
+func (d *driver) logVotersAndLeader(passedTicks uint64) {
 	s := d.raft.Status()
 	d.logVoters(s)
 	if s.Leader != "" {
--- a/internal/replica/static_voters.go
+++ b/internal/replica/static_voters.go
@@ -10,8 +10,8 @@
 
 // nextStaticVoters returns the next change of one member that brings the voters
 // closer to the configured nodes with their current disks, and the reason;
-// noVoterChange when there is none. Members are the configured voters, known the identities they reported,
-// self the leader.
+// noVoterChange when there is none. Members are the configured voters, known the
+// identities they reported, self the leader.
 //
 // A voter that returned with a new disk is first removed and then added again.
 // Replacing it in one step would be unsafe: a quorum with the old disk and one
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -62,8 +62,8 @@
 	Nodes, Metrics string
 }
 
-// maxLostDisks bounds the setting lost_disks: the voters that it takes, twice as
-// many and one more, are the largest set that a leader can serve.
+// maxLostDisks bounds the setting lost_disks, which takes twice as many voters and
+// one more.
 const maxLostDisks = 8
 
 // MemberBounds holds times and numbers that the site or its environment guarantees.
