--- a/cmd/comfreyloom/durable_disk_test.go
+++ b/cmd/comfreyloom/durable_disk_test.go
@@ -50,6 +50,22 @@
 	named    bool
 }
 
+// slowFile is a file in the durable folder that holds how long a sync takes while
+// it exists.
+const slowFile = "slow"
+
+// waitForSync blocks for as long as a sync takes.
+func (d *durableDisk) waitForSync() {
+	text, err := os.ReadFile(filepath.Join(d.durable, slowFile))
+	if err != nil {
+		time.Sleep(syncTime)
+		return
+	}
+	if took, err := time.ParseDuration(string(text)); err == nil {
+		time.Sleep(took)
+	}
+}
+
 // path returns where the durable copy of a name is.
 func (d *durableDisk) path(name string) string { return filepath.Join(d.durable, "names", name) }
 
@@ -114,7 +130,7 @@
 
 // SyncDir implements datafolder.FS.
 func (d *durableDisk) SyncDir(dir string) error {
-	time.Sleep(syncTime)
+	d.waitForSync()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	names, err := d.List(dir)
@@ -200,7 +216,7 @@
 
 // Sync implements datafolder.File.
 func (o *openDurableFile) Sync() error {
-	time.Sleep(syncTime)
+	o.disk.waitForSync()
 	o.disk.mu.Lock()
 	defer o.disk.mu.Unlock()
 	if err := o.file.append(o.file.unsynced); err != nil {
--- a/cmd/comfreyloom/soak_config_test.go
+++ b/cmd/comfreyloom/soak_config_test.go
@@ -299,7 +299,8 @@
 	return all
 }
 
-// injectConfigFault injects a fault of the soak, or a loss of power or of disks.
+// injectConfigFault injects a fault of the soak, a slow or hanging disk, or a loss
+// of power or of disks.
 func (s *configSoak) injectConfigFault() {
 	until := time.Now().Add(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
 	switch s.random.IntN(8) {
@@ -309,11 +310,26 @@
 		s.powerOff(s.draw(1+s.random.IntN(s.coreCount)), nil, until)
 	case 2:
 		s.loseDisks(s.draw(s.lostDisks), false)
+	case 3:
+		s.slowDisk(s.draw(1)[0], time.Duration(50+s.random.IntN(2000))*time.Millisecond)
 	default:
 		s.injectFault()
 	}
 }
 
+// slowDisk makes each sync of a core VM take that long, and those of all others as
+// long as usual.
+func (s *configSoak) slowDisk(slow string, sync time.Duration) {
+	for _, core := range s.cores() {
+		file := filepath.Join(s.durableFolder(core), slowFile)
+		s.must(ignoreMissing(os.Remove(file)))
+		if core == slow && sync > 0 {
+			s.must(os.MkdirAll(filepath.Dir(file), 0o700))
+			s.must(os.WriteFile(file, []byte(sync.String()), 0o600))
+		}
+	}
+}
+
 // draw returns some core VMs.
 func (s *configSoak) draw(count int) []string {
 	cores := s.cores()
@@ -367,6 +383,7 @@
 		}
 	}
 	s.recoverFaults(time.Now().Add(time.Hour))
+	s.slowDisk("", 0)
 	time.Sleep(time.Until(s.lastWipe.Add(catchUp + time.Second)))
 	s.waitFor("a change is acknowledged", func() bool { return s.closingChange() })
 	s.loseDisksAndPower(s.draw(s.lostDisks))
