--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -116,7 +116,7 @@
 		Bounds: MemberBounds{
 			LeaseMax:      bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
 			FleetTakeOver: bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
-			LostDisks:     int(bounds.Int("lost_disks", "1", 0, maxLostDisks)),
+			LostDisks:     int(bounds.Int("lost_disks", "0", 0, maxLostDisks)),
 			StopTimeout:   bounds.Duration("stop_within", "6s", time.Second, time.Minute),
 		},
 		Fleet:     f.Section("fleet").Address("address", ""),
--- a/internal/settings/member_test.go
+++ b/internal/settings/member_test.go
@@ -40,6 +40,8 @@
 	is.Equal(m.Bounds.LeaseMax, 6*time.Second)
 	is.Equal(m.FleetRate, 64.0)
 	is.Equal(m.Bounds.LostDisks, 2)
+	without, _ := ParseMember("core.ini", []byte(strings.Replace(coreSettings, "lost_disks = 2\n", "", 1)))
+	is.Equal(without.Bounds.LostDisks, 0) // the seeds alone found the site, as before there was the key
 }
 
 func TestMemberProblemsNameTheKey(t *testing.T) {
