--- a/cmd/comfreyloom/durable_disk_test.go
+++ b/cmd/comfreyloom/durable_disk_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"io/fs"
 	"math/rand/v2"
 	"os"
@@ -239,11 +238,30 @@
 	return err
 }
 
-// losePower replaces a data folder of a process that was killed by what a loss of
-// power leaves of it: the durable copy, and of each unsynced tail nothing or, where
-// random allows it, a part.
+// losePower replaces the data folder of a process that was killed by what a loss of
+// power leaves of it: the durable copy and, at half of the losses, a part of what
+// was written to its files since.
 func losePower(random *rand.Rand, durable, folder string) error {
-	keepTails := random.IntN(2) == 0
+	kept, err := keptByPowerLoss(durable, folder, random, random.IntN(2) == 0)
+	if err != nil {
+		return err
+	}
+	if err := os.RemoveAll(folder); err != nil {
+		return err
+	}
+	for name, data := range kept {
+		if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
+			return err
+		}
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// keptByPowerLoss returns the files that are left, by name.
+func keptByPowerLoss(durable, folder string, random *rand.Rand, keepTails bool) (map[string][]byte, error) {
 	kept := map[string][]byte{}
 	from := filepath.Join(durable, "names", folder)
 	err := filepath.WalkDir(from, func(path string, entry fs.DirEntry, err error) error {
@@ -262,21 +280,5 @@
 		kept[name] = data
 		return nil
 	})
-	if err != nil {
-		return err
-	}
-	if err := os.RemoveAll(folder); err != nil {
-		return err
-	}
-	for name, data := range kept {
-		if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
-			return err
-		}
-		if err := os.WriteFile(name, data, 0o600); err != nil {
-			return err
-		}
-	}
-	return nil
+	return kept, err
 }
-
-var _ io.Closer = (*openDurableFile)(nil)
