--- a/internal/datafolder/folder.go
+++ b/internal/datafolder/folder.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	name := f.identityPath()
-	data, err := f.disk.ReadFile(name)
+	data, err := ReadDurable(f.disk, name)
 	if errors.Is(err, fs.ErrNotExist) {
 		return f.createIdentity(o)
 	}
--- a/internal/datafolder/folder_test.go
+++ b/internal/datafolder/folder_test.go
@@ -48,6 +48,34 @@
 	}
 }
 
+// The process is killed between the rename of an identity and the sync of the
+// directory. The next process acts in the phase that it reads, and a loss of power
+// must not take that phase, or the whole identity, away again.
+func TestReadIdentitySurvivesPowerLoss(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		disk := fakedisk.New()
+		f, err := datafolder.Open(options(disk))
+		is.NoErr(err)
+		active := f.Identity()
+		active.Phase = datafolder.PhaseActive
+		disk.SetFault(func(op fakedisk.Op) error {
+			if op.Kind == fakedisk.SyncDir {
+				return fakedisk.ErrCrash
+			}
+			return nil
+		})
+		is.True(f.SetIdentity(active) != nil)
+		disk = disk.Restart()
+		f, err = datafolder.Open(options(disk))
+		is.NoErr(err)
+		is.Equal(f.Identity().Phase, datafolder.PhaseActive)
+		f, err = datafolder.Open(options(disk.Reboot(rand.New(rand.NewPCG(seed, 1)))))
+		is.NoErr(err)
+		is.Equal(f.Identity().Phase, datafolder.PhaseActive)
+	}
+}
+
 func TestFolderOfAnotherOwnerIsRefused(t *testing.T) {
 	is := is.New(t)
 	disk := fakedisk.New()
--- a/internal/datafolder/replace.go
+++ b/internal/datafolder/replace.go
@@ -39,6 +39,18 @@
 	return f, nil
 }
 
+// ReadDurable reads a file that Replace wrote and makes its name durable. An earlier
+// process may have been killed between the rename and the sync of the directory:
+// what this process builds on the content must not outlive it in a loss of power.
+func ReadDurable(disk FS, name string) ([]byte, error) {
+	data, err := disk.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	dir := filepath.Dir(name)
+	return data, WrapError("sync", dir, disk.SyncDir(dir))
+}
+
 // writeAndRename writes data to the temporary file f and renames it to name.
 func writeAndRename(disk FS, f File, name string, data []byte) error {
 	temporary := name + TemporarySuffix
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	name := filepath.Join(dir, fileName)
-	data, err := disk.ReadFile(name)
+	data, err := datafolder.ReadDurable(disk, name)
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
