--- a/cmd/comfreyloom/soak_config_test.go
+++ b/cmd/comfreyloom/soak_config_test.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -32,87 +31,6 @@
 	recoverWithin = 15 * time.Second
 )
 
-// sentConfig is a configuration that an operator sent. Two operators may send
-// different ones under one version; the others are variants.
-type sentConfig struct {
-	text     string
-	prefixes map[string]bool
-}
-
-// configLedger records what operators sent and were told, and what must hold of
-// every later answer.
-type configLedger struct {
-	mu sync.Mutex
-	// sent holds the variants of each version.
-	sent map[int][]sentConfig
-	// floor is the highest version that was acknowledged or read.
-	floor, maxSent int
-	violations     []string
-	reads, probes  int
-}
-
-func (l *configLedger) addViolation(format string, args ...any) {
-	l.violations = append(l.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
-}
-
-// bounds returns the lowest and the highest version that may be in force now.
-func (l *configLedger) bounds() (floor, highest int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.floor, l.maxSent
-}
-
-func (l *configLedger) add(version int, c sentConfig) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.sent[version] = append(l.sent[version], c)
-	l.maxSent = max(l.maxSent, version)
-}
-
-func (l *configLedger) acknowledged(version int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.floor = max(l.floor, version)
-}
-
-// read checks a configuration that a VM returned to a request sent when floor
-// held. What was read stays in force under its version.
-func (l *configLedger) read(vm string, floor int, text string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.reads++
-	version := standin.ConfigVersion(text)
-	if version < floor {
-		l.addViolation("%s returns version %d after %d", vm, version, floor)
-	}
-	i := slices.IndexFunc(l.sent[version], func(c sentConfig) bool { return c.text == text })
-	if i < 0 {
-		l.addViolation("%s returns version %d, which is not what was sent or read under it", vm, version)
-		return
-	}
-	l.sent[version] = []sentConfig{l.sent[version][i]}
-	l.floor = max(l.floor, version)
-}
-
-// probe checks whether a VM's answer to a caller agrees with one of the versions
-// that may have been in force.
-func (l *configLedger) probe(vm, prefix string, floor int, served bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.probes++
-	for version, variants := range l.sent {
-		if version < floor {
-			continue
-		}
-		for _, c := range variants {
-			if c.prefixes[prefix] == served {
-				return
-			}
-		}
-	}
-	l.addViolation("%s serves %s: %v, as no version from %d on allows", vm, prefix, served, floor)
-}
-
 // configSoak changes the configuration of a site under fault injection.
 type configSoak struct {
 	*soak
@@ -265,101 +183,6 @@
 	}
 }
 
-// powerOff kills processes at one moment. Core VMs go on from what a loss of power
-// leaves of their disks, those named in lost from empty ones.
-func (s *configSoak) powerOff(names, lost []string, until time.Time) {
-	running := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return s.processes[n] == nil })
-	for _, name := range running {
-		s.must(s.processes[name].Process.Signal(syscall.SIGKILL))
-	}
-	for _, name := range running {
-		_ = s.processes[name].Wait()
-		delete(s.processes, name)
-		delete(s.frozenUntil, name)
-		s.downUntil[name] = until
-	}
-	for _, name := range names {
-		switch {
-		case slices.Contains(lost, name):
-			s.removeDisk(name)
-		case strings.HasPrefix(name, "core"):
-			s.must(losePower(s.random, s.durableFolder(name), filepath.Join(s.folder, name)))
-		}
-	}
-}
-
-func (s *configSoak) all() []string {
-	all := s.cores()
-	for i := range s.entryCount {
-		all = append(all, fmt.Sprintf("entry%d", i))
-	}
-	return all
-}
-
-// injectConfigFault injects a fault of the soak, a slow or hanging disk, or a loss
-// of power or of disks.
-func (s *configSoak) injectConfigFault() {
-	until := time.Now().Add(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
-	switch s.random.IntN(8) {
-	case 0:
-		s.powerOff(s.cores(), nil, until)
-	case 1:
-		s.powerOff(s.draw(1+s.random.IntN(s.coreCount)), nil, until)
-	case 2:
-		s.loseDisks(s.draw(s.lostDisks), false)
-	case 3:
-		s.slowDisk(s.draw(1)[0], time.Duration(50+s.random.IntN(2000))*time.Millisecond)
-	default:
-		s.injectFault()
-	}
-}
-
-// slowDisk makes each sync of a core VM take that long, and those of all others as
-// long as usual.
-func (s *configSoak) slowDisk(slow string, sync time.Duration) {
-	for _, core := range s.cores() {
-		file := filepath.Join(s.durableFolder(core), slowFile)
-		s.must(ignoreMissing(os.Remove(file)))
-		if core == slow && sync > 0 {
-			s.must(os.MkdirAll(filepath.Dir(file), 0o700))
-			s.must(os.WriteFile(file, []byte(sync.String()), 0o600))
-		}
-	}
-}
-
-// draw returns some core VMs.
-func (s *configSoak) draw(count int) []string {
-	cores := s.cores()
-	s.random.Shuffle(len(cores), func(i, j int) { cores[i], cores[j] = cores[j], cores[i] })
-	return cores[:count]
-}
-
-// loseDisks loses the disks of core VMs unless others count as lost. With power
-// set, all other processes lose their power as well.
-func (s *configSoak) loseDisks(lost []string, power bool) bool {
-	now := time.Now()
-	if now.Before(s.lastWipe.Add(catchUp + time.Second)) {
-		return false
-	}
-	names := lost
-	if power {
-		names = s.all()
-	}
-	back := now.Add(time.Duration(300+s.random.IntN(1500)) * time.Millisecond)
-	s.powerOff(names, lost, back)
-	s.lastWipe = back
-	return true
-}
-
-// awaitCatchUp waits until no VM counts as lost. Until then more lost disks would be
-// more than the site tolerates at once, however long ago the last ones were: other
-// faults may have kept a leader from repairing anything.
-func (s *configSoak) awaitCatchUp() {
-	s.recoverFaults(time.Now().Add(time.Hour))
-	s.slowDisk("", 0)
-	time.Sleep(catchUp + time.Second)
-}
-
 // run injects faults while operators and callers work, then waits until all VMs are
 // back, acknowledges one more change and loses disks.
 func (s *configSoak) run(seed uint64) {
@@ -387,19 +210,6 @@
 	clients.Wait()
 }
 
-// loseDisksAndPower loses the disks of core VMs while all other processes lose
-// their power, and waits for the configuration.
-func (s *configSoak) loseDisksAndPower(lost []string) {
-	if !s.loseDisks(lost, true) {
-		s.t.Fatal("other disks still count as lost")
-	}
-	for len(s.downUntil) > 0 {
-		time.Sleep(20 * time.Millisecond)
-		s.recoverFaults(time.Now())
-	}
-	s.awaitReadBack()
-}
-
 // closingChange sends one change and reports whether it was acknowledged.
 func (s *configSoak) closingChange() bool {
 	_, highest := s.changes.bounds()
