--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -95,6 +95,7 @@
 	founded bool
 	// adjustConfig changes the configuration of a voter.
 	adjustConfig func(*Config)
+	log          *clusterLog
 }
 
 type node struct {
@@ -108,6 +109,7 @@
 func newCluster(t testing.TB, members ...model.NodeID) *cluster {
 	c := &cluster{t: t, members: members, nodes: map[model.NodeID]*node{},
 		isolated: map[model.NodeID]bool{}, acknowledged: map[quorum.ID]bool{}, adjustConfig: func(*Config) {}}
+	c.log = &clusterLog{clock: c.clock, lines: map[model.NodeID][]logLine{}}
 	t.Cleanup(func() {
 		for _, n := range c.members {
 			c.stop(n)
@@ -154,7 +156,7 @@
 		Folder: "/data", Site: "port-klang", Self: name, Members: c.members,
 		StateMachine: machine, Transport: c, Bootstrapper: c, Disk: disk, Clock: c.clock, Random: random.IntN,
 		TickInterval: 2 * time.Millisecond, ElectionTicks: 12, HeartbeatTicks: 2, ReviewTicks: 5,
-		SnapshotEntries: 20, KeepEntries: 5, SegmentBytes: 2000, Log: discardLogger,
+		SnapshotEntries: 20, KeepEntries: 5, SegmentBytes: 2000, Log: c.log.logger(name),
 	}
 	c.adjustConfig(&config)
 	return config
@@ -221,7 +223,7 @@
 	c.t.Helper()
 	for end := time.Now().Add(waitTimeout); !condition(); {
 		if time.Now().After(end) {
-			c.t.Fatalf("not reached: %s", what)
+			c.t.Fatalf("not reached: %s\n%s", what, c.describe())
 		}
 		time.Sleep(time.Millisecond)
 		c.mu.Lock()
