replica: the clock of the tests waits for the voters

Cause: in the test. Its clock advances by 2 ms a millisecond whether or not the voters get processor time. On a busy machine they miss heartbeats and change leaders; a new leader counts from its own start for how long a voter did not respond. After fifteen seconds the four voters that were cut off were still among the nine, and the fifth cut left four of nine: more than the site tolerates.

The nodes' logs: the last change of leader at 6.5 s, the fifth cut at 15.1 s, nine voters in force, four of them grant each other their votes. Ruled out: a voter that ended, or that refuses its vote.

Change: a step of the clock waits until each running voter has seen the present time, and the test waits for the removals before it goes on. What is asserted stays.

--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -155,7 +155,7 @@
 	config := Config{
 		Folder: "/data", Site: "port-klang", Self: name, Members: c.members,
 		StateMachine: machine, Transport: c, Bootstrapper: c, Disk: disk, Clock: c.clock, Random: random.IntN,
-		TickInterval: 2 * time.Millisecond, ElectionTicks: 12, HeartbeatTicks: 2, ReviewTicks: 5,
+		TickInterval: clockStep, ElectionTicks: 12, HeartbeatTicks: 2, ReviewTicks: 5,
 		SnapshotEntries: 20, KeepEntries: 5, SegmentBytes: 2000, Log: c.log.logger(name),
 	}
 	c.adjustConfig(&config)
@@ -216,7 +216,14 @@
 	c.isolated[name] = isolated
 }
 
-const waitTimeout = 60 * time.Second
+const (
+	waitTimeout = 60 * time.Second
+	// clockStep is a tick of the voters.
+	clockStep = 2 * time.Millisecond
+	// driverTimeout is the longest time for which a step of the clock waits for
+	// the voters.
+	driverTimeout = 200 * time.Millisecond
+)
 
 // waitFor advances the clock until the condition holds.
 func (c *cluster) waitFor(what string, condition func() bool) {
@@ -226,12 +233,36 @@
 			c.t.Fatalf("not reached: %s\n%s", what, c.describe())
 		}
 		time.Sleep(time.Millisecond)
+		c.awaitDrivers()
 		c.mu.Lock()
-		c.now += 2 * time.Millisecond
+		c.now += clockStep
 		c.mu.Unlock()
 	}
 }
 
+// awaitDrivers waits until every running voter has seen the present time.
+// Otherwise voters that get no processor time miss heartbeats, and a busy machine
+// changes what a test plays. A voter whose disk hangs is not awaited for long.
+func (c *cluster) awaitDrivers() {
+	for end := time.Now().Add(driverTimeout); c.driversLag() && time.Now().Before(end); {
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+// driversLag reports whether a running voter is more than a step behind the clock.
+func (c *cluster) driversLag() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.nodes {
+		p := n.status.Load()
+		started := p.status.Self != ""
+		if started && len(n.ended) == 0 && p.at+clockStep < c.now {
+			return true
+		}
+	}
+	return false
+}
+
 // reachable returns the running voters that are not isolated.
 func (c *cluster) reachable() map[model.NodeID]*node {
 	c.mu.Lock()
--- a/internal/replica/lost_disks_test.go
+++ b/internal/replica/lost_disks_test.go
@@ -87,6 +87,17 @@
 	return <-done
 }
 
+// isolateFollowers cuts off some nodes that don't lead.
+func (c *cluster) isolateFollowers(count int) {
+	name, _ := c.leader()
+	for _, other := range c.members {
+		if count > 0 && other != name && !c.isolated[other] {
+			c.setIsolated(other, true)
+			count--
+		}
+	}
+}
+
 // checkSurvives loses the disks of two voters that stored the command, and the
 // power of all others, and checks that the site still has the command.
 func (c *cluster) checkSurvives(random *rand.Rand, command string) {
@@ -121,14 +132,10 @@
 	c := newGrowingCluster(t)
 	c.startAll()
 	c.waitForVoters()
-	for _, cut := range []int{4, 1, 1} {
-		name, _ := c.leader()
-		for _, other := range c.members {
-			if cut > 0 && other != name && !c.isolated[other] {
-				c.setIsolated(other, true)
-				cut--
-			}
-		}
+	c.isolateFollowers(4)
+	c.waitForVoters() // a change of leader restarts the time after which a voter is removed
+	for range 2 {
+		c.isolateFollowers(1)
 		c.pass(removeAfter + removeAfter/2)
 	}
 	c.propose("late")
