cmd: the soak of configurations with slow links and names lost by themselves

The soak had no links with little bandwidth, and after a loss of power all unsynced names were gone together.

--- a/cmd/comfreyloom/durable_disk_test.go
+++ b/cmd/comfreyloom/durable_disk_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"fmt"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -21,10 +24,13 @@
 // syncTime is how long a sync takes, as on the disks of the grown sites.
 const syncTime = 9 * time.Millisecond
 
-// mainWithDurableDisk is main with a disk that can lose its power.
-func mainWithDurableDisk() {
+// mainInTest is main with a disk that can lose its power and a slow link.
+func mainInTest() {
 	if folder := os.Getenv(durableVariable); folder != "" {
-		dataDisk = &durableDisk{durable: folder, files: map[string]*durableFile{}}
+		environment.Disk = &durableDisk{durable: folder, files: map[string]*durableFile{}}
+	}
+	if rate, err := strconv.Atoi(os.Getenv(linkVariable)); err == nil {
+		environment.Dial = newSlowLink(rate).dial
 	}
 	main()
 }
@@ -240,12 +246,19 @@
 
 // losePower replaces the data folder of a process that was killed by what a loss of
 // power leaves of it: the durable copy and, at half of the losses, a part of what
-// was written to its files since.
+// was written, renamed and removed since.
 func losePower(random *rand.Rand, durable, folder string) error {
-	kept, err := keptByPowerLoss(durable, folder, random, random.IntN(2) == 0)
+	kept, err := readFolder(filepath.Join(durable, "names", folder), folder)
 	if err != nil {
 		return err
 	}
+	if random.IntN(2) == 0 {
+		written, err := readFolder(folder, folder)
+		if err != nil {
+			return err
+		}
+		keepUnsynced(random, kept, written)
+	}
 	if err := os.RemoveAll(folder); err != nil {
 		return err
 	}
@@ -260,25 +273,40 @@
 	return nil
 }
 
-// keptByPowerLoss returns the files that are left, by name.
-func keptByPowerLoss(durable, folder string, random *rand.Rand, keepTails bool) (map[string][]byte, error) {
-	kept := map[string][]byte{}
-	from := filepath.Join(durable, "names", folder)
+// readFolder returns the files below a folder, named as if they were below another.
+func readFolder(from, to string) (map[string][]byte, error) {
+	files := map[string][]byte{}
 	err := filepath.WalkDir(from, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() {
 			return ignoreMissing(err)
 		}
 		data, err := os.ReadFile(path)
-		if err != nil {
-			return err
+		files[filepath.Join(to, strings.TrimPrefix(path, from))] = data
+		return err
+	})
+	return files, err
+}
+
+// keepUnsynced changes the durable files to a random mix with what the process had
+// written: each unsynced tail, rename and removal is kept in part or lost by itself.
+func keepUnsynced(random *rand.Rand, durable, written map[string][]byte) {
+	synced := maps.Clone(durable)
+	for _, name := range slices.Sorted(maps.Keys(synced)) {
+		data, present := written[name]
+		switch {
+		case !present && random.IntN(2) == 0:
+			delete(durable, name)
+		case present && len(data) > len(synced[name]) && bytes.HasPrefix(data, synced[name]):
+			durable[name] = data[:len(synced[name])+random.IntN(len(data)-len(synced[name]))]
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(written)) {
+		if old, ok := synced[name]; ok && bytes.HasPrefix(written[name], old) {
+			continue
 		}
-		name := filepath.Join(folder, strings.TrimPrefix(path, from))
-		written, err := os.ReadFile(name)
-		if err == nil && keepTails && len(written) > len(data) && bytes.HasPrefix(written, data) {
-			data = written[:len(data)+random.IntN(len(written)-len(data))]
+		renamed, ok := synced[name+datafolder.TemporarySuffix]
+		if ok && bytes.HasPrefix(written[name], renamed) && random.IntN(2) == 0 {
+			durable[name] = renamed
 		}
-		kept[name] = data
-		return nil
-	})
-	return kept, err
+	}
 }
--- a/cmd/comfreyloom/member.go
+++ b/cmd/comfreyloom/member.go
@@ -10,15 +10,14 @@
 
 	"github.com/apex/log"
 
-	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+	"github.com/comfreyloom/comfreyloom/internal/member"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 	"github.com/comfreyloom/comfreyloom/internal/telemetry"
 	"github.com/comfreyloom/comfreyloom/platform"
 )
 
-// dataDisk is the file system of the data folder, nil for the operating system's.
-// Tests replace it.
-var dataDisk datafolder.FS
+// environment is the operating system's. Tests replace parts of it.
+var environment member.Environment
 
 // serveMember runs one process of a site whose VMs discover each other.
 func serveMember(path string, c console) exitCode {
@@ -41,7 +40,7 @@
 	logger := &log.Logger{Handler: writer, Level: level}
 	stdlog.SetOutput(telemetry.NewLibraryLogWriter(logger, counters))
 	stdlog.SetFlags(0)
-	m, err := platform.NewMember(s, dataDisk, logger, counters)
+	m, err := platform.NewMember(s, environment, logger, counters)
 	if err != nil {
 		fmt.Fprintln(c.err, "comfreyloom serve:", err)
 		return exitFailed
--- a/cmd/comfreyloom/member_test.go
+++ b/cmd/comfreyloom/member_test.go
@@ -46,6 +46,9 @@
 	// listenOffset is added to the last number of the IP at which a process listens
 	// for the others. A relay then listens at the IP that the process announces.
 	listenOffset int
+	// entryLink is the bandwidth of the entry VMs' links in bytes a second; 0 is
+	// unlimited. Callers then reach them through a relay.
+	entryLink int
 }
 
 func newMemberSite(t *testing.T) *memberSite {
@@ -108,12 +111,23 @@
 }
 
 // nodesAddress returns the address at which a process listens for the others.
-func (s *memberSite) nodesAddress(name string) string {
+func (s *memberSite) nodesAddress(name string) string { return s.offsetAddress(name, 0) }
+
+// callersAddress returns the address at which an entry VM listens for callers.
+func (s *memberSite) callersAddress(name string) string {
+	if s.entryLink == 0 {
+		return s.address(name, 2)
+	}
+	return s.offsetAddress(name, 2)
+}
+
+// offsetAddress returns the address behind a relay of address.
+func (s *memberSite) offsetAddress(name string, port int) string {
 	ip := s.ip(name)
 	last := strings.LastIndexByte(ip, '.')
 	number, err := strconv.Atoi(ip[last+1:])
 	s.must(err)
-	return fmt.Sprintf("%s.%d:%d", ip[:last], number+s.listenOffset, s.ports[0])
+	return fmt.Sprintf("%s.%d:%d", ip[:last], number+s.listenOffset, s.ports[port])
 }
 
 // start writes the settings of a process and starts it.
@@ -122,7 +136,7 @@
 	data := "data_folder = " + filepath.Join(s.folder, name)
 	if strings.HasPrefix(name, "entry") {
 		role, data = "entry", ""
-		listen = "callers = " + s.address(name, 2) + "\nreadiness = " + s.address(name, 3)
+		listen = "callers = " + s.callersAddress(name) + "\nreadiness = " + s.address(name, 3)
 	}
 	text := fmt.Sprintf(`[node]
 name = %s
@@ -149,6 +163,9 @@
 	process := exec.Command("comfreyloom", "serve")
 	process.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "GORACE=log_path="+filepath.Join(s.folder, "race"),
 		durableVariable+"="+s.durableFolder(name))
+	if role == "entry" && s.entryLink > 0 {
+		process.Env = append(process.Env, fmt.Sprintf("%s=%d", linkVariable, s.entryLink))
+	}
 	process.Stdout, process.Stderr = output, output
 	s.must(process.Start())
 	s.processes[name] = process
--- a/cmd/comfreyloom/script_relay_test.go
+++ b/cmd/comfreyloom/script_relay_test.go
@@ -56,6 +56,8 @@
 	open map[*relayed]bool
 	// delay is added before each chunk that is forwarded.
 	delay time.Duration
+	// link limits the bandwidth; nil does not.
+	link *slowLink
 }
 
 // serve forwards the connections of a link until its listener is closed.
@@ -160,12 +162,16 @@
 	r.mu.Lock()
 	r.open[c] = true
 	r.mu.Unlock()
-	go r.copyBytes(c, back, client, server)
-	r.copyBytes(c, forth, server, client)
+	slow := r.link
+	if slow == nil {
+		slow = &slowLink{}
+	}
+	go r.copyBytes(c, back, client, server, &slow.out)
+	r.copyBytes(c, forth, server, client, &slow.in)
 }
 
 // copyBytes forwards bytes and the end of the stream, unless the direction drops them.
-func (r *relay) copyBytes(c *relayed, d direction, to, from net.Conn) {
+func (r *relay) copyBytes(c *relayed, d direction, to, from net.Conn, slow *slowDirection) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -176,6 +182,7 @@
 			continue
 		}
 		time.Sleep(r.currentDelay())
+		slow.transmit(n)
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
 			_ = to.Close()
 			_ = from.Close()
--- a/cmd/comfreyloom/script_test.go
+++ b/cmd/comfreyloom/script_test.go
@@ -18,7 +18,7 @@
 // separate processes.
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"comfreyloom": mainWithDurableDisk,
+		"comfreyloom": mainInTest,
 		"attempt":     attemptMain,
 		"platform":    platformMain,
 		"upstream":    upstreamMain,
--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -112,7 +112,6 @@
 
 // newSizedSoak starts the processes of a site behind relays.
 func newSizedSoak(site *memberSite, seed uint64) *soak {
-	t := site.t
 	s := &soak{
 		memberSite: site, random: rand.New(rand.NewPCG(seed, 11)), ledger: newTaskLedger(),
 		relays: map[string]*relay{}, downUntil: map[string]time.Time{}, frozenUntil: map[string]time.Time{}, relayFaultUntil: map[string]time.Time{},
@@ -120,16 +119,15 @@
 	}
 	s.listenOffset = soakOffset
 	for _, core := range s.cores() {
-		r := &relay{cuts: map[direction]bool{}, open: map[*relayed]bool{}}
-		listener, err := net.Listen("tcp", s.address(core, 0))
-		s.must(err)
-		t.Cleanup(func() { _ = listener.Close() })
-		go r.serve(link{from: "peers", to: core, target: s.nodesAddress(core)}, listener)
-		s.relays[core] = r
+		s.relays[core] = s.startRelay(link{from: "peers", to: core, listen: s.address(core, 0), target: s.nodesAddress(core)}, 0)
 		s.start(core, true)
 	}
 	for i := range s.entryCount {
-		s.start(fmt.Sprintf("entry%d", i), false)
+		entry := fmt.Sprintf("entry%d", i)
+		if s.entryLink > 0 {
+			s.startRelay(link{from: "callers", to: entry, listen: s.address(entry, 2), target: s.callersAddress(entry)}, s.entryLink)
+		}
+		s.start(entry, false)
 	}
 	s.waitFor("the first configuration is accepted", func() bool { return s.configure() })
 	for i := range soakWorkers {
@@ -138,6 +136,17 @@
 	return s
 }
 
+// startRelay starts a relay whose link has a bandwidth in bytes a second, 0 for
+// unlimited.
+func (s *soak) startRelay(l link, bandwidth int) *relay {
+	r := &relay{cuts: map[direction]bool{}, open: map[*relayed]bool{}, link: newSlowLink(bandwidth)}
+	listener, err := net.Listen("tcp", l.listen)
+	s.must(err)
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go r.serve(l, listener)
+	return r
+}
+
 func (s *soak) cores() []string {
 	var all []string
 	for i := range s.coreCount {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,9 +53,16 @@
 	Workers   workers.Client
 	Fleet     dispatch.Fleet
 	Advisor   dispatch.Advisor
-	// Disk is the file system of the data folder; nil selects that of the
-	// operating system.
+	Environment
+}
+
+// Environment is what a process uses of its VM. A nil field selects what the
+// operating system provides.
+type Environment struct {
+	// Disk is the file system of the data folder.
 	Disk datafolder.FS
+	// Dial opens connections to the site's other processes.
+	Dial node.DialFunc
 }
 
 // Member is one process of the site.
@@ -86,7 +93,7 @@
 	m := &Member{Settings: s, Logger: logger, Metrics: r, dependencies: d}
 	self := m.self()
 	m.directory = control.NewDirectory(m.seeds(s), steady.Now)
-	m.nodes = node.NewClient(node.ClientConfig{Self: self, Site: siteName, NamedByAddress: true, Metrics: r})
+	m.nodes = node.NewClient(node.ClientConfig{Self: self, Site: siteName, NamedByAddress: true, Metrics: r, Dial: d.Dial})
 	m.nodeServer = node.NewServer(node.ServerConfig{Self: self, Site: siteName, Identity: m.identity, Client: m.nodes, Metrics: r})
 	if err := m.openSockets(); err != nil {
 		m.sockets.close()
