dispatch: a new leader counts what its predecessor's stops may still end

Cause: what a leader has ordered to stop is in its memory alone. A worker lists a run that is being stopped until it has ended, and the new leader took it for available by its first list.

Change: a run counts as available once a list is younger than the worker's first list for this leader by the time that a stop takes (worker_stop_within, the platform's stop-ms). Why it works: since it answered, the worker refuses the fence of earlier leaders, so no stop of theirs can begin; the last one that began has ended by then, on the worker's own clock. It holds for killed, cut and handing-over leaders alike, and costs no commit. Weighed: evictions in the control log, a commit for each, which a stop would wait for. What else a leader knows of its own orders only: closings are reopened by its successor, starts and cancels are committed, paces are set anew.

A line for each eviction: run, why, age of the list; explain shows it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -60,6 +60,8 @@
 	// Lease is the length of a worker's lease. It is well below LeaseMax, the
 	// longest lease that a worker grants.
 	Lease, LeaseMax time.Duration
+	// StopTime is the longest time that a worker takes to stop a run.
+	StopTime time.Duration
 	// TakeOverDelay is how long a new leader delays orders to the platform, so
 	// that they don't alternate with those of the previous leader.
 	TakeOverDelay time.Duration
--- a/internal/dispatch/evict.go
+++ b/internal/dispatch/evict.go
@@ -71,7 +71,10 @@
 	if l == nil {
 		return
 	}
-	draining := t.Workers[id] != nil && t.Workers[id].Draining
+	draining, why := t.Workers[id] != nil && t.Workers[id].Draining, evictedForMaintenance
+	if draining {
+		why = evictedFromDraining
+	}
 	for run := range t.Runs[id] {
 		job, step, task := t.Task(run.Task)
 		if task == nil || l.isEvicted(run) {
@@ -82,17 +85,17 @@
 		switch {
 		case !spec.LongRunning:
 			if shortTasks {
-				l.evictRun(run)
+				l.evictRun(run, why)
 			}
 		case job.State.Final():
 			if draining || d.budgetBlocker(run, spec, step) == nil {
-				l.evictRun(run) // nothing is started in its place
+				l.evictRun(run, evictedWithJob) // nothing is started in its place
 			}
 		case d.fleet.awaitingRestart[pool]:
 		case !d.canPlaceElsewhere(t, job, spec, step, id):
 			d.fleet.lackingWorker[pool] = true
 		case draining || d.budgetBlocker(run, spec, step) == nil:
-			l.evictRun(run)
+			l.evictRun(run, why)
 			d.fleet.awaitingRestart[pool] = true
 		}
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -50,6 +50,7 @@
 	id := workload.WorkerID(fmt.Sprintf("i-%d", sim.incarnations))
 	f.worker = standin.New(id, f.address, workload.Resources{CPU: 2000, MemoryMB: 1000}, 0.98+0.02*sim.random.Float64(), sim.now)
 	f.sequence, f.restartAt = 0, 0
+	f.worker.StopTime = sim.stopTime
 	f.worker.OnAck = func(e workload.End, held bool) {
 		switch e.Kind {
 		case workload.EndDone:
@@ -133,7 +134,7 @@
 	if err != nil || refusal != workers.Accepted {
 		return workers.Reply{Refusal: refusal}, err
 	}
-	if n.sim.onStop != nil && slices.Contains(worker.Running(), run) {
+	if n.sim.onStop != nil && slices.Contains(worker.Running(), run) && !worker.IsStopping(run) {
 		n.sim.onStop(worker, run)
 	}
 	return worker.Stop(run, fence, n.sim.now), n.lostReply()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -156,6 +156,9 @@
 		l.d.logUnread(l, list.UnreadableRows)
 	}
 	l.unreadableRows = list.UnreadableRows
+	if l.firstListMS == 0 {
+		l.firstListMS = list.ClockMS
+	}
 	l.running = make(map[workload.RunRef]*observedRun, len(list.Running))
 	for _, r := range list.Running {
 		seen := &observedRun{RunStatus: r, firstListed: now, progressSinceMS: list.ClockMS, listedMS: list.ClockMS}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -42,6 +42,8 @@
 	lastHoldFailure time.Duration
 	running         map[workload.RunRef]*observedRun
 	ends            []workload.End
+	// firstListMS is the worker's clock in its first list for this leader.
+	firstListMS int64
 	// unreadableRows counts the rows of the last list that could not be read.
 	unreadableRows int
 	// needsCalls is true while runs are committed on the worker, or it has recorded
@@ -251,10 +253,21 @@
 	return l.evicted[run]
 }
 
+// evictionReason is why a run is stopped although it could continue.
+type evictionReason string
+
+const (
+	evictedForMaintenance evictionReason = "its VM is to be maintained"
+	evictedFromDraining   evictionReason = "its worker is draining"
+	evictedStalled        evictionReason = "it shows no progress"
+	evictedWithJob        evictionReason = "its job has ended"
+)
+
 // evictRun has a run stopped in the next round.
-func (l *link) evictRun(run workload.RunRef) {
+func (l *link) evictRun(run workload.RunRef, why evictionReason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.d.logEviction(l, run, why)
 	l.evicted[run] = true
 	l.dirty = true
 	l.d.wakeUp()
@@ -266,7 +279,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	seen := l.running[run]
-	return seen != nil && seen.Percent >= availablePercent && !l.unresponsive(l.d.now()) && !l.replaced && !l.evicted[run]
+	return seen != nil && seen.Percent >= availablePercent && l.outlivedEarlierStops(seen) && !l.unresponsive(l.d.now()) && !l.replaced && !l.evicted[run]
+}
+
+// outlivedEarlierStops reports whether no stop of an earlier leader can end a run
+// any more. The worker refuses these since it answered this leader, but what it
+// accepted before takes effect up to StopTime later, and is listed until then.
+func (l *link) outlivedEarlierStops(seen *observedRun) bool {
+	return time.Duration(seen.listedMS-l.firstListMS)*time.Millisecond >= l.d.config.StopTime
 }
 
 // isStalled reports whether a run showed no progress for too long in the lists
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -139,6 +139,18 @@
 	d.config.Logger.WithFields(fields).Warn("run stands still")
 }
 
+// logEviction logs that a run is to be stopped, and what the decision rests on.
+func (d *Dispatcher) logEviction(l *link, run workload.RunRef, why evictionReason) {
+	fields := log.Fields{
+		"worker": string(l.target.ID), "task": run.Task.String(), "attempt": run.Attempt,
+		"why": string(why), "list_age_ms": (d.now() - l.listedAt).Milliseconds(),
+	}
+	if seen := l.running[run]; seen != nil {
+		fields["percent"] = seen.Percent
+	}
+	d.config.Logger.WithFields(fields).Info("run evicted")
+}
+
 func (d *Dispatcher) logWorker(r control.Report) {
 	d.config.Logger.WithField("worker", string(r.Worker.ID)).WithField("pool", r.Worker.Pool).
 		WithField("address", r.Worker.Address).WithField("draining", r.Worker.Draining).
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -54,6 +54,9 @@
 	// called for each stop that arrives.
 	skipBudget bool
 	onStop     func(*standin.Worker, workload.RunRef)
+	// stopTime is how long the workers take to stop a run, knownStopTime what the
+	// leaders take it for.
+	stopTime, knownStopTime time.Duration
 	// capacityChanges: runs may exceed a capacity that has shrunk after their
 	// start.
 	capacityChanges bool
@@ -101,7 +104,7 @@
 	}
 	d := New(Config{
 		Self: "leader", Log: &fakeLog{sim: sim, term: sim.term}, Machine: sim.machine, Workers: fakeNet{sim},
-		Lease: 5 * time.Second, LeaseMax: 6 * time.Second, Now: func() time.Duration { return sim.now },
+		Lease: 5 * time.Second, LeaseMax: 6 * time.Second, StopTime: sim.knownStopTime, Now: func() time.Duration { return sim.now },
 		WallMS: func() int64 { return sim.now.Milliseconds() }, Logger: discardLogger, Metrics: metrics.NewRegistry(),
 	})
 	d.launch = func(context.Context, *link) {}
--- a/internal/dispatch/unavailable_test.go
+++ b/internal/dispatch/unavailable_test.go
@@ -27,7 +27,8 @@
 	availableAt    []time.Duration
 	stopped        []bool
 	maxUnavailable int
-	violations     int
+	// stops counts the stops of available tasks, violations those beyond the budget.
+	stops, violations int
 }
 
 // observe records which tasks are available now.
@@ -37,7 +38,7 @@
 			continue
 		}
 		for _, run := range f.worker.Running() {
-			if f.worker.RunAge(run, b.sim.now) >= warmUpTime {
+			if f.worker.RunAge(run, b.sim.now) >= warmUpTime && !f.worker.IsStopping(run) {
 				b.availableAt[run.Task.Index], b.stopped[run.Task.Index] = b.sim.now, false
 			}
 		}
@@ -51,6 +52,7 @@
 	if !available {
 		return
 	}
+	b.stops++
 	unavailable := 0
 	for i := range b.availableAt {
 		if i != run.Task.Index && (b.stopped[i] || b.sim.now-b.availableAt[i] > unavailableAfter) {
@@ -109,3 +111,61 @@
 	}
 	is.True(found > 0) // with the rule switched off
 }
+
+// workerStopTime is how long the workers take to stop a run.
+const workerStopTime = 400 * time.Millisecond
+
+// simulateEvictions simulates a long-running step whose workers are emptied in turn
+// while leaders change, which take the time of a stop for knownStopTime.
+func simulateEvictions(seed uint64, knownStopTime time.Duration) *budgetMonitor {
+	sim := newSimulation(seed)
+	sim.faultPercent = 0
+	sim.stopTime, sim.knownStopTime = workerStopTime, knownStopTime
+	for _, f := range sim.workers {
+		f.worker.StopTime = workerStopTime
+	}
+	b := &budgetMonitor{sim: sim, availableAt: make([]time.Duration, 4), stopped: make([]bool, 4), maxUnavailable: 1}
+	sim.run(300 * time.Millisecond)
+	sim.submitJob("lasts", workload.StepSpec{Count: 4, Need: workload.Resources{CPU: 900}, LongRunning: true, MaxUnavailable: 1})
+	sim.run(3 * time.Second)
+	b.observe()
+	sim.onStop = b.recordStop
+	for range 600 {
+		if sim.random.IntN(3) == 0 {
+			sim.evictFrom(sim.workers[sim.random.IntN(len(sim.workers))])
+		}
+		if sim.random.IntN(20) == 0 {
+			sim.elect()
+		}
+		sim.run(tickInterval)
+		b.observe()
+	}
+	return b
+}
+
+// evictFrom has the leader empty a worker, as before the maintenance of its VM.
+func (sim *simulation) evictFrom(f *fakeWorker) {
+	d := sim.leader
+	sim.machine.Read(func(t *workload.Tables) {
+		d.fleet.lackingWorker = map[string]bool{}
+		d.fleet.awaitingRestart = d.poolsAwaitingRestart(t, sim.now)
+		d.evictWorker(t, f.worker.ID, false)
+	})
+}
+
+// Guards against a long-running task that a new leader stops while its predecessor's
+// stop of another one is on its way: the worker still lists that one.
+func TestEvictionsKeepTheirBudgetAcrossLeaders(t *testing.T) {
+	is := is.New(t)
+	found, stops := 0, 0
+	for seed := range uint64(seeds(t)) {
+		b := simulateEvictions(seed, workerStopTime)
+		if b.violations > 0 {
+			t.Fatalf("seed %d: %d available tasks were stopped beyond the budget of their step", seed, b.violations)
+		}
+		stops += b.stops
+		found += simulateEvictions(seed, 0).violations
+	}
+	is.True(stops > 0)
+	is.True(found > 0) // with the rule switched off
+}
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -76,7 +76,7 @@
 		s.link.recordStall(s.run, s.seen, d.now(), blocker)
 		s.link.mu.Unlock()
 		if blocker == nil {
-			s.link.evictRun(s.run)
+			s.link.evictRun(s.run, evictedStalled)
 		}
 	}
 }
--- a/internal/explain/describe.go
+++ b/internal/explain/describe.go
@@ -38,6 +38,8 @@
 		return describeRelease(l)
 	case "start refused":
 		return fmt.Sprintf("worker %s refused task %s: %s", l.text("worker"), l.text("task"), l.text("refusal"))
+	case "run evicted":
+		return fmt.Sprintf("task %s at %s %% on %s is to be stopped: %s; the list was %s ms old", l.text("task"), l.text("percent"), l.text("worker"), l.text("why"), l.text("list_age_ms"))
 	case "run stands still":
 		return fmt.Sprintf("task %s stands still at %s %% on %s for %s ms; it is stopped and started elsewhere", l.text("task"), l.text("percent"), l.text("worker"), l.text("age_ms"))
 	case "balance":
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -138,7 +138,7 @@
 		Self: string(m.Settings.Node.Name), Log: controlled, Machine: m.machine,
 		Workers: m.dependencies.Workers, Fleet: m.dependencies.Fleet, Advisor: m.dependencies.Advisor,
 		Lease:    time.Duration(leaseShare * float64(m.Settings.Bounds.LeaseMax)),
-		LeaseMax: m.Settings.Bounds.LeaseMax, TakeOverDelay: m.Settings.Bounds.FleetTakeOver,
+		LeaseMax: m.Settings.Bounds.LeaseMax, StopTime: m.Settings.Bounds.WorkerStopTime, TakeOverDelay: m.Settings.Bounds.FleetTakeOver,
 		FleetRate: m.Settings.FleetRate,
 		Now:       steady.Now, WallMS: wallMS, Logger: m.Logger, Metrics: m.Metrics,
 	})
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -70,6 +70,8 @@
 type MemberBounds struct {
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
+	// WorkerStopTime is the longest time that a worker takes to stop a run.
+	WorkerStopTime time.Duration
 	// FleetTakeOver is the time within which orders for one VM of the platform must
 	// not alternate between two VMs of the site.
 	FleetTakeOver time.Duration
@@ -114,10 +116,11 @@
 			Metrics: listen.Address("metrics", ""),
 		},
 		Bounds: MemberBounds{
-			LeaseMax:      bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
-			FleetTakeOver: bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
-			LostDisks:     int(bounds.Int("lost_disks", "0", 0, maxLostDisks)),
-			StopTimeout:   bounds.Duration("stop_within", "6s", time.Second, time.Minute),
+			LeaseMax:       bounds.Duration("worker_lease_max", "6s", time.Second, time.Minute),
+			WorkerStopTime: bounds.Duration("worker_stop_within", "500ms", 0, time.Minute),
+			FleetTakeOver:  bounds.Duration("fleet_take_over", "3s", 0, time.Minute),
+			LostDisks:      int(bounds.Int("lost_disks", "0", 0, maxLostDisks)),
+			StopTimeout:    bounds.Duration("stop_within", "6s", time.Second, time.Minute),
 		},
 		Fleet:     f.Section("fleet").Address("address", ""),
 		FleetRate: f.Section("fleet").Float("orders_per_second", "20", 0.1, 10_000),
--- a/internal/settings/member_test.go
+++ b/internal/settings/member_test.go
@@ -22,6 +22,7 @@
 addresses = 10.1.0.9:8623,10.2.0.9:8623,10.3.0.9
 [bounds]
 worker_lease_max = 6000ms
+worker_stop_within = 400ms
 lost_disks = 2
 [fleet]
 address = 10.200.0.1:80
@@ -38,6 +39,7 @@
 	is.Equal(m.Seeds, []string{"10.1.0.9", "10.2.0.9", "10.3.0.9"})
 	is.Equal(string(m.NodeID("10.2.0.9")), "10.2.0.9:7060")
 	is.Equal(m.Bounds.LeaseMax, 6*time.Second)
+	is.Equal(m.Bounds.WorkerStopTime, 400*time.Millisecond)
 	is.Equal(m.FleetRate, 64.0)
 	is.Equal(m.Bounds.LostDisks, 2)
 	without, _ := ParseMember("core.ini", []byte(strings.Replace(coreSettings, "lost_disks = 2\n", "", 1)))
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -30,6 +30,8 @@
 	// HangRuns keeps the progress of every run at HangAtPercent percent.
 	HangRuns      bool
 	HangAtPercent int
+	// StopTime is how long a run that was ordered to stop still runs and is listed.
+	StopTime time.Duration
 	// OnAck is called for each acknowledged end, with whether the lease was held
 	// from the end until its acknowledgement. If it was not, the
 	// acknowledgement does not count.
@@ -48,7 +50,8 @@
 	lastLapsedEnd uint64
 }
 
-type run struct{ started time.Duration }
+// run is one run. stopsAt is when it ends after an order to stop, 0 without one.
+type run struct{ started, stopsAt time.Duration }
 
 // New returns a worker that starts now.
 func New(id workload.WorkerID, address string, capacity workload.Resources, speed float64, now time.Duration) *Worker {
@@ -63,8 +66,13 @@
 	return w.ClockAtStartMS + int64(float64((now-w.StartedAt).Milliseconds())*w.ClockRate)
 }
 
-// Expire ends all runs if the lease has expired.
+// Expire ends the runs whose stop is due, and all if the lease has expired.
 func (w *Worker) Expire(now time.Duration) {
+	for r, running := range w.runs {
+		if running.stopsAt > 0 && now >= running.stopsAt {
+			w.End(r, workload.EndStopped)
+		}
+	}
 	if w.ClockMS(now) < w.leaseUntilMS {
 		return
 	}
@@ -94,6 +102,11 @@
 	return now - w.runs[r].started
 }
 
+// IsStopping reports whether a run was ordered to stop and still runs.
+func (w *Worker) IsStopping(r workload.RunRef) bool {
+	return w.runs[r] != nil && w.runs[r].stopsAt > 0
+}
+
 // End ends a run and lists its end.
 func (w *Worker) End(r workload.RunRef, kind workload.EndKind) {
 	delete(w.runs, r)
@@ -143,9 +156,10 @@
 	}
 	w.fence = fence
 	w.highestAttempt[r.Task] = max(w.highestAttempt[r.Task], r.Attempt)
-	if w.runs[r] != nil {
-		w.End(r, workload.EndStopped)
+	if running := w.runs[r]; running != nil && running.stopsAt == 0 {
+		running.stopsAt = now + w.StopTime
 	}
+	w.Expire(now)
 	return reply
 }
 
