node: the test of replies to appends rests on no time

Now it replies once the call waits for more, and the call waits for a minute. With the second wait of the call switched off it fails as before (1 reply in place of 2).

--- a/internal/node/append_replies_test.go
+++ b/internal/node/append_replies_test.go
@@ -13,7 +13,8 @@
 	"github.com/comfreyloom/comfreyloom/internal/quorum"
 )
 
-// storingVoter replies to heartbeats at once and to appends a little later.
+// storingVoter replies to heartbeats at once, and to appends once the call waits for
+// more.
 type storingVoter struct {
 	Voter
 	client *Client
@@ -26,13 +27,22 @@
 			v.client.Send("n2", []quorum.Message{{Kind: quorum.KindHeartbeatReply}})
 		case quorum.KindAppend:
 			go func() {
-				time.Sleep(storedReplyWait / 8)
+				for replies := &v.client.lookup("n2").replies; !replies.isOpen(); {
+					time.Sleep(time.Millisecond)
+				}
 				v.client.Send("n2", []quorum.Message{{Kind: quorum.KindAppendReply, Index: m.Index}})
 			}()
 		}
 	}
 }
 
+// isOpen reports whether a call waits for messages.
+func (s *replySlot) isOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting != nil
+}
+
 // Guards against a leader that stays confirmed and can commit nothing for
 // seconds. It comes about when new connections from two followers to the leader
 // are refused while those from the leader work: replies to heartbeats return in
@@ -43,6 +53,7 @@
 	// Nothing listens at that address: a message that is not in the reply is lost.
 	client := NewClient(ClientConfig{Self: "n1", Addresses: map[model.NodeID]string{"n2": "127.0.0.1:1"}, Metrics: metrics.NewRegistry()})
 	server := NewServer(ServerConfig{Self: "n1", Client: client, Metrics: metrics.NewRegistry()})
+	server.storedReplyWait = time.Minute
 	server.SetVoter(storingVoter{client: client})
 	data, err := encode([]quorum.Message{{Kind: quorum.KindHeartbeat}, {Kind: quorum.KindAppend, Index: 7}})
 	is.NoErr(err)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -20,10 +20,10 @@
 // reply to them, so that they return in its reply and not in a separate call.
 const replyWait = 5 * time.Millisecond
 
-// storedReplyWait is the same for messages that are stored before the reply to
+// defaultStoredReplyWait is the same for messages that are stored before the reply to
 // them: several times the duration of a sync of a healthy disk. A reply that
 // takes longer is sent in a separate call.
-const storedReplyWait = 40 * time.Millisecond
+const defaultStoredReplyWait = 40 * time.Millisecond
 
 // Lender handles requests for slots of the services that this process owns.
 type Lender interface {
@@ -57,6 +57,8 @@
 	voter     atomic.Pointer[voterHolder]
 	snapshots snapshotCache
 	badInput  metrics.Counter
+	// storedReplyWait is defaultStoredReplyWait except in tests.
+	storedReplyWait time.Duration
 	// handlers holds the services of other packages by the prefix of their paths.
 	handlers map[string]http.Handler
 }
@@ -70,7 +72,7 @@
 	if c.Clock == nil {
 		c.Clock = wallClock
 	}
-	return &Server{config: c, badInput: metrics.GetOrRegisterCounter("node.bad_input", c.Metrics)}
+	return &Server{config: c, storedReplyWait: defaultStoredReplyWait, badInput: metrics.GetOrRegisterCounter("node.bad_input", c.Metrics)}
 }
 
 // SetVoter sets the voter that handles the calls for the control log.
@@ -127,7 +129,7 @@
 	voter.Step(messages)
 	stored, limit := containsStored(messages), replyWait
 	if stored {
-		limit = storedReplyWait
+		limit = s.storedReplyWait
 	}
 	began := time.Now()
 	reply := from.replies.wait(ctx, replies, limit)
