--- a/internal/dispatch/unavailable_test.go
+++ b/internal/dispatch/unavailable_test.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// startLongRunningStep starts a long-running step of four tasks, one of which may be
+// unavailable, and follows it from when all are available.
+func (sim *simulation) startLongRunningStep() *budgetMonitor {
+	b := &budgetMonitor{sim: sim, availableAt: make([]time.Duration, 4), stopped: make([]bool, 4), maxUnavailable: 1}
+	sim.run(300 * time.Millisecond)
+	sim.submitJob("lasts", workload.StepSpec{Count: 4, Need: workload.Resources{CPU: 900}, LongRunning: true, MaxUnavailable: 1})
+	sim.run(3 * time.Second)
+	b.observe()
+	sim.onStop = b.recordStop
+	return b
+}
+
 // simulateBudget simulates a long-running step on workers that hang, crash and
 // are cut off. It returns how often an available task was stopped although too
 // many others were unavailable.
@@ -72,12 +84,7 @@
 	sim.faultPercent = 0
 	sim.skipBudget = skip
 	sim.leader.skipBudget = skip
-	b := &budgetMonitor{sim: sim, availableAt: make([]time.Duration, 4), stopped: make([]bool, 4), maxUnavailable: 1}
-	sim.run(300 * time.Millisecond)
-	sim.submitJob("lasts", workload.StepSpec{Count: 4, Need: workload.Resources{CPU: 900}, LongRunning: true, MaxUnavailable: 1})
-	sim.run(3 * time.Second)
-	b.observe()
-	sim.onStop = b.recordStop
+	b := sim.startLongRunningStep()
 	for i := range 1200 {
 		f := sim.workers[sim.random.IntN(len(sim.workers))]
 		switch n := sim.random.IntN(1000); {
@@ -124,12 +131,7 @@
 	for _, f := range sim.workers {
 		f.worker.StopTime = workerStopTime
 	}
-	b := &budgetMonitor{sim: sim, availableAt: make([]time.Duration, 4), stopped: make([]bool, 4), maxUnavailable: 1}
-	sim.run(300 * time.Millisecond)
-	sim.submitJob("lasts", workload.StepSpec{Count: 4, Need: workload.Resources{CPU: 900}, LongRunning: true, MaxUnavailable: 1})
-	sim.run(3 * time.Second)
-	b.observe()
-	sim.onStop = b.recordStop
+	b := sim.startLongRunningStep()
 	for range 600 {
 		if sim.random.IntN(3) == 0 {
 			sim.evictFrom(sim.workers[sim.random.IntN(len(sim.workers))])
--- a/internal/explain/timeline_test.go
+++ b/internal/explain/timeline_test.go
@@ -21,6 +21,7 @@
 core-1 {"time":"2026-01-18T14:00:04Z","level":"info","message":"balance","fields":{"pool":"q","have_mcpu":64000,"need_mcpu":96000}}
 core-1 {"time":"2026-01-18T14:00:04.5Z","level":"warn","message":"worker does not answer","fields":{"worker":"w2","age_ms":300}}
 core-1 {"time":"2026-01-18T14:00:04.6Z","level":"warn","message":"worker does not answer","fields":{"worker":"w9","age_ms":300}}
+core-1 {"time":"2026-01-18T14:00:08Z","level":"info","message":"run evicted","fields":{"task":"a1/0/0/0","attempt":1,"worker":"w1","percent":100,"why":"its VM is to be maintained","list_age_ms":40}}
 core-1 {"time":"2026-01-18T14:00:09Z","level":"info","message":"run released","fields":{"job":"a1","task":"a1/0/0/1","attempt":1,"worker":"w2","term":3}}
 core-1 {"time":"2026-01-18T14:10:00Z","level":"info","message":"leading","fields":{"term":4}}
 `
@@ -56,6 +57,7 @@
 		"core-1: step 0 starts: 0@w1#1 1@w2#1 (task@worker#attempt)",
 		"| core-1: pool p has 64 of 96 cores that it needs",
 		"| core-1: worker w2 does not answer; its last word is 300 ms old",
+		"core-1: task a1/0/0/0 at 100 % on w1 is to be stopped: its VM is to be maintained; the list was 40 ms old",
 		"core-1: task a1/0/0/1, attempt 1, is given up on w2: it surely does not run there",
 	}, "\n"))
 }
