dispatch: the tasks of a link outlive moments in which the leader is not confirmed

Cause: a link's senders and its lease holder end at the first moment at which the leader is not confirmed beyond its grace. The round and the watcher end the term only if they look in that moment, too. On a leader whose processor is overloaded they often don't: the term goes on, and that worker gets no more orders, or its leases lapse.

TestLinksOutliveUnconfirmedMoments failed: the queued start is never sent.

Change: both wait while this VM is the leader of the term, and end with the term. Why it is safe: nothing is sent meanwhile; a leader that is confirmed again in the same term has had no successor.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -207,6 +207,22 @@
 	return now-d.confirmedAt.Load() < int64(unconfirmedGrace)
 }
 
+// awaitLeadership waits until this VM may send orders as the leader of a term. It
+// returns false once it no longer can: ctx has ended, or the term has. A task of one
+// worker must not end before, as the leader may be confirmed again and go on.
+func (d *Dispatcher) awaitLeadership(ctx context.Context, term uint64) bool {
+	for ctx.Err() == nil {
+		if d.leads(term) {
+			return true
+		}
+		if s := d.config.Log.Status(); !s.Leads || s.Term != term {
+			return false
+		}
+		steady.Pause(ctx, leadershipCheckInterval)
+	}
+	return false
+}
+
 // beginTerm takes over the workers in the replicated state.
 func (d *Dispatcher) beginTerm(ctx context.Context, term uint64, group *conc.WaitGroup) {
 	d.mu.Lock()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -32,10 +32,7 @@
 // holdLeases renews leases and requests the lists, while anything runs on the
 // worker or its state must be known.
 func (l *link) holdLeases(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !l.d.leads(l.fence) {
-			return
-		}
+	for l.d.awaitLeadership(ctx, l.fence) {
 		if !l.mustHold() {
 			select {
 			case <-l.listDue:
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -21,10 +21,7 @@
 
 // sendOrders starts and stops runs, one call after another.
 func (l *link) sendOrders(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !l.d.leads(l.fence) {
-			return
-		}
+	for l.d.awaitLeadership(ctx, l.fence) {
 		c, ok := l.nextCall()
 		if !ok {
 			select {
