cmd: the tests' disk keeps what an earlier process synced under another name

On a disk the content was synced before the rename.

Change: the durable part of a file is found by its content. What is left of a loss of power is durable from then on; before, a second loss could take it back.

--- a/cmd/comfreyloom/durable_disk_test.go
+++ b/cmd/comfreyloom/durable_disk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io/fs"
 	"maps"
 	"math/rand/v2"
@@ -14,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/comfreyloom/comfreyloom/internal/datafolder"
 )
 
@@ -45,7 +46,6 @@
 
 	mu    sync.Mutex
 	files map[string]*durableFile // by name
-	next  int
 }
 
 // durableFile is one file; unsynced is what was written since the last sync.
@@ -74,8 +74,8 @@
 // path returns where the durable copy of a name is.
 func (d *durableDisk) path(name string) string { return filepath.Join(d.durable, "names", name) }
 
-// file returns the file of a name. One that an earlier process left is compared
-// with its durable copy.
+// file returns the file of a name. Of one that an earlier process left, the longest
+// durable content that it begins with was synced, perhaps under another name.
 func (d *durableDisk) file(name string) *durableFile {
 	if f := d.files[name]; f != nil {
 		return f
@@ -85,8 +85,10 @@
 		return nil
 	}
 	f := d.newFile()
-	if stored, err := os.ReadFile(d.path(name)); err == nil && bytes.HasPrefix(content, stored) {
+	if stored, err := os.ReadFile(d.path(name)); err == nil && len(stored) > 0 && bytes.HasPrefix(content, stored) {
 		f.store, f.named, content = d.path(name), true, content[len(stored):]
+	} else if store, length := syncedStore(d.durable, content); length > 0 {
+		f.store, content = store, content[length:]
 	}
 	f.unsynced = content
 	d.files[name] = f
@@ -94,8 +96,20 @@
 }
 
 func (d *durableDisk) newFile() *durableFile {
-	d.next++
-	return &durableFile{store: filepath.Join(d.durable, "files", fmt.Sprintf("%d-%d", os.Getpid(), d.next))}
+	return &durableFile{store: filepath.Join(d.durable, "files", uuid.NewString())}
+}
+
+// syncedStore returns the file that holds the longest durable content with which a
+// content begins, and the length of it; 0 when there is none.
+func syncedStore(durable string, content []byte) (store string, length int) {
+	stores, _ := filepath.Glob(filepath.Join(durable, "files", "*"))
+	for _, name := range stores {
+		data, err := os.ReadFile(name)
+		if err == nil && len(data) > length && bytes.HasPrefix(content, data) {
+			store, length = name, len(data)
+		}
+	}
+	return store, length
 }
 
 // Create implements datafolder.FS.
@@ -244,9 +258,9 @@
 	return err
 }
 
-// losePower replaces the data folder of a process that was killed by what a loss of
-// power leaves of it: the durable copy and, at half of the losses, a part of what
-// was written, renamed and removed since.
+// losePower replaces the data folder of a process that was killed, and its durable
+// copy, by what a loss of power leaves: the durable copy and, at half of the losses,
+// a part of what was written, renamed and removed since.
 func losePower(random *rand.Rand, durable, folder string) error {
 	kept, err := readFolder(filepath.Join(durable, "names", folder), folder)
 	if err != nil {
@@ -257,17 +271,24 @@
 		if err != nil {
 			return err
 		}
-		keepUnsynced(random, kept, written)
-	}
-	if err := os.RemoveAll(folder); err != nil {
-		return err
+		keepUnsynced(random, kept, written, func(content []byte) []byte {
+			_, length := syncedStore(durable, content)
+			return content[:length]
+		})
 	}
-	for name, data := range kept {
-		if err := os.MkdirAll(filepath.Dir(name), 0o700); err != nil {
+	for _, old := range []string{folder, filepath.Join(durable, "names"), filepath.Join(durable, "files")} {
+		if err := os.RemoveAll(old); err != nil {
 			return err
 		}
-		if err := os.WriteFile(name, data, 0o600); err != nil {
-			return err
+	}
+	for name, data := range kept {
+		for _, copied := range []string{name, filepath.Join(durable, "names", name)} {
+			if err := os.MkdirAll(filepath.Dir(copied), 0o700); err != nil {
+				return err
+			}
+			if err := os.WriteFile(copied, data, 0o600); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
@@ -289,7 +310,8 @@
 
 // keepUnsynced changes the durable files to a random mix with what the process had
 // written: each unsynced tail, rename and removal is kept in part or lost by itself.
-func keepUnsynced(random *rand.Rand, durable, written map[string][]byte) {
+// syncedPart returns the part of a content that was synced.
+func keepUnsynced(random *rand.Rand, durable, written map[string][]byte, syncedPart func([]byte) []byte) {
 	synced := maps.Clone(durable)
 	for _, name := range slices.Sorted(maps.Keys(synced)) {
 		data, present := written[name]
@@ -304,8 +326,7 @@
 		if old, ok := synced[name]; ok && bytes.HasPrefix(written[name], old) {
 			continue
 		}
-		renamed, ok := synced[name+datafolder.TemporarySuffix]
-		if ok && bytes.HasPrefix(written[name], renamed) && random.IntN(2) == 0 {
+		if renamed := syncedPart(written[name]); len(renamed) > 0 && random.IntN(2) == 0 {
 			durable[name] = renamed
 		}
 	}
