dispatch: a leader that was not confirmed for a moment does not take its term over anew

The VM then led the same term anew and waited for the longest lease of each worker from that moment on, though it had granted these leases itself.

Change: all wait while this VM is the leader of the term, and end with the term. Orders stop as early as before, after the same grace. A leader without a quorum steps down by itself, which ends the term.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -163,7 +163,7 @@
 	group.Go(func() { d.runAdvice(ctx) })
 	ticker := time.NewTicker(idleRoundInterval)
 	defer ticker.Stop()
-	for d.leads(term) && ctx.Err() == nil {
+	for d.awaitLeadership(ctx, term) {
 		started := d.now()
 		work := d.round(ctx, term)
 		steady.Pause(ctx, max(minRoundInterval-(d.now()-started), roundRestFactor*work))
@@ -177,12 +177,12 @@
 	d.config.Logger.WithField("term", term).Info("no longer leading")
 }
 
-// awaitLeadershipLoss returns once this VM no longer leads. A round may be
+// awaitLeadershipLoss returns once this VM no longer leads the term. A round may be
 // blocked by a commit that can't complete. The links must not continue to send
 // orders meanwhile, as the next leader counts the last possible lease from the
 // start of its own term.
 func (d *Dispatcher) awaitLeadershipLoss(ctx context.Context, term uint64) {
-	for ctx.Err() == nil && d.leads(term) {
+	for ctx.Err() == nil && d.holdsTerm(term) {
 		steady.Pause(ctx, leadershipCheckInterval)
 	}
 }
@@ -208,14 +208,16 @@
 }
 
 // awaitLeadership waits until this VM may send orders as the leader of a term. It
-// returns false once it no longer can: ctx has ended, or the term has. A task of one
-// worker must not end before, as the leader may be confirmed again and go on.
+// returns false once it never can again: ctx has ended, or the term has. Nothing may
+// end before, as this VM may be confirmed again: a link that ended alone would leave
+// its worker without orders, and a leader that took over its own term anew would wait
+// for leases that it granted itself.
 func (d *Dispatcher) awaitLeadership(ctx context.Context, term uint64) bool {
 	for ctx.Err() == nil {
 		if d.leads(term) {
 			return true
 		}
-		if s := d.config.Log.Status(); !s.Leads || s.Term != term {
+		if !d.holdsTerm(term) {
 			return false
 		}
 		steady.Pause(ctx, leadershipCheckInterval)
@@ -223,6 +225,13 @@
 	return false
 }
 
+// holdsTerm reports whether this VM considers itself the leader of a term, confirmed
+// or not.
+func (d *Dispatcher) holdsTerm(term uint64) bool {
+	s := d.config.Log.Status()
+	return s.Leads && s.Term == term
+}
+
 // beginTerm takes over the workers in the replicated state.
 func (d *Dispatcher) beginTerm(ctx context.Context, term uint64, group *conc.WaitGroup) {
 	d.mu.Lock()
--- a/internal/dispatch/leadership_test.go
+++ b/internal/dispatch/leadership_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -78,3 +80,44 @@
 	l.holdLeases(afterMoment(func() bool { return l.listedAt > 0 }))
 	is.True(l.listedAt > 0)
 }
+
+// termLog counts the terms that a leader takes over.
+type termLog struct {
+	statusLog
+	taken *atomic.Int64
+}
+
+func (l termLog) Propose(ctx context.Context, c *workload.Command) error {
+	if c.StartTerm {
+		l.taken.Add(1)
+	}
+	return l.fakeLog.Propose(ctx, c)
+}
+
+// Guards against a task of a lost worker that waits too long for its next start: an
+// overloaded leader that was not confirmed for a moment took over its own term anew,
+// and waited from then on for leases that it had granted itself.
+func TestTermOutlivesUnconfirmedMoments(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(2)
+	sim.faultPercent = 0
+	ctx, cancel := context.WithCancel(context.Background())
+	var asked, taken atomic.Int64
+	status := func() control.LogStatus {
+		n := asked.Add(1)
+		if n > 100 {
+			cancel()
+		}
+		return control.LogStatus{Term: sim.term, Leads: true, Confirmed: n < 10 || n > 30}
+	}
+	d := sim.leader
+	d.config.Log = termLog{statusLog{&fakeLog{sim: sim, term: sim.term}, status}, &taken}
+	d.config.Now = func() time.Duration {
+		if asked.Load() < 10 {
+			return sim.now
+		}
+		return sim.now + 2*unconfirmedGrace
+	}
+	is.Equal(d.Run(ctx), context.Canceled)
+	is.Equal(taken.Load(), int64(1))
+}
