--- a/cmd/comfreyloom/soak_config_test.go
+++ b/cmd/comfreyloom/soak_config_test.go
@@ -27,8 +27,8 @@
 	catchUp = 6 * time.Second
 	// largeConfig is the number of queues of a large configuration.
 	largeConfig = 1400
-	// pressedBytes is the size of a body that fills a link for a quarter of a second.
-	pressedBytes = entryLink / 4
+	// fillingBytes is the size of a body that fills a link for a quarter of a second.
+	fillingBytes = entryLink / 4
 	// recoverWithin is the time within which the site serves after lost disks.
 	recoverWithin = 15 * time.Second
 )
@@ -186,9 +186,9 @@
 	}
 }
 
-// press fills the links of entry VMs with bodies that are refused.
-func (s *configSoak) press(random *rand.Rand, stop <-chan struct{}) {
-	body := strings.Repeat("x", pressedBytes)
+// fillLinks fills the links of entry VMs with bodies that are refused.
+func (s *configSoak) fillLinks(random *rand.Rand, stop <-chan struct{}) {
+	body := strings.Repeat("x", fillingBytes)
 	for !stopped(stop, time.Duration(random.IntN(100))*time.Millisecond) {
 		entry := fmt.Sprintf("entry%d", random.IntN(s.entryCount))
 		s.call(http.MethodPost, s.address(entry, 2), standin.JobPath(fmt.Sprintf("%016x", random.Uint64())), body)
@@ -207,7 +207,7 @@
 		client(n, s.operate)
 		client(10+n, s.readBack)
 		client(20+n, s.probe)
-		client(30+n, s.press)
+		client(30+n, s.fillLinks)
 	}
 	for start, next := time.Now(), time.Now(); time.Since(start) < configFaultTime; time.Sleep(20 * time.Millisecond) {
 		s.recoverFaults(time.Now())
