dispatch, capacity, explain: logs split what jobs wait for beside missing VMs

Callers saw late short jobs in peaks. 'waits' called most of their waiting "else" and "too few VMs", which does not tell the hypotheses of the incident apart. 'balance' now says which VMs of a pool are on their way and which are withheld for maintenance; 'delays' sums up, once a second, how long a task's steps take at the leader. No decision changes.

--- a/internal/capacity/moves.go
+++ b/internal/capacity/moves.go
@@ -31,6 +31,8 @@
 	// haveByLabel and needByLabel are the same for the VMs with one label,
 	// which is their kind or their rack.
 	haveByLabel, needByLabel map[string]int64
+	// arriving and withheld are those of Balance.
+	arriving, withheld int64
 	// unplaceable is set if a long-running task fits on no VM of the pool. The
 	// pool then gets a VM before all others, even from a pool that needs all of
 	// its own.
@@ -72,7 +74,9 @@
 		return cmp.Or(order.Bools(b.unplaceable, a.unplaceable), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.name, b.name))
 	})
 	for _, s := range pools {
-		p.plan.Pools = append(p.plan.Pools, Balance{Pool: s.name, Have: s.have, Need: s.need, Idle: len(s.idle)})
+		p.plan.Pools = append(p.plan.Pools, Balance{
+			Pool: s.name, Have: s.have, Need: s.need, Arriving: s.arriving, Withheld: s.withheld, Idle: len(s.idle),
+		})
 	}
 	moves := 0
 	for _, receiver := range pools {
@@ -190,10 +194,17 @@
 		pool = c.Order.Pool
 	}
 	s := byName[pool]
-	if s == nil || vm.State == Down && !s.standby || p.isLeavingForMaintenance(vm) {
+	if s == nil || vm.State == Down && !s.standby {
+		return
+	}
+	if p.isLeavingForMaintenance(vm) {
+		s.withheld += vm.Capacity.CPU
 		return
 	}
 	s.add(vm, 1)
+	if pool != vm.Pool || vm.State == Moving || !p.isAnnounced(vm) {
+		s.arriving += vm.Capacity.CPU
+	}
 	if p.taken[vm.ID] || vm.State == Moving || vm.State == Maintained || vm.State == Unclear {
 		return
 	}
--- a/internal/capacity/vm.go
+++ b/internal/capacity/vm.go
@@ -118,6 +118,10 @@
 type Balance struct {
 	Pool       string
 	Have, Need int64
+	// Arriving is the part of Have whose VMs take no work in the pool yet. Withheld
+	// is the capacity of the pool's VMs that are closed for maintenance or under it;
+	// Have lacks it.
+	Arriving, Withheld int64
 	// Idle counts its VMs with no tasks.
 	Idle int
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -80,6 +80,7 @@
 type Dispatcher struct {
 	config   Config
 	counters *counters
+	delays   delays
 	wake     chan struct{}
 	// confirmedAt is when this VM was last confirmed as the leader.
 	confirmedAt atomic.Int64
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -101,6 +101,10 @@
 	if list.Refusal != workers.Accepted {
 		return true
 	}
+	if len(list.Ends) > 0 && l.listedUntil > 0 {
+		l.d.delays.recordListGap(sentAt - l.listedUntil)
+	}
+	l.listedUntil = l.d.now()
 	l.recordList(list, sentAt)
 	return true
 }
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -189,7 +189,7 @@
 	d.fleet.balanceLoggedAt = now
 	for _, b := range pools {
 		d.config.Logger.WithField("pool", b.Pool).WithField("have_mcpu", b.Have).WithField("need_mcpu", b.Need).
-			WithField("spare_vms", b.Idle).WithField("list_age_ms", (now - d.fleet.listedAt).Milliseconds()).Info("balance")
+			WithField("arriving_mcpu", b.Arriving).WithField("withheld_mcpu", b.Withheld).WithField("spare_vms", b.Idle).WithField("list_age_ms", (now - d.fleet.listedAt).Milliseconds()).Info("balance")
 	}
 }
 
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -34,9 +34,13 @@
 	d.mu.Unlock()
 	work := time.Since(began)
 	d.counters.roundTime.Update(work)
+	d.delays.recordRound(work)
+	d.logDelays(d.now())
 	if !isEmpty(command) {
 		sortEnds(command)
+		proposedAt := d.now()
 		if d.propose(ctx, command) == nil {
+			d.delays.recordCommit(d.now() - proposedAt)
 			d.logDecisions(command, why)
 		}
 	}
--- a/internal/explain/waits.go
+++ b/internal/explain/waits.go
@@ -15,16 +15,25 @@
 const (
 	// NoLeader: no process was the leader.
 	NoLeader Cause = iota
+	// WithheldCapacity: the job's pool had less capacity than it needed, and would
+	// have had enough with its VMs that were closed for maintenance or under it.
+	WithheldCapacity
 	// InsufficientCapacity: the job's pool had less capacity than it needed.
 	InsufficientCapacity
-	// OtherCause: any other cause, such as a commit, an order to the platform or an
-	// unresponsive worker.
+	// ArrivingCapacity: the job's pool had enough only with VMs on their way.
+	ArrivingCapacity
+	// LeaderDelay: the leader had not planned and committed since the submission.
+	LeaderDelay
+	// OtherCause: any other cause, such as jobs that come first or an unresponsive
+	// worker.
 	OtherCause
 	numCauses
 )
 
 // String returns the form used in tables.
-func (c Cause) String() string { return [...]string{"no leader", "too few VMs", "else"}[c] }
+func (c Cause) String() string {
+	return [...]string{"no leader", "VMs in maintenance", "too few VMs", "VMs on their way", "leader", "else"}[c]
+}
 
 // Wait is the time between the response to a job's submission and the commit of
 // its first run.
@@ -42,11 +51,17 @@
 	// Source is the process that was the leader.
 	Source string
 	Pools  map[string]Balance
+	// LeaderDelay is how long the leader took from the start of a round to the end
+	// of its commit, 0 if unknown.
+	LeaderDelay time.Duration
 }
 
 // Balance is the capacity that a pool had and needed, in thousandths of a core.
 type Balance struct {
 	Have, Need int64
+	// Arriving is the part of Have that is on its way, Withheld what Have lacks
+	// because of maintenance.
+	Arriving, Withheld int64
 	// IdleVMs counts the VMs of the pool without work.
 	IdleVMs int64
 }
@@ -81,6 +96,8 @@
 	waits      []Wait
 	samples    []BalanceSample
 	leaderless []span
+	// leaderDelay is that of the last "delays" line.
+	leaderDelay time.Duration
 }
 
 func (t *waitTracker) observe(l *Line) {
@@ -99,6 +116,16 @@
 		t.recordLeaderLoss(l)
 	case "balance":
 		t.recordBalance(l)
+	case "delays":
+		t.recordDelays(l)
+	}
+}
+
+// recordDelays takes the mean time of a round and its commit from a line that sums
+// up one second.
+func (t *waitTracker) recordDelays(l *Line) {
+	if rounds := l.number("rounds"); rounds > 0 {
+		t.leaderDelay = time.Second/time.Duration(rounds) + time.Duration(l.number("commit_ms"))*time.Millisecond
 	}
 }
 
@@ -151,10 +178,11 @@
 		t.leaderless = append(t.leaderless, span{from: t.samples[n-1].Time.Add(maxSampleGap / 2), to: l.Time})
 	}
 	if n == 0 || t.samples[n-1].Source != l.Source || l.Time.Sub(t.samples[n-1].Time) > maxSampleGap/10 {
-		t.samples = append(t.samples, BalanceSample{Time: l.Time, Source: l.Source, Pools: map[string]Balance{}})
+		t.samples = append(t.samples, BalanceSample{Time: l.Time, Source: l.Source, Pools: map[string]Balance{}, LeaderDelay: t.leaderDelay})
 	}
 	t.samples[len(t.samples)-1].Pools[l.text("pool")] = Balance{
 		Have: l.number("have_mcpu"), Need: l.number("need_mcpu"), IdleVMs: l.number("spare_vms"),
+		Arriving: l.number("arriving_mcpu"), Withheld: l.number("withheld_mcpu"),
 	}
 }
 
@@ -164,23 +192,33 @@
 func (t *waitTracker) splitByCause(w *Wait) {
 	for passed := time.Duration(0); passed < w.Total; passed += splitStep {
 		middle := w.From.Add(passed + splitStep/2)
-		w.ByCause[t.causeAt(middle, w.Pool)] += min(splitStep, w.Total-passed)
+		w.ByCause[t.causeAt(middle, w.Pool, passed)] += min(splitStep, w.Total-passed)
 	}
 }
 
-func (t *waitTracker) causeAt(at time.Time, pool string) Cause {
+// causeAt returns why a job waited at a time, waited after its submission.
+func (t *waitTracker) causeAt(at time.Time, pool string, waited time.Duration) Cause {
 	for _, s := range t.leaderless {
 		if !at.Before(s.from) && at.Before(s.to) {
 			return NoLeader
 		}
 	}
 	next, _ := slices.BinarySearchFunc(t.samples, at, func(m BalanceSample, at time.Time) int { return m.Time.Compare(at) })
-	if next < len(t.samples) {
-		if balance := t.samples[next].Pools[pool]; balance.Need > balance.Have {
-			return InsufficientCapacity
-		}
+	if next == len(t.samples) {
+		return OtherCause
+	}
+	switch b := t.samples[next].Pools[pool]; {
+	case b.Need > b.Have && b.Need <= b.Have+b.Withheld:
+		return WithheldCapacity
+	case b.Need > b.Have:
+		return InsufficientCapacity
+	case b.Need > b.Have-b.Arriving:
+		return ArrivingCapacity
+	case waited < t.samples[next].LeaderDelay:
+		return LeaderDelay
+	default:
+		return OtherCause
 	}
-	return OtherCause
 }
 
 // PoolWaits sums up the waits of the jobs of one pool.
--- a/internal/explain/waits_test.go
+++ b/internal/explain/waits_test.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -43,3 +44,32 @@
 	is.Equal(pools[0].P95, 2100*time.Millisecond)
 	is.Equal(pools[0].ByCause[NoLeader], 2*time.Second)
 }
+
+// A pool that has less than it needs, or has it only on paper, must not be reported
+// alike: the remedies differ.
+func TestWaitsTellMaintenanceArrivalsAndLeaderApart(t *testing.T) {
+	const announced = `core-1 {"time":"2026-01-18T14:00:00Z","level":"info","message":"worker announced","fields":{"worker":"w1","pool":"p"}}
+core-1 {"time":"2026-01-18T14:00:00Z","level":"info","message":"delays","fields":{"rounds":10,"commit_ms":150}}
+entry-1 {"time":"2026-01-18T14:00:01Z","level":"info","message":"answered","fields":{"id":"a1","kind":"submit","status":200}}
+core-1 {"time":"2026-01-18T14:00:01.9Z","level":"info","message":"balance","fields":{"pool":"p",%s}}
+core-1 {"time":"2026-01-18T14:00:01.8Z","level":"info","message":"runs committed","fields":{"job":"a1","runs":"0@w1#1"}}
+`
+	for _, c := range []struct {
+		balance string
+		want    map[Cause]time.Duration
+	}{
+		{`"have_mcpu":32000,"need_mcpu":64000,"withheld_mcpu":32000`, map[Cause]time.Duration{WithheldCapacity: 800 * time.Millisecond}},
+		{`"have_mcpu":32000,"need_mcpu":96000,"withheld_mcpu":32000`, map[Cause]time.Duration{InsufficientCapacity: 800 * time.Millisecond}},
+		{`"have_mcpu":64000,"need_mcpu":64000,"arriving_mcpu":32000`, map[Cause]time.Duration{ArrivingCapacity: 800 * time.Millisecond}},
+		{`"have_mcpu":64000,"need_mcpu":64000`, map[Cause]time.Duration{LeaderDelay: 250 * time.Millisecond, OtherCause: 550 * time.Millisecond}},
+	} {
+		is := is.New(t)
+		lines, _, err := Read(strings.NewReader(fmt.Sprintf(announced, c.balance)), "other")
+		is.NoErr(err)
+		waits, _ := Waits(lines)
+		is.Equal(len(waits), 1)
+		for cause, waited := range waits[0].ByCause {
+			is.Equal(waited, c.want[Cause(cause)]) // of each cause only what is wanted
+		}
+	}
+}
