--- a/internal/capacity/decide_test.go
+++ b/internal/capacity/decide_test.go
@@ -225,3 +225,40 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Pool, "a")
 }
+
+// waveOf starts a wave of VMs of pool a.
+func (s *testSite) waveOf(vms, maxUnavailable int, window time.Duration) {
+	wave := &workload.Wave{ID: 7, MaxUnavailable: maxUnavailable, WindowMS: window.Milliseconds(), AcceptedMS: s.in.NowMS}
+	for i := range vms {
+		wave.VMs = append(wave.VMs, workload.WaveVM{ID: workload.VMID(fmt.Sprintf("a-%d", i))})
+	}
+	s.apply(&workload.Command{Wave: wave})
+}
+
+// A VM with long-running tasks takes seconds to be emptied, as these leave one at a
+// time. Closed meanwhile, its free capacity is lost to short tasks in a peak.
+func TestVMWithLongRunningTasksStaysOpenUntilTheyLeft(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(map[string]int{"a": 3})
+	s.in.Need = map[string]int64{"a": 5 * cores32}
+	for _, worker := range []string{"i-a-0", "i-a-1", "i-a-2"} {
+		s.runOn(worker, workload.StepSpec{Need: workload.Resources{CPU: 4000}, LongRunning: true})
+	}
+	s.waveOf(3, 3, time.Minute)
+	plan := s.decide()
+	is.Equal(len(plan.Close), 0)
+	is.Equal(len(plan.Orders), 0)
+}
+
+// A wave that may have many VMs at once must not take them from a site that lacks
+// capacity, as long as a few at once are enough to end in time.
+func TestWaveTakesFewVMsWhileCapacityIsShort(t *testing.T) {
+	is := is.New(t)
+	s := newTestSite(map[string]int{"a": 100})
+	s.in.Need = map[string]int64{"a": 130 * cores32}
+	s.waveOf(40, 20, 30*time.Second)
+	taken := len(s.decide().Orders)
+	is.True(taken >= 6 && taken <= 10) // 40 VMs, 4 s each, in 30 s
+	s.in.NowMS = 20_000
+	is.Equal(len(s.decide().Orders), 20) // the window closes
+}
