relay: other core VMs make the leader's calls to workers

Cause: a leader of 350 workers saves its processor by calling each only every 0.4 to 0.6 s, and spends half of it on calls all the same. The end of a task stays unseen for a quarter of a second, then waits for a commit and a call; a task of 0.8 s held its capacity for 1.2 s.

A relay makes each call once, as the leader wrote it, and decides nothing: to worker and leader it is part of the network. So no rule about late, lost or repeated orders changes. A site with fewer than 70 workers has none.

--- a/cmd/comfreyloom/member_test.go
+++ b/cmd/comfreyloom/member_test.go
@@ -49,15 +49,20 @@
 	// entryLink is the bandwidth of the entry VMs' links in bytes a second; 0 is
 	// unlimited. Callers then reach them through a relay.
 	entryLink int
+	// workersPerRelay is how many workers one core VM calls for the leader.
+	workersPerRelay int
 }
 
+// noRelays has the leader call all workers itself.
+const noRelays = 1000
+
 func newMemberSite(t *testing.T) *memberSite {
 	return newSizedMemberSite(t, memberCores, memberEntries, 1)
 }
 
 func newSizedMemberSite(t *testing.T, cores, entries, lostDisks int) *memberSite {
 	s := &memberSite{
-		coreCount: cores, entryCount: entries, lostDisks: lostDisks,
+		coreCount: cores, entryCount: entries, lostDisks: lostDisks, workersPerRelay: noRelays,
 		t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{},
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -154,7 +159,9 @@
 [bounds]
 lost_disks = %d
 stop_within = 5s
-`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"), s.lostDisks)
+[relays]
+workers_per_vm = %d
+`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"), s.lostDisks, s.workersPerRelay)
 	file := filepath.Join(s.folder, name+".ini")
 	s.must(os.WriteFile(file, []byte(text), 0o600))
 	output, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -393,3 +393,38 @@
 		})
 	}
 }
+
+// The same soak, with workers that other core VMs call for the leader: calls are
+// delayed, repeated and lost with VMs that are paused, cut off, restarted or killed.
+func TestRelaySoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	first, count := 1, 1
+	if from, number, ok := strings.Cut(os.Getenv("COMFREYLOOM_SOAK"), ":"); ok {
+		first, _ = strconv.Atoi(from)
+		count, _ = strconv.Atoi(number)
+	}
+	for seed := uint64(first); seed < uint64(first+count); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			site := newMemberSite(t)
+			site.workersPerRelay = 1
+			newSizedSoak(site, seed).run(seed)
+			if !site.logged("calls to workers are made by") {
+				t.Error("no process had others call workers")
+			}
+		})
+	}
+}
+
+// logged reports whether any core VM has logged a message.
+func (s *memberSite) logged(message string) bool {
+	for i := range s.coreCount {
+		text, err := os.ReadFile(filepath.Join(s.folder, fmt.Sprintf("core%d.log", i)))
+		s.must(err)
+		if strings.Contains(string(text), `"message":"`+message+`"`) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,8 +55,11 @@
 	Log     control.Log
 	Machine *workload.Machine
 	Workers workers.Client
-	Fleet   Fleet
-	Advisor Advisor
+	// ListRate returns the intended maximum number of list requests per second; nil
+	// for defaultListRate.
+	ListRate func() int
+	Fleet    Fleet
+	Advisor  Advisor
 	// Lease is the length of a worker's lease. It is well below LeaseMax, the
 	// longest lease that a worker grants.
 	Lease, LeaseMax time.Duration
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -50,10 +50,10 @@
 	}
 }
 
-// maxHoldsPerSecond is the intended maximum rate of all list requests of a
-// leader. At a peak, when it also sends many starts, more of them would take most
-// of its processor and delay every reply.
-const maxHoldsPerSecond = 600
+// defaultListRate is the intended maximum number of list requests per second of a
+// leader that makes them itself. At a peak, when it also sends many starts, more of
+// them would take most of its processor and delay every reply.
+const defaultListRate = 600
 
 // unpacedWorkers is how many workers are called without a pause. A site of that
 // size leaves the leader most of its processor, and each pause delays the next
@@ -61,9 +61,13 @@
 const unpacedWorkers = 60
 
 // holdPause returns the pause between two calls to one worker that keeps all
-// calls within maxHoldsPerSecond.
+// calls within the rate of list requests.
 func (d *Dispatcher) holdPause() time.Duration {
-	return time.Duration(max(d.heldWorkers.Load()-unpacedWorkers, 0)) * time.Second / maxHoldsPerSecond
+	rate := defaultListRate
+	if d.config.ListRate != nil {
+		rate = d.config.ListRate()
+	}
+	return time.Duration(max(d.heldWorkers.Load()-unpacedWorkers, 0)) * time.Second / time.Duration(rate)
 }
 
 func (l *link) mustHold() bool {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -17,6 +17,8 @@
 	"github.com/comfreyloom/comfreyloom/internal/dispatch"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/node"
+	"github.com/comfreyloom/comfreyloom/internal/relay"
+	"github.com/comfreyloom/comfreyloom/internal/relay/relaypb"
 	"github.com/comfreyloom/comfreyloom/internal/replica"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 	"github.com/comfreyloom/comfreyloom/internal/steady"
@@ -74,12 +76,16 @@
 	Client      *control.Client
 	HelloClient *control.HelloClient
 
-	directory    *control.Directory
-	nodes        *node.Client
-	nodeServer   *node.Server
-	replica      *replica.Replica
-	machine      *workload.Machine
-	dispatcher   *dispatch.Dispatcher
+	directory  *control.Directory
+	nodes      *node.Client
+	nodeServer *node.Server
+	replica    *replica.Replica
+	machine    *workload.Machine
+	dispatcher *dispatch.Dispatcher
+	// relays has other core VMs call workers while this one leads, relayServer calls
+	// them for another leader.
+	relays       *relay.Client
+	relayServer  *relay.Server
 	dependencies Dependencies
 	sockets      sockets
 	stopping     stopFlag
@@ -134,9 +140,10 @@
 	m.nodeServer.SetVoter(node.FromReplica(opened))
 	wallMS := func() int64 { return time.Now().UnixMilli() }
 	controlled := controlLog{replica: opened, wallMS: wallMS, logger: m.Logger}
+	m.openRelays()
 	m.dispatcher = dispatch.New(dispatch.Config{
 		Self: string(m.Settings.Node.Name), Log: controlled, Machine: m.machine,
-		Workers: m.dependencies.Workers, Fleet: m.dependencies.Fleet, Advisor: m.dependencies.Advisor,
+		Workers: m.relays, ListRate: m.relays.ListRate, Fleet: m.dependencies.Fleet, Advisor: m.dependencies.Advisor,
 		Lease:    time.Duration(leaseShare * float64(m.Settings.Bounds.LeaseMax)),
 		LeaseMax: m.Settings.Bounds.LeaseMax, StopTime: m.Settings.Bounds.WorkerStopTime, TakeOverDelay: m.Settings.Bounds.FleetTakeOver,
 		FleetRate: m.Settings.FleetRate,
@@ -149,6 +156,21 @@
 	return nil
 }
 
+// openRelays prepares the calls to workers through other core VMs, and for them.
+func (m *Member) openRelays() {
+	m.relays = relay.NewClient(relay.ClientConfig{
+		Direct: m.dependencies.Workers, Nodes: m.nodes, Available: m.replica.ResponsiveVoters,
+		KnownWorkers: m.countWorkers, WorkersPerRelay: m.Settings.WorkersPerRelay, Now: steady.Now, Logger: m.Logger, Metrics: m.Metrics,
+	})
+	m.relayServer = relay.NewServer(m.dependencies.Workers, steady.Now)
+	m.nodeServer.Handle(relaypb.RelayPathPrefix, relaypb.NewRelayServer(m.relayServer))
+}
+
+func (m *Member) countWorkers() (n int) {
+	m.machine.Read(func(t *workload.Tables) { n = len(t.Workers) })
+	return n
+}
+
 const (
 	// diskSpacePoll is the time between two checks of a full disk.
 	// diskSpaceTimeout is how long a process waits for disk space before it
--- a/internal/member/run.go
+++ b/internal/member/run.go
@@ -63,7 +63,7 @@
 func (m *Member) startBackgroundTasks(p *pool.ContextPool) {
 	tasks := []func(context.Context) error{m.nodes.Run, m.HelloClient.Run}
 	if m.replica != nil {
-		tasks = append(tasks, m.replica.Run, m.dispatcher.Run)
+		tasks = append(tasks, m.replica.Run, m.dispatcher.Run, m.relays.Run)
 	}
 	for _, task := range tasks {
 		p.Go(func(ctx context.Context) error { return ignoreAfterCancel(ctx, task(ctx)) })
@@ -146,6 +146,7 @@
 	startedAt := time.Now()
 	m.stopping.Store(true)
 	if m.replica != nil {
+		m.relayServer.Stop()
 		m.transferLeadership()
 		time.Sleep(forwardingPeriod)
 	} else {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,344 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/relay/relaypb"
+	"github.com/comfreyloom/comfreyloom/internal/steady"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// fakeWorkers records the calls that it gets. A hold waits until release is closed.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	starts  []workers.StartOrder
+	targets []workers.Target
+	err     error
+	release chan struct{}
+}
+
+func (f *fakeWorkers) Start(_ context.Context, to workers.Target, o workers.StartOrder) (workers.Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts, f.targets = append(f.starts, o), append(f.targets, to)
+	return workers.Reply{Refusal: workers.RefusedCapacity, ClockMS: 7}, f.err
+}
+
+func (f *fakeWorkers) Stop(context.Context, workers.Target, workload.RunRef, uint64) (workers.Reply, error) {
+	return workers.Reply{ClockMS: 8}, f.err
+}
+
+func (f *fakeWorkers) Pace(context.Context, workers.Target, workload.RunRef, int, uint64) (workers.Reply, error) {
+	return workers.Reply{ClockMS: 9}, f.err
+}
+
+func (f *fakeWorkers) Hold(ctx context.Context, _ workers.Target, o workers.HoldOrder) (workers.List, error) {
+	if f.release != nil {
+		select {
+		case <-f.release:
+		case <-ctx.Done():
+			return workers.List{}, &workers.CallError{Verdict: model.MayHaveRun, Err: ctx.Err()}
+		}
+	}
+	return workers.List{
+		Reply:   workers.Reply{ClockMS: o.LeaseUntilMS},
+		Running: []workers.RunStatus{{Run: someRun, Checkpoint: "c", Percent: 40, Load: 3}},
+		Ends:    []workload.End{{Worker: "w", Number: 5, Run: someRun, Kind: workload.EndDone}}, EndsAfterGap: 1, UnreadableRows: 2,
+	}, f.err
+}
+
+func (f *fakeWorkers) startCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.starts)
+}
+
+var (
+	someRun    = workload.RunRef{Task: workload.TaskRef{Job: "j", Step: 1, Index: 2}, Attempt: 3}
+	someTarget = workers.Target{ID: "w", Address: "10.0.0.1:80"}
+)
+
+// testLane is a lane to a server in this process.
+type testLane struct {
+	*lane
+	server *Server
+	direct *fakeWorkers
+	// unreachable makes exchanges fail.
+	mu          sync.Mutex
+	unreachable error
+	lost        []error
+}
+
+func newTestLane(t *testing.T) *testLane {
+	direct := &fakeWorkers{}
+	l := &testLane{server: NewServer(direct, steady.Now), direct: direct}
+	l.lane = &lane{
+		relay: "r", session: 1, send: l.exchangeWith, lost: l.recordLost,
+		queued: make(chan struct{}, 1), expecting: make(chan struct{}, 1), waiting: map[uint64]chan reply{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.handOver(ctx)
+	go l.collect(ctx)
+	return l
+}
+
+func (l *testLane) exchangeWith(ctx context.Context, _ model.NodeID, r *relaypb.ExchangeRequest) (*relaypb.ExchangeReply, error) {
+	l.mu.Lock()
+	err := l.unreachable
+	l.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return l.server.Exchange(ctx, r)
+}
+
+func (l *testLane) recordLost(_ model.NodeID, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = append(l.lost, err)
+}
+
+func (l *testLane) cutOff(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unreachable = err
+}
+
+func TestEveryKindOfCallArrivesAsWritten(t *testing.T) {
+	is := is.New(t)
+	l := newTestLane(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	order := workers.StartOrder{Run: someRun, Payload: "p", Checkpoint: "c", Ticket: "t", LeaseUntilMS: 99, Fence: 4}
+	list, err := l.do(ctx, call{Kind: callStart, Worker: someTarget.ID, Address: someTarget.Address, Run: order.Run,
+		Payload: order.Payload, Checkpoint: order.Checkpoint, Ticket: order.Ticket, LeaseUntilMS: order.LeaseUntilMS, Fence: order.Fence})
+	is.NoErr(err)
+	is.Equal(list.Reply, workers.Reply{Refusal: workers.RefusedCapacity, ClockMS: 7})
+	is.Equal(l.direct.starts, []workers.StartOrder{order})
+	is.Equal(l.direct.targets, []workers.Target{someTarget})
+	list, err = l.do(ctx, call{Kind: callHold, LeaseUntilMS: 12})
+	is.NoErr(err)
+	want, _ := l.direct.Hold(ctx, someTarget, workers.HoldOrder{LeaseUntilMS: 12})
+	is.Equal(list, want)
+	list, err = l.do(ctx, call{Kind: callStop})
+	is.NoErr(err)
+	is.Equal(list.ClockMS, int64(8))
+	list, err = l.do(ctx, call{Kind: callPace})
+	is.NoErr(err)
+	is.Equal(list.ClockMS, int64(9))
+}
+
+// A relay that makes a call and whose answer is lost must not be taken for one that
+// never made it: the run would be started elsewhere and run twice.
+func TestCallsAtALostRelayMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	l := newTestLane(t)
+	l.direct.release = make(chan struct{})
+	defer close(l.direct.release)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := l.do(ctx, call{Kind: callHold})
+		failed <- err
+	}()
+	for !l.expectsReply() {
+		time.Sleep(time.Millisecond)
+	}
+	l.cutOff(errors.New("cut off"))
+	err := <-failed
+	is.True(err != nil)
+	is.Equal(workers.NotSent(err), false)
+	is.True(ctx.Err() == nil) // the call ended long before its own deadline
+}
+
+// A call that its caller gave up while it was queued must not be made later: the
+// leader decides on the ground that it was never sent.
+func TestWithdrawnCallIsNeverMade(t *testing.T) {
+	is := is.New(t)
+	l := &lane{queued: make(chan struct{}, 1), expecting: make(chan struct{}, 1), waiting: map[uint64]chan reply{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := l.do(ctx, call{Kind: callStart})
+	is.True(workers.NotSent(err))
+	is.Equal(len(l.takeQueue()), 0)
+	is.Equal(len(l.waiting), 0)
+}
+
+// The caller's time ends while the relay has the call: the call may have run.
+func TestCallBeyondItsDeadlineMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	l := newTestLane(t)
+	l.direct.release = make(chan struct{})
+	defer close(l.direct.release)
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := l.do(ctx, call{Kind: callHold, TimeoutMS: 10_000})
+		failed <- err
+	}()
+	for !l.expectsReply() {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	err := <-failed
+	is.True(err != nil)
+	is.Equal(workers.NotSent(err), false)
+}
+
+// The verdict of a call that the relay could not send reaches the leader.
+func TestVerdictOfTheRelayIsKept(t *testing.T) {
+	is := is.New(t)
+	for _, verdict := range []model.Verdict{model.NotRun, model.MayHaveRun} {
+		l := newTestLane(t)
+		l.direct.err = &workers.CallError{Verdict: verdict, Err: errors.New("no route")}
+		_, err := l.do(context.Background(), call{Kind: callStart, TimeoutMS: 1000})
+		is.True(err != nil)
+		is.Equal(workers.NotSent(err), verdict == model.NotRun)
+	}
+	is.Equal(verdictOf(errors.New("unknown")), model.MayHaveRun)
+}
+
+// A relay that is stopping takes no call, so that none ends with its process.
+func TestStoppingRelayTakesNoCall(t *testing.T) {
+	is := is.New(t)
+	l := newTestLane(t)
+	l.server.Stop()
+	_, err := l.do(context.Background(), call{Kind: callStart, TimeoutMS: 1000})
+	is.True(err != nil)
+	is.Equal(l.direct.startCount(), 0)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.True(len(l.lost) > 0)
+}
+
+// A relay bounds the calls in progress: a leader that repeats calls to hanging
+// workers must not fill its memory.
+func TestRelayBoundsItsCalls(t *testing.T) {
+	is := is.New(t)
+	s := NewServer(&fakeWorkers{}, steady.Now)
+	s.calls = maxCalls
+	from, err := s.open(1)
+	is.NoErr(err)
+	s.begin(from, &call{ID: 1, Kind: callStart, TimeoutMS: 1000})
+	replies := s.take(from)
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].Verdict, model.NotRun)
+	is.True(replies[0].Error != "")
+}
+
+// Replies for a leader of the past are dropped, and never reach the next one.
+func TestRepliesOfAnEndedSessionAreDropped(t *testing.T) {
+	is := is.New(t)
+	now := time.Duration(0)
+	s := NewServer(&fakeWorkers{}, func() time.Duration { return now })
+	old, err := s.open(1)
+	is.NoErr(err)
+	s.deliver(old, reply{ID: 1})
+	now = forgetSessionAfter + time.Second
+	next, err := s.open(2)
+	is.NoErr(err)
+	is.Equal(len(s.take(next)), 0)
+	is.Equal(len(s.sessions), 1)
+}
+
+func TestMalformedExchangeIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := NewServer(&fakeWorkers{}, steady.Now)
+	_, err := s.Exchange(context.Background(), &relaypb.ExchangeRequest{Session: 1, Calls: []byte{0xff}})
+	is.True(err != nil)
+}
+
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte{0x80}, uint32(0))
+	f.Add([]byte{0x81, 0x80}, uint32(1))
+	f.Fuzz(func(t *testing.T, calls []byte, wait uint32) {
+		s := NewServer(&fakeWorkers{}, steady.Now)
+		_, _ = s.Exchange(context.Background(), &relaypb.ExchangeRequest{Session: 1, Calls: calls, WaitMs: min(wait, 1)})
+	})
+}
+
+func TestNumberOfRelaysFollowsTheWorkers(t *testing.T) {
+	is := is.New(t)
+	nodes := []model.NodeID{"a", "b", "c", "d", "e", "f"}
+	for _, c := range []struct{ workers, current, want int }{
+		{0, 0, 0}, {69, 0, 0}, {70, 0, 1}, {349, 0, 4}, {5000, 0, maxRelays},
+		{200, 4, 4}, {139, 4, 1}, {34, 1, 0}, {35, 1, 1},
+	} {
+		is.Equal(len(choose(nodes, c.workers, 70, c.current)), c.want)
+	}
+	is.Equal(len(choose(nodes[:2], 5000, 70, 4)), 2)
+}
+
+// The workers of a relay that drops out go to the others; no other worker changes its
+// relay, as each would be called over new connections.
+func TestOnlyTheWorkersOfALostRelayMove(t *testing.T) {
+	is := is.New(t)
+	all := []model.NodeID{"a", "b", "c", "d"}
+	counts := map[model.NodeID]int{}
+	for i := range 400 {
+		worker := workload.WorkerID(fmt.Sprintf("w-%d", i))
+		before := relayFor(worker, all)
+		counts[before]++
+		if before != "d" {
+			is.Equal(relayFor(worker, all[:3]), before)
+		}
+	}
+	for _, relay := range all {
+		is.True(counts[relay] > 60 && counts[relay] < 140)
+	}
+}
+
+// testClient is a client with one relay in this process and a clock of its own.
+func newTestClient(direct workers.Client, now *time.Duration) *Client {
+	return NewClient(ClientConfig{
+		Direct: direct, Available: func() []model.NodeID { return []model.NodeID{"r"} },
+		KnownWorkers: func() int { return 100 }, WorkersPerRelay: 70, Now: func() time.Duration { return *now },
+		Logger: &log.Logger{Handler: text.New(io.Discard), Level: log.FatalLevel}, Metrics: metrics.NewRegistry(),
+	})
+}
+
+// A relay that does not answer is left out, and its workers are called from the leader
+// at once. After the penalty it is used again.
+func TestLostRelayIsLeftOutForAWhile(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	c := newTestClient(&fakeWorkers{}, &now)
+	is.True(c.laneFor("w") != nil)
+	is.Equal(c.ListRate(), directListsPerSecond+relayedListsPerSecond)
+	c.recordLoss("r", errors.New("cut off"))
+	is.True(c.laneFor("w") == nil)
+	is.Equal(c.ListRate(), directListsPerSecond)
+	now += relayPenalty + reviewInterval
+	is.True(c.laneFor("w") != nil)
+}
+
+// A worker that its relay can't reach is called from the leader: only the path
+// between the two may be cut.
+func TestWorkerThatItsRelayCannotReachIsCalledDirectly(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	direct := &fakeWorkers{}
+	c := newTestClient(direct, &now)
+	c.callDirectly("w")
+	_, err := c.Start(context.Background(), someTarget, workers.StartOrder{Run: someRun})
+	is.NoErr(err)
+	is.Equal(direct.startCount(), 1)
+	is.True(c.laneFor("other") != nil)
+	now += directPeriod
+	is.True(c.laneFor("w") != nil)
+}
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -209,6 +209,7 @@
 		return
 	}
 	d.trackRole()
+	d.publishResponsiveVoters()
 	d.logVotersAndLeader(passed)
 	d.expireWaiters()
 	if d.ticksToReview <= 0 && d.raft.Status().Ready {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/comfreyloom/comfreyloom/internal/datafolder"
+	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/quorum"
 	"github.com/comfreyloom/comfreyloom/internal/ring"
 	"github.com/comfreyloom/comfreyloom/internal/snapshot"
@@ -38,7 +39,9 @@
 
 	feed   *feed
 	status atomic.Pointer[publishedStatus]
-	notify *broadcast
+	// responsive holds what ResponsiveVoters returns.
+	responsive atomic.Pointer[[]model.NodeID]
+	notify     *broadcast
 
 	// Recovered state; consumed when the core starts.
 	log            *wal.Log
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"github.com/comfreyloom/comfreyloom/internal/datafolder"
 	"github.com/comfreyloom/comfreyloom/internal/model"
@@ -49,6 +50,26 @@
 	}
 }
 
+// ResponsiveVoters returns the VMs of the other voters that answered this leader
+// recently and keep up with its log, sorted; none if this voter does not lead.
+func (r *Replica) ResponsiveVoters() []model.NodeID {
+	if p := r.responsive.Load(); p != nil {
+		return slices.Clone(*p)
+	}
+	return nil
+}
+
+func (d *driver) publishResponsiveVoters() {
+	var nodes []model.NodeID
+	for _, p := range d.raft.Peers() {
+		if p.UnresponsiveTicks <= uint64(d.config.ElectionTicks/2) && !p.Snapshot {
+			nodes = append(nodes, datafolder.NodeOf(p.ID))
+		}
+	}
+	slices.Sort(nodes)
+	d.responsive.Store(&nodes)
+}
+
 // ErrNoSuccessor is returned when no other voter can become leader, so that
 // leadership stays.
 var ErrNoSuccessor = errors.New("replica: no other voter can take over")
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -38,7 +38,10 @@
 	// FleetRate is the number of orders per second that the fleet service accepts
 	// from the whole site.
 	FleetRate float64
-	Log       Log
+	// WorkersPerRelay is how many workers one core VM calls for the leader; a site
+	// with fewer workers has no such VM.
+	WorkersPerRelay int
+	Log             Log
 }
 
 // MemberNode identifies this process.
@@ -66,6 +69,10 @@
 // one more.
 const maxLostDisks = 8
 
+// maxWorkersPerRelay bounds the setting workers_per_vm; at the bound no site has
+// relays.
+const maxWorkersPerRelay = 1_000_000
+
 // MemberBounds holds times and numbers that the site or its environment guarantees.
 type MemberBounds struct {
 	// LeaseMax is the longest lease that a worker grants.
@@ -125,7 +132,9 @@
 		Fleet:     f.Section("fleet").Address("address", ""),
 		FleetRate: f.Section("fleet").Float("orders_per_second", "20", 0.1, 10_000),
 		Advisor:   f.Section("advisor").Address("address", ""),
-		Log:       readLog(f.Section("log")),
+		// A leader with fewer workers has the processor to call them itself.
+		WorkersPerRelay: int(f.Section("relays").Int("workers_per_vm", "70", 1, maxWorkersPerRelay)),
+		Log:             readLog(f.Section("log")),
 	}
 	m.readSeeds(f.Section("seeds"))
 	m.check(f)
