capacity, dispatch: a wave closes a VM only once its long-running tasks have left

Callers saw late short jobs in peaks beside a wave.

Such VMs are now evacuated first: they take short tasks, but no long-running ones, until the last of these has left. And while the pools need more than there is, the wave has only as many VMs at once as its window requires.

--- a/internal/capacity/vm.go
+++ b/internal/capacity/vm.go
@@ -108,6 +108,9 @@
 	// whose workers take work again.
 	Close []Closing
 	Open  []workload.VMID
+	// Evacuate lists the VMs whose long-running tasks should leave before they are
+	// closed for maintenance. They take other work meanwhile.
+	Evacuate []workload.VMID
 	// ObsoleteWaves lists VMs of waves that no longer exist. Nothing sets it.
 	ObsoleteWaves []workload.WaveBegun
 	// Pools is what each pool has and needs, for the log.
--- a/internal/capacity/waves.go
+++ b/internal/capacity/waves.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
@@ -100,10 +101,19 @@
 	longRunning int
 }
 
+const (
+	// awayTime is how long a VM is usually unavailable for its maintenance, from its
+	// closing until its worker is announced again.
+	awayTime = 4 * time.Second
+	// plannedShare is the share of a wave's window in which all maintenance should
+	// have begun. The rest is for VMs that take long to be emptied.
+	plannedShare = 0.7
+)
+
 // planWave orders the maintenance of empty VMs and closes others, the least used
-// first, up to the number of VMs that may be unavailable for the wave at once.
+// first. VMs with long-running tasks are evacuated first: these leave one at a time,
+// and the VM's free capacity would be lost for as long as that takes.
 func (p *planner) planWave(w *workload.Wave) {
-	remaining := w.MaxUnavailable - p.underMaintenance(w)
 	var all []candidate
 	for i := range w.VMs {
 		m := &w.VMs[i]
@@ -114,23 +124,88 @@
 		all = append(all, p.candidateOf(vm))
 	}
 	slices.SortStableFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.runs, b.runs), cmp.Compare(a.longRunning, b.longRunning), cmp.Compare(a.vm.ID, b.vm.ID))
+		return cmp.Or(cmp.Compare(a.longRunning, b.longRunning), cmp.Compare(a.runs, b.runs), cmp.Compare(a.vm.ID, b.vm.ID))
 	})
+	away, width := p.underMaintenance(w), p.width(w)
 	for _, v := range all {
-		if remaining <= 0 {
-			return
+		switch {
+		case v.longRunning > 0 && v.vm.State == Up:
+			if away < w.MaxUnavailable {
+				p.plan.Evacuate = append(p.plan.Evacuate, v.vm.ID)
+				away++
+			}
+		case away < width && p.takeForMaintenance(v, w.ID):
+			away++
 		}
-		order := Order{Kind: Maintain, VM: v.vm.ID, Wave: w.ID, Why: "wave"}
-		if v.vm.State == Down || v.runs == 0 && p.isEmpty(v.vm) {
-			p.plan.Orders = append(p.plan.Orders, order)
-		} else if v.vm.Worker != "" {
-			p.plan.Close = append(p.plan.Close, Closing{VM: v.vm.ID, Order: order, Since: p.Now})
-		} else {
-			continue
+	}
+}
+
+// takeForMaintenance orders the maintenance of an empty VM, and closes any other. It
+// reports whether it did either.
+func (p *planner) takeForMaintenance(v candidate, wave int64) bool {
+	order := Order{Kind: Maintain, VM: v.vm.ID, Wave: wave, Why: "wave"}
+	switch {
+	case v.vm.State == Down || v.runs == 0 && p.isEmpty(v.vm):
+		p.plan.Orders = append(p.plan.Orders, order)
+	case v.vm.Worker != "":
+		p.plan.Close = append(p.plan.Close, Closing{VM: v.vm.ID, Order: order, Since: p.Now})
+	default:
+		return false
+	}
+	p.taken[v.vm.ID] = true
+	return true
+}
+
+// width returns how many VMs may be unavailable for a wave at once. While the site
+// lacks capacity these are only as many as the window of the wave requires.
+func (p *planner) width(w *workload.Wave) int {
+	required := p.requiredWidth(w)
+	if p.lacksCapacity(required) {
+		return required
+	}
+	return w.MaxUnavailable
+}
+
+// requiredWidth returns how many VMs must be unavailable for a wave at once so that
+// its maintenance begins within the planned share of its window.
+func (p *planner) requiredWidth(w *workload.Wave) int {
+	leftMS := int64(plannedShare*float64(w.WindowMS)) - max(p.NowMS-w.AcceptedMS, 0)
+	if leftMS <= 0 {
+		return w.MaxUnavailable
+	}
+	waiting := int64(0)
+	for i := range w.VMs {
+		if !w.VMs[i].Begun {
+			waiting++
 		}
-		p.taken[v.vm.ID] = true
-		remaining--
 	}
+	required := (waiting*awayTime.Milliseconds() + leftMS - 1) / leftMS
+	return int(min(required, int64(w.MaxUnavailable)))
+}
+
+// lacksCapacity reports whether the pools together need more than the VMs have that
+// can serve a pool, without those that a wave has beyond the required number.
+func (p *planner) lacksCapacity(required int) bool {
+	var need, have int64
+	for _, n := range p.Need {
+		need += n
+	}
+	for i := range p.VMs {
+		vm := &p.VMs[i]
+		switch {
+		case vm.State == Down && !p.isStandby(vm.Pool):
+		case !p.isLeavingForMaintenance(vm):
+			have += vm.Capacity.CPU
+		case required > 0:
+			required--
+			have += vm.Capacity.CPU
+		}
+	}
+	return need > have
+}
+
+func (p *planner) isStandby(pool string) bool {
+	return p.Tables.Config != nil && slices.ContainsFunc(p.Tables.Config.Pools, func(c workload.Pool) bool { return c.Name == pool && c.Standby })
 }
 
 // underMaintenance counts the VMs of a wave that are under maintenance or will
--- a/internal/dispatch/evict.go
+++ b/internal/dispatch/evict.go
@@ -11,7 +11,7 @@
 // flight, so that they get no new work, and those whose VMs will be maintained.
 func (d *Dispatcher) markClosing() {
 	f := d.fleet
-	closed := map[workload.WorkerID]bool{}
+	closed, evacuating := map[workload.WorkerID]bool{}, map[workload.WorkerID]bool{}
 	awaiting := d.vmsAwaitingMaintenance()
 	maintenance := map[workload.WorkerID]bool{}
 	for i := range f.vms {
@@ -20,11 +20,12 @@
 		if closing || f.flights[vm.ID] != nil {
 			closed[vm.Worker] = true
 		}
+		evacuating[vm.Worker] = f.evacuating[vm.ID]
 		maintenance[vm.Worker] = awaiting[vm.ID]
 	}
 	for id, l := range d.links {
 		l.mu.Lock()
-		l.closing, l.maintenanceSoon = closed[id], maintenance[id]
+		l.closing, l.evacuating, l.maintenanceSoon = closed[id], evacuating[id], maintenance[id]
 		l.mu.Unlock()
 	}
 }
@@ -46,7 +47,7 @@
 }
 
 // evict stops the runs that delay the maintenance of a closing VM, and the
-// long-running tasks on draining workers.
+// long-running tasks on VMs that are evacuated and on draining workers.
 func (d *Dispatcher) evict(t *workload.Tables, now time.Duration) {
 	d.fleet.lackingWorker = map[string]bool{}
 	d.fleet.awaitingRestart = d.poolsAwaitingRestart(t, now)
@@ -55,6 +56,8 @@
 		c, closing := d.fleet.closing[vm.ID]
 		if closing && c.Order.Kind == capacity.Maintain {
 			d.evictWorker(t, vm.Worker, now-c.Since > shortTaskGrace)
+		} else if d.fleet.evacuating[vm.ID] {
+			d.evictWorker(t, vm.Worker, false)
 		}
 	}
 	for id, w := range t.Workers {
@@ -136,7 +139,7 @@
 			continue
 		}
 		l.mu.Lock()
-		accepts := !l.closing && l.usable(now)
+		accepts := !l.closing && !l.evacuating && l.usable(now)
 		l.mu.Unlock()
 		if accepts {
 			return true
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -45,6 +45,8 @@
 	listing   bool
 	flights   map[workload.VMID]*flight
 	closing   map[workload.VMID]capacity.Closing
+	// evacuating holds the VMs whose long-running tasks should leave.
+	evacuating map[workload.VMID]bool
 	// blockedUntil holds when a VM may be ordered again.
 	blockedUntil map[workload.VMID]time.Duration
 	demand       *capacity.Demand
@@ -189,6 +191,10 @@
 			Now: now, NowMS: d.config.WallMS(), Tables: t, VMs: f.vms, InFlight: flights, Closing: f.closing,
 			Need: f.demand.Need(t, now, d.config.WallMS()), NeedByLabel: f.demand.NeedByLabel(t), Unplaceable: unplaceable, MayPark: f.demand.MayPark(now), Listed: d.hasListedRuns, Idle: func(id workload.WorkerID) time.Duration { return d.idleFor(id, now) },
 		})
+		f.evacuating = make(map[workload.VMID]bool, len(plan.Evacuate))
+		for _, id := range plan.Evacuate {
+			f.evacuating[id] = true
+		}
 		d.evict(t, now)
 	})
 	return plan
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -62,6 +62,9 @@
 	// answered, so this one has ended.
 	fenced, replaced bool
 	closing          bool
+	// evacuating: the VM is to be maintained; its long-running tasks leave first, and
+	// no other starts there.
+	evacuating bool
 	// sequence is that of the worker's last report, lastReport when it arrived.
 	sequence   uint64
 	lastReport time.Duration
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -242,6 +242,7 @@
 		w := schedule.Worker{
 			Usable:          l.usable(now) && !l.listsUnplanned,
 			Closing:         l.closing,
+			Evacuating:      l.evacuating,
 			MaintenanceSoon: l.maintenanceSoon,
 			RecentFailures:  l.suspicion.level(now),
 			RecentSuspects:  suspects[id].count,
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -60,7 +60,7 @@
 // capacity.
 func (p *planner) filter(w waitingStep) []*candidate {
 	spec := w.spec()
-	if spec.Label == "" && w.queue.Advisor == nil {
+	if spec.Label == "" && w.queue.Advisor == nil && !spec.LongRunning {
 		return p.pools[w.queue.Pool]
 	}
 	allowed := func(workload.WorkerID) bool { return true }
@@ -75,7 +75,7 @@
 	}
 	var fit []*candidate
 	for _, c := range p.pools[w.queue.Pool] {
-		if c.worker.HasLabel(spec.Label) && allowed(c.worker.ID) {
+		if c.worker.HasLabel(spec.Label) && allowed(c.worker.ID) && !(spec.LongRunning && c.state.Evacuating) {
 			fit = append(fit, c)
 		}
 	}
--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -199,3 +199,22 @@
 	})
 	is.Equal(counts(plan), map[workload.WorkerID]int{"w2": 2})
 }
+
+// On a VM that waits for its long-running tasks to leave, short tasks use the free
+// capacity, and a long-running task would never let it become empty.
+func TestOnlyShortTasksStartOnAnEvacuatedWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSite()
+	for id, w := range s.workers {
+		w.Evacuating = id != "w2"
+		s.workers[id] = w
+	}
+	lasting := tasks(2, coresEach)
+	lasting.LongRunning = true
+	s.submit("lasting", lasting)
+	s.submit("short", tasks(3, coresEach))
+	for _, start := range s.plan().Starts {
+		is.Equal(start.Run.Task.Job == "lasting", start.Worker == "w2")
+	}
+	is.Equal(len(s.plan().Starts), 4) // three short ones, as the second lasting one waits
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -16,6 +16,9 @@
 	// Closing is set when the worker is about to leave or to be maintained; nothing
 	// is started on it.
 	Closing bool
+	// Evacuating is set when the worker's long-running tasks are to leave; none is
+	// started on it.
+	Evacuating bool
 	// MaintenanceSoon is set when the VM will be maintained soon; long-running
 	// tasks should preferably start elsewhere.
 	MaintenanceSoon bool
