--- a/cmd/comfreyloom/member.go
+++ b/cmd/comfreyloom/member.go
@@ -35,6 +35,9 @@
 		fmt.Fprintln(c.err, "comfreyloom serve:", err)
 		return exitUsage
 	}
+	if s.Node.Role == settings.RoleCore {
+		tuneMemory()
+	}
 	counters := telemetry.NewRegistry()
 	writer := telemetry.NewBoundedHandler(c.out, counters)
 	logger := &log.Logger{Handler: writer, Level: level}
