relay: a call without a deadline is made; goroutines of calls are held together

Found on reading: a call whose context has no deadline got a timeout of 0 at the relay and was never made. No caller does so today; the test fails without the change. No wait in a server that stops, as before.

--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -55,6 +55,7 @@
 // do makes a call and returns the worker's reply. The error is a
 // *workers.CallError.
 func (l *lane) do(ctx context.Context, c call) (workers.List, error) {
+	c.TimeoutMS = maxCallTime.Milliseconds()
 	if deadline, ok := ctx.Deadline(); ok {
 		c.TimeoutMS = time.Until(deadline).Milliseconds()
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -200,6 +200,16 @@
 	is.Equal(workers.NotSent(err), false)
 }
 
+// A call without a deadline of its own is made all the same.
+func TestCallWithoutDeadlineIsMade(t *testing.T) {
+	is := is.New(t)
+	l := newTestLane(t)
+	l.direct.release = make(chan struct{})
+	time.AfterFunc(50*time.Millisecond, func() { close(l.direct.release) })
+	_, err := l.do(context.Background(), call{Kind: callHold})
+	is.NoErr(err)
+}
+
 // The verdict of a call that the relay could not send reaches the leader.
 func TestVerdictOfTheRelayIsKept(t *testing.T) {
 	is := is.New(t)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
 	"github.com/twitchtv/twirp"
 
@@ -37,6 +38,9 @@
 type Server struct {
 	client workers.Client
 	now    func() time.Duration
+	// calling holds the goroutines of the calls. Nothing waits for them: a process
+	// that stops ends its calls, which then count as ones that may have run.
+	calling conc.WaitGroup
 
 	mu       sync.Mutex
 	stopped  bool
@@ -123,10 +127,10 @@
 		s.deliver(from, newReply(c.ID, workers.List{}, &workers.CallError{Verdict: model.NotRun, Err: errTooManyCalls}))
 		return
 	}
-	go func() {
+	s.calling.Go(func() {
 		defer s.release()
 		s.deliver(from, s.carryOut(c))
-	}()
+	})
 }
 
 func (s *Server) admit() bool {
