relay: a relay that answers stays, whatever the control log knows of it

Callers saw worth lost after a change of leader in a peak. Class: a remedy for overload that overload switches off. A relay in use now stays while its own exchanges succeed. The test fails without the change (the lane is nil).

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -25,6 +25,8 @@
 	reviewInterval = 500 * time.Millisecond
 	// relayPenalty is how long a relay that did not answer is left out.
 	relayPenalty = 5 * time.Second
+	// relayFreshness is how long a relay counts as available after it answered.
+	relayFreshness = time.Second
 	// directPeriod is how long the leader calls a worker itself after a relay got no
 	// reply from it: the path between the two may be cut.
 	directPeriod = 3 * time.Second
@@ -185,7 +187,7 @@
 			delete(c.directUntil, worker)
 		}
 	}
-	available := slices.DeleteFunc(c.config.Available(), func(n model.NodeID) bool { return now < c.penalizedUntil[n] })
+	available := c.available(now)
 	chosen := slices.DeleteFunc(slices.Clone(choose(available, c.config.KnownWorkers(), c.config.WorkersPerRelay, len(c.relays))), func(n model.NodeID) bool { return !c.hasLane(n) })
 	if !slices.Equal(chosen, c.relays) {
 		c.config.Logger.WithField("vms", chosen).WithField("available", len(available)).Info("calls to workers are made by")
@@ -193,13 +195,28 @@
 	}
 }
 
+// available returns the VMs that can be relays, sorted. A relay in use stays available
+// while it answers, whatever the control log knows of it: a leader without processor
+// time takes its voters for unresponsive, and would lose its relays when it needs them
+// most. The caller holds the lock.
+func (c *Client) available(now time.Duration) []model.NodeID {
+	all := c.config.Available()
+	for _, relay := range c.relays {
+		if !slices.Contains(all, relay) && c.lanes[relay].answeredSince(now-relayFreshness) {
+			all = append(all, relay)
+		}
+	}
+	slices.Sort(all)
+	return slices.DeleteFunc(all, func(n model.NodeID) bool { return now < c.penalizedUntil[n] })
+}
+
 // hasLane opens a lane to a relay unless there is one; the caller holds the lock.
 func (c *Client) hasLane(relay model.NodeID) bool {
 	if c.lanes[relay] != nil {
 		return true
 	}
 	l := &lane{
-		relay: relay, session: c.session, send: c.send, lost: c.recordLoss,
+		relay: relay, session: c.session, send: c.send, now: c.config.Now, lost: c.recordLoss,
 		queued: make(chan struct{}, 1), expecting: make(chan struct{}, 1), waiting: map[uint64]chan reply{},
 	}
 	if c.opened.TryPut(l) != nil {
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -39,6 +39,7 @@
 	relay   model.NodeID
 	session uint64
 	send    func(ctx context.Context, to model.NodeID, r *relaypb.ExchangeRequest) (*relaypb.ExchangeReply, error)
+	now  func() time.Duration
 	// lost is called when the relay does not answer.
 	lost func(relay model.NodeID, err error)
 	// queued and expecting hold one token when a call is queued, or when a reply is
@@ -47,6 +48,8 @@
 
 	mu     sync.Mutex
 	nextID uint64
+	// answeredAt is when the relay last answered an exchange, 0 before the first.
+	answeredAt time.Duration
 	queue  []call
 	// waiting holds the calls without a reply, also those in the queue.
 	waiting map[uint64]chan reply
@@ -169,11 +172,25 @@
 		l.fail(calls, verdict, err)
 		return
 	}
+	l.recordAnswer()
 	if err := l.takeReplies(result.Replies); err != nil {
 		l.fail(nil, model.MayHaveRun, err)
 	}
 }
 
+func (l *lane) recordAnswer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answeredAt = l.now()
+}
+
+// answeredSince reports whether the relay has answered an exchange since a time.
+func (l *lane) answeredSince(at time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answeredAt > 0 && l.answeredAt >= at
+}
+
 // fail ends the calls of a failed exchange with a verdict, and all others that the
 // relay has with MayHaveRun.
 func (l *lane) fail(calls []call, verdict model.Verdict, cause error) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -86,7 +87,7 @@
 	direct := &fakeWorkers{}
 	l := &testLane{server: NewServer(direct, steady.Now), direct: direct}
 	l.lane = &lane{
-		relay: "r", session: 1, send: l.exchangeWith, lost: l.recordLost,
+		relay: "r", session: 1, send: l.exchangeWith, now: steady.Now, lost: l.recordLost,
 		queued: make(chan struct{}, 1), expecting: make(chan struct{}, 1), waiting: map[uint64]chan reply{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -337,6 +338,23 @@
 	is.True(c.laneFor("w") != nil)
 }
 
+// A leader that lacks processor time takes its voters for unresponsive. It must not lose
+// its relays for that, or it makes all calls itself when it can least afford them.
+func TestRelayThatAnswersStays(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	responsive := []model.NodeID{"r"}
+	c := newTestClient(&fakeWorkers{}, &now)
+	c.config.Available = func() []model.NodeID { return slices.Clone(responsive) }
+	l := c.laneFor("w")
+	l.recordAnswer()
+	responsive = nil
+	now += reviewInterval
+	is.Equal(c.laneFor("w"), l)
+	now += relayFreshness
+	is.True(c.laneFor("w") == nil)
+}
+
 // A worker that its relay can't reach is called from the leader: only the path
 // between the two may be cut.
 func TestWorkerThatItsRelayCannotReachIsCalledDirectly(t *testing.T) {
