--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -39,7 +39,7 @@
 	relay   model.NodeID
 	session uint64
 	send    func(ctx context.Context, to model.NodeID, r *relaypb.ExchangeRequest) (*relaypb.ExchangeReply, error)
-	now  func() time.Duration
+	now     func() time.Duration
 	// lost is called when the relay does not answer.
 	lost func(relay model.NodeID, err error)
 	// queued and expecting hold one token when a call is queued, or when a reply is
@@ -50,7 +50,7 @@
 	nextID uint64
 	// answeredAt is when the relay last answered an exchange, 0 before the first.
 	answeredAt time.Duration
-	queue  []call
+	queue      []call
 	// waiting holds the calls without a reply, also those in the queue.
 	waiting map[uint64]chan reply
 }
