--- a/internal/dispatch/delays.go
+++ b/internal/dispatch/delays.go
@@ -11,8 +11,8 @@
 // follows for how long a worker's capacity counts as used while no task runs on
 // it. It is safe for concurrent use.
 type delays struct {
-	mu  sync.Mutex
-	now delaySums
+	mu   sync.Mutex
+	sums delaySums
 	// loggedAt is when the sums were last logged and cleared.
 	loggedAt time.Duration
 }
@@ -41,30 +41,30 @@
 func (a *delays) recordRound(work time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.now.rounds++
-	a.now.roundTime += work
+	a.sums.rounds++
+	a.sums.roundTime += work
 }
 
 func (a *delays) recordCommit(took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.now.commits++
-	a.now.commitTime += took
+	a.sums.commits++
+	a.sums.commitTime += took
 }
 
 func (a *delays) recordStart(wait, call time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.now.starts++
-	a.now.orderWait += wait
-	a.now.callTime += call
+	a.sums.starts++
+	a.sums.orderWait += wait
+	a.sums.callTime += call
 }
 
 func (a *delays) recordListGap(gap time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.now.lists++
-	a.now.listGap += gap
+	a.sums.lists++
+	a.sums.listGap += gap
 }
 
 // take returns the sums and clears them, at most once per delaysInterval.
@@ -74,8 +74,8 @@
 	if now-a.loggedAt < delaysInterval {
 		return delaySums{}, false
 	}
-	sums := a.now
-	a.now, a.loggedAt = delaySums{}, now
+	sums := a.sums
+	a.sums, a.loggedAt = delaySums{}, now
 	return sums, true
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -105,10 +105,10 @@
 	if list.Refusal != workers.Accepted {
 		return true
 	}
-	if len(list.Ends) > 0 && l.listedUntil > 0 {
-		l.d.delays.recordListGap(sentAt - l.listedUntil)
+	if len(list.Ends) > 0 && l.lastListAt > 0 {
+		l.d.delays.recordListGap(sentAt - l.lastListAt)
 	}
-	l.listedUntil = l.d.now()
+	l.lastListAt = l.d.now()
 	l.recordList(list, sentAt)
 	return true
 }
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -31,8 +31,8 @@
 	// lastContact is when the worker last answered or reported, listedAt when the
 	// call that returned the lists was sent; 0 before the first.
 	lastContact, listedAt time.Duration
-	// listedUntil is when the last reply with lists arrived, 0 before the first.
-	listedUntil time.Duration
+	// lastListAt is when the last reply with lists arrived, 0 before the first.
+	lastListAt time.Duration
 	// lastReply is when it last answered a call, failures the number of calls
 	// since then that got no reply.
 	lastReply time.Duration
