--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/apex/log/handlers/text"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
 
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/relay/relaypb"
@@ -370,3 +373,60 @@
 	now += directPeriod
 	is.True(c.laneFor("w") != nil)
 }
+
+// Calls are handed over while exchanges fail before and after the relay took them. A
+// call that is said not to have run was never made, and none is made twice: otherwise a
+// task would run twice.
+func TestNoCallIsMadeTwiceOrDenied(t *testing.T) {
+	const calls = 400
+	is := is.New(t)
+	l := newTestLane(t)
+	random := rand.New(rand.NewPCG(3, 5))
+	var mu sync.Mutex
+	l.send = func(ctx context.Context, _ model.NodeID, r *relaypb.ExchangeRequest) (*relaypb.ExchangeReply, error) {
+		mu.Lock()
+		outcome := random.IntN(6)
+		mu.Unlock()
+		if outcome == 0 {
+			return nil, twirp.NewError(twirp.BadRoute, "not offered")
+		}
+		result, err := l.server.Exchange(ctx, r)
+		if outcome == 1 {
+			return nil, errors.New("the reply is lost")
+		}
+		return result, err
+	}
+	var group sync.WaitGroup
+	var denied, unknown, made atomic.Int64
+	notRun := make([]atomic.Bool, calls)
+	for i := range calls {
+		time.Sleep(time.Millisecond)
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(5+i%60)*time.Millisecond)
+			defer cancel()
+			run := someRun
+			run.Task.Index = i
+			_, err := l.do(ctx, call{Kind: callStart, Run: run})
+			switch {
+			case err == nil:
+				made.Add(1)
+			case workers.NotSent(err):
+				denied.Add(1)
+				notRun[i].Store(true)
+			default:
+				unknown.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	is.True(denied.Load() > 0 && unknown.Load() > 0 && made.Load() > 0) // all outcomes occur
+	l.direct.mu.Lock()
+	defer l.direct.mu.Unlock()
+	seen := map[int]bool{}
+	for _, start := range l.direct.starts {
+		index := start.Run.Task.Index
+		is.True(!seen[index])          // made once
+		is.True(!notRun[index].Load()) // and not denied
+		seen[index] = true
+	}
+}
