--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -188,7 +188,8 @@
 		}
 	}
 	available := c.available(now)
-	chosen := slices.DeleteFunc(slices.Clone(choose(available, c.config.KnownWorkers(), c.config.WorkersPerRelay, len(c.relays))), func(n model.NodeID) bool { return !c.hasLane(n) })
+	chosen := choose(available, c.config.KnownWorkers(), c.config.WorkersPerRelay, len(c.relays))
+	chosen = slices.DeleteFunc(slices.Clone(chosen), func(n model.NodeID) bool { return !c.openLane(n) })
 	if !slices.Equal(chosen, c.relays) {
 		c.config.Logger.WithField("vms", chosen).WithField("available", len(available)).Info("calls to workers are made by")
 		c.relays = chosen
@@ -210,8 +211,9 @@
 	return slices.DeleteFunc(all, func(n model.NodeID) bool { return now < c.penalizedUntil[n] })
 }
 
-// hasLane opens a lane to a relay unless there is one; the caller holds the lock.
-func (c *Client) hasLane(relay model.NodeID) bool {
+// openLane opens a lane to a relay unless there is one, and reports whether there is
+// one now. The caller holds the lock.
+func (c *Client) openLane(relay model.NodeID) bool {
 	if c.lanes[relay] != nil {
 		return true
 	}
