--- a/review/cases/crash.go
+++ b/review/cases/crash.go
@@ -35,7 +35,7 @@
 	}
 	id := jobID(1)
 	job := map[string]any{"spec": lastingSpec, "phases": []map[string]any{{
-		"count": 1, "cpu": 2700, "mem-mb": 17000, "estimated-ms": 900, "long-running": true, "max-unavailable": 1, "requirements": "g",
+		"count": 1, "cpu": 2700, "memory": 17000, "estimate": 900, "lasts": true, "mayMiss": 1, "requirements": "g",
 	}}}
 	if err := s.submit(ctx, "/recon/", id, job); err != nil {
 		return nil, err
--- a/review/cases/ends.go
+++ b/review/cases/ends.go
@@ -63,7 +63,7 @@
 
 func smallTasks(work time.Duration) map[string]any {
 	return map[string]any{"spec": fmt.Sprint(work.Milliseconds()), "phases": []map[string]any{{
-		"count": endsTasks, "cpu": 20, "mem-mb": 100, "estimated-ms": work.Milliseconds(),
+		"count": endsTasks, "cpu": 20, "memory": 100, "estimate": work.Milliseconds(),
 	}}}
 }
 
--- a/review/cases/http.go
+++ b/review/cases/http.go
@@ -1,13 +1,12 @@
 package main
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 )
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
-	text, err := json.Marshal(body)
+	text, err := wire.encode(body)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/review/cases/minion.go
+++ b/review/cases/minion.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -102,10 +102,10 @@
 	m.client = &http.Client{Timeout: pingTimeout, Transport: &http.Transport{DialContext: m.link.dial, MaxIdleConnsPerHost: 4}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("POST /run-start", m.order(m.runStart))
-	mux.HandleFunc("POST /run-stop", m.order(m.runStop))
-	mux.HandleFunc("POST /pace", m.order(m.pace))
-	mux.HandleFunc("POST /hold", m.hold)
+	mux.HandleFunc("POST "+wire.path("start"), m.order(m.runStart))
+	mux.HandleFunc("POST "+wire.path("stop"), m.order(m.runStop))
+	mux.HandleFunc("POST "+wire.path("pace"), m.order(m.pace))
+	mux.HandleFunc("POST "+wire.path("hold"), m.hold)
 	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = m.server.Serve(gatedListener{listener, m.link}) }() // ends with the minion
 	go m.work(ctx)
@@ -193,10 +193,10 @@
 	Task    string `json:"task"`
 	Attempt int    `json:"attempt"`
 	Spec    string `json:"spec"`
-	UntilMS int64  `json:"until-ms"`
-	Fence   uint64 `json:"fencing-token"`
-	Acked   uint64 `json:"ack-cursor"`
-	WaitMS  int64  `json:"wait-ms"`
+	UntilMS int64  `json:"leaseUntil"`
+	Fence   uint64 `json:"fence"`
+	Acked   uint64 `json:"acked"`
+	WaitMS  int64  `json:"wait"`
 }
 
 // readOrder answers 421 to an order for another life.
@@ -205,7 +205,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return o, false
 	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	text, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = wire.decode(text, &o)
+	}
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return o, false
 	}
@@ -230,7 +234,7 @@
 			m.fence = o.Fence
 			reason = do(o)
 		}
-		body := map[string]any{"clock-ms": m.clockMS()}
+		body := map[string]any{"clock": m.clockMS()}
 		m.mu.Unlock()
 		status := http.StatusOK
 		if reason != "" {
@@ -315,7 +319,7 @@
 		}
 		m.endRuns()
 		if o.Fence < m.fence {
-			body := map[string]any{"clock-ms": m.clockMS(), "reason": "fence"}
+			body := map[string]any{"clock": m.clockMS(), "reason": "fence"}
 			m.mu.Unlock()
 			writeJSON(w, http.StatusConflict, body)
 			return
@@ -355,7 +359,7 @@
 	for _, e := range m.ends[:min(len(m.ends), listLimit)] {
 		finished = append(finished, []any{e.number, e.task, e.attempt, e.how, ""})
 	}
-	return map[string]any{"clock-ms": m.clockMS(), "running": running, "finished": finished}
+	return map[string]any{"clock": m.clockMS(), "running": running, "finished": finished}
 }
 
 // ping sends pings until the minion ends. A node that gives no 2xx within a second
@@ -382,8 +386,8 @@
 	}
 	body := map[string]any{
 		"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "capacity": 8, "state": state,
-		"cold-remaining-ms": 0, "free-capacity": map[string]int64{"cpu": m.cpu, "mem-mb": m.memMB, "gpu": 0},
-		"labels": m.labels, "clock-ms": m.clockMS(), "sequence": m.sequence,
+		"cold": 0, "room": map[string]int64{"cpu": m.cpu, "memory": m.memMB, "gpu": 0},
+		"labels": m.labels, "clock": m.clockMS(), "sequence": m.sequence,
 	}
 	node := m.endpoint
 	m.mu.Unlock()
@@ -398,16 +402,16 @@
 		return false
 	}
 	var response struct {
-		Endpoint string `json:"heartbeat-endpoint"`
+		Endpoint string `json:"endpoint"`
 	}
-	if json.Unmarshal(answer, &response) == nil {
+	if wire.decode(answer, &response) == nil {
 		m.endpoint = response.Endpoint
 	}
 	return true
 }
 
 func (m *minion) post(ctx context.Context, node, path string, body any) (int, []byte, error) {
-	text, err := json.Marshal(body)
+	text, err := wire.encode(body)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/review/cases/provider.go
+++ b/review/cases/provider.go
@@ -61,9 +61,9 @@
 	}
 	p := &provider{record: rec, ledger: led, ip: ip, listener: listener, onUpkeep: func(string) {}}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /machines", p.list)
-	mux.HandleFunc("POST /machine-move", p.order("move", p.move))
-	mux.HandleFunc("POST /machine-upkeep", p.order("upkeep", p.upkeep))
+	mux.HandleFunc("GET "+wire.path("machines"), p.list)
+	mux.HandleFunc("POST "+wire.path("move"), p.order("move", p.move))
+	mux.HandleFunc("POST "+wire.path("upkeep"), p.order("upkeep", p.upkeep))
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	return p, nil
 }
@@ -174,7 +174,7 @@
 	for _, m := range p.machines {
 		row := map[string]any{
 			"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{m.kind, m.rack},
-			"free-capacity": map[string]int64{"cpu": 32000, "mem-mb": 131072, "gpu": 0},
+			"room": map[string]int64{"cpu": 32000, "memory": 131072, "gpu": 0},
 		}
 		if m.state == machineUp {
 			row["id"] = m.minion.id
--- a/review/cases/site.go
+++ b/review/cases/site.go
@@ -109,7 +109,7 @@
 		return err
 	}
 	if err := s.waitFor(ctx, "the first config is acknowledged", 30*time.Second, func() bool {
-		return s.operator("/config/replace", config) == http.StatusOK
+		return s.operator(wire.path("config"), config) == http.StatusOK
 	}); err != nil {
 		return err
 	}
@@ -160,7 +160,7 @@
 		return err
 	}
 	command := exec.Command(program, "serve")
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.folder, "COMFREYLOOM_SETTINGS=" + file}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.folder, wire.Settings + "=" + file}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
@@ -273,7 +273,7 @@
 func (s *site) call(method, url, host string, body any) (int, []byte, error) {
 	var content io.Reader
 	if body != nil {
-		text, err := json.Marshal(body)
+		text, err := wire.encode(body)
 		if err != nil {
 			return 0, nil, err
 		}
@@ -326,7 +326,7 @@
 	var answer struct {
 		State string `json:"state"`
 	}
-	if err != nil || status != http.StatusOK || json.Unmarshal(text, &answer) != nil {
+	if err != nil || status != http.StatusOK || wire.decode(text, &answer) != nil {
 		return ""
 	}
 	return answer.State
@@ -358,7 +358,7 @@
 // route and service describe a config as the operator sends it.
 func route(prefix, service string) map[string]any {
 	return map[string]any{
-		"name": "r-" + strings.Trim(prefix, "/"), "host": consumerHost, "path-prefix": prefix, "type": "unsafe", "timeout-ms": 3000,
+		"name": "r-" + strings.Trim(prefix, "/"), "host": consumerHost, "prefix": prefix, "type": "unsafe", "timeout-ms": 3000,
 		"target-latency-ms": 600, "priority": 0, "service": service, "max-attempts": 3, "target-factor": 1.6,
 	}
 }
@@ -380,7 +380,7 @@
 func jobOf(count int, workMS int) map[string]any {
 	return map[string]any{
 		"spec":   fmt.Sprint(workMS),
-		"phases": []map[string]any{{"count": count, "cpu": 2000, "mem-mb": 1024, "estimated-ms": workMS}},
+		"phases": []map[string]any{{"count": count, "cpu": 2000, "memory": 1024, "estimate": workMS}},
 	}
 }
 
--- a/review/cases/upkeep.go
+++ b/review/cases/upkeep.go
@@ -54,7 +54,7 @@
 		}
 	}
 	wave := map[string]any{"wave": 1, "machines": []string{"m-a0", "m-a1"}, "duration-s": 26, "cap": 2}
-	if status := s.operator("/wave-start", wave); status != http.StatusOK {
+	if status := s.operator(wire.path("wave"), wave); status != http.StatusOK {
 		return nil, fmt.Errorf("the wave was answered with %d", status)
 	}
 	select {
