--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -31,6 +31,9 @@
 	"upkeep-ordered-twice": upkeepOrderedTwice,
 	"flapping-minion":      flappingMinion,
 	"ends-behind-a-cut":    endsBehindACut,
+	"foreign-pings":        foreignPings,
+	"refused-starts":       refusedStarts,
+	"founding-disk-lost":   foundingDiskLost,
 }
 
 func main() {
--- a/review/cases/minion.go
+++ b/review/cases/minion.go
@@ -59,6 +59,7 @@
 
 	mu       sync.Mutex
 	sequence int
+	refusing bool // answers 429 to starts
 	draining bool
 	ended    bool
 	endpoint string // for later pings
@@ -135,6 +136,18 @@
 	m.client.CloseIdleConnections()
 }
 
+// refuseStarts makes the minion answer 429 to starts for some time.
+func (m *minion) refuseStarts(d time.Duration) {
+	set := func(refusing bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.refusing = refusing
+	}
+	set(true)
+	m.record.printf("minion %s refuses starts for %v", m.id, d)
+	time.AfterFunc(d, func() { set(false) })
+}
+
 func (m *minion) isUp() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -229,6 +242,12 @@
 			panic(http.ErrAbortHandler) // breaks the channel off
 		}
 		m.endRuns()
+		if m.refusing && r.URL.Path == wire.path("start") {
+			body := map[string]any{"clock": m.clockMS()}
+			m.mu.Unlock()
+			writeJSON(w, http.StatusTooManyRequests, body)
+			return
+		}
 		reason := "fence"
 		if o.Fence >= m.fence {
 			m.fence = o.Fence
