dispatch: the notice of a worker that leaves is not taken for its end

The task was started elsewhere 12 ms after the notice and ran on both for 2.6 s.

Cause: Dispatcher.Leave committed the end of the incarnation (EndedWorkers), which releases all its runs. The notice only announces the end; without an acknowledgement the worker runs on for seconds.

Evidence, the case on the old code: notice 3.288 s, second start 3.300 s, first run done 5.926 s, the worker ends 6.289 s.

Ruled out: an expired lease (5 s were left), a late or repeated order (the second start is attempt 2, committed).

Change: the notice commits that the worker drains. Its runs stay until an end is listed, another incarnation answers at the address, a connection is refused there, or every lease has expired. A line "worker leaves" tells of the notice; "worker gone" names the runs that may have been there, which it did not after a notice.

Why it works: each proof is an observation of the worker's process or its lease. A worker listens as long as it runs, so a refused connection after it announced its end shows that the process is gone; a cut or a reset never counts.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -35,7 +35,7 @@
 type Reporter interface {
 	// Report returns once the leader uses the report for its decisions.
 	Report(ctx context.Context, r Report) error
-	// Leave returns once the leader has recorded that the incarnation ended.
+	// Leave returns once no leader starts anything on the incarnation any more.
 	Leave(ctx context.Context, id workload.WorkerID) error
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -52,6 +52,16 @@
 	f.restartAt = sim.now + time.Duration(500+sim.random.IntN(2500))*time.Millisecond
 }
 
+// terminate ends a worker for good, with nothing listening at its address. The other
+// members of a gang end with it.
+func (sim *simulation) terminate(f *fakeWorker) {
+	for _, run := range f.worker.Running() {
+		defer sim.breakGang(run)
+	}
+	f.worker.Terminated = true
+	f.restartAt = sim.now + 24*time.Hour
+}
+
 // restartCrashed starts the next incarnations of the workers that crashed.
 func (sim *simulation) restartCrashed() {
 	for _, f := range sim.workers {
@@ -80,14 +90,22 @@
 
 // run simulates a site for a while: the workers report, healthy tasks end after
 // taskDuration, the leader runs its rounds and makes all its calls.
-func (sim *simulation) run(length time.Duration) {
+func (sim *simulation) run(length time.Duration) { sim.runSite(length, sim.endDue) }
+
+// runWithoutEnds simulates a site on which no run ends by itself.
+func (sim *simulation) runWithoutEnds(length time.Duration) {
+	sim.runSite(length, func(*fakeWorker) {})
+}
+
+// runSite simulates a site for a while; endRuns ends the runs on a worker that are due.
+func (sim *simulation) runSite(length time.Duration, endRuns func(*fakeWorker)) {
 	ctx := context.Background()
 	for until := sim.now + length; sim.now < until; {
 		sim.advance(tickInterval)
 		for _, f := range sim.workers {
 			if f.restartAt == 0 {
 				sim.report(f)
-				sim.endDue(f)
+				endRuns(f)
 			}
 		}
 		sim.leader.round(ctx, sim.term)
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -39,6 +39,10 @@
 	// restartAt is when the next incarnation starts after a crash, 0 while one is
 	// up.
 	restartAt time.Duration
+	// draining: it reports that it will end. leavesBy is when it ends without an
+	// acknowledgement of its notice, 0 before it sends one.
+	draining bool
+	leavesBy time.Duration
 }
 
 // startIncarnation replaces the incarnation at an address.
@@ -50,6 +54,7 @@
 	id := workload.WorkerID(fmt.Sprintf("i-%d", sim.incarnations))
 	f.worker = standin.New(id, f.address, workload.Resources{CPU: 2000, MemoryMB: 1000}, 0.98+0.02*sim.random.Float64(), sim.now)
 	f.sequence, f.restartAt = 0, 0
+	f.draining, f.leavesBy = false, 0
 	f.worker.StopTime = sim.stopTime
 	f.worker.OnAck = func(e workload.End, held bool) {
 		switch e.Kind {
@@ -73,8 +78,8 @@
 		if f.address != to.Address {
 			continue
 		}
-		if f.restartAt > 0 {
-			return nil, 0, &workers.CallError{Verdict: model.NotRun, Err: io.EOF}
+		if f.restartAt > 0 && !f.partitioned {
+			return nil, 0, &workers.CallError{Verdict: model.NotRun, NotListening: true, Err: io.EOF}
 		}
 		if f.partitioned || n.sim.chance(n.sim.faultPercent/3) {
 			return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -81,7 +81,11 @@
 func (l *link) retryPause() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return min(time.Duration(max(l.failures, 1))*holdRetryPause, maxHoldRetryPause)
+	pause := holdRetryPause
+	if l.draining {
+		pause = leavingRetryPause
+	}
+	return min(time.Duration(max(l.failures, 1))*pause, maxHoldRetryPause)
 }
 
 // hold makes one call. It returns false if it got no reply.
--- /dev/null
+++ b/internal/dispatch/leave_test.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// leaveTimeout is how long a leaving worker runs without an acknowledgement.
+	leaveTimeout = 3 * time.Second
+	// leaveRetryInterval is the time between two notices.
+	leaveRetryInterval = time.Second
+	// handOverTime bounds the time from the end of a worker that left until its tasks
+	// run elsewhere, in simulated rounds of tickInterval.
+	handOverTime = 4 * tickInterval
+)
+
+// drainOrLeave has a worker drain, or send the notice that it ends if it drains.
+func (sim *simulation) drainOrLeave(f *fakeWorker) {
+	switch {
+	case f.restartAt > 0:
+	case !f.draining:
+		f.draining = true
+		sim.report(f)
+	default:
+		sim.leave(f, !sim.chance(30))
+	}
+}
+
+// leave sends a worker's notice that it ends. It ends at once if the acknowledgement
+// arrives.
+func (sim *simulation) leave(f *fakeWorker, ackArrives bool) {
+	if f.leavesBy == 0 {
+		f.leavesBy = sim.now + leaveTimeout
+	}
+	if sim.leader.Leave(context.Background(), f.worker.ID) == nil && ackArrives && !f.partitioned {
+		sim.crash(f)
+	}
+}
+
+// endLeaving ends the workers that left without an acknowledgement.
+func (sim *simulation) endLeaving() {
+	for _, f := range sim.workers {
+		if f.leavesBy > 0 && f.restartAt == 0 && sim.now >= f.leavesBy {
+			sim.crash(f)
+		}
+	}
+}
+
+// leavingSteps are the kinds of steps whose tasks a leaving worker may hold.
+var leavingSteps = map[string]workload.StepSpec{
+	"task":         {Count: 1, Need: workload.Resources{CPU: 100}},
+	"long-running": {Count: 1, Need: workload.Resources{CPU: 100}, LongRunning: true},
+	"gang":         {Count: 2, Need: workload.Resources{CPU: 100}, Gang: true, MaxPerWorker: 1},
+}
+
+// newLeavingSite returns a site without random faults in which the first worker
+// holds a run of a job "j" and drains.
+func newLeavingSite(t *testing.T, step workload.StepSpec) (*simulation, *fakeWorker) {
+	t.Helper()
+	sim := newSimulation(11)
+	sim.faultPercent = 0
+	sim.run(200 * time.Millisecond)
+	sim.submitJob("j", step)
+	sim.run(200 * time.Millisecond)
+	for _, f := range sim.workers {
+		if len(f.worker.Running()) > 0 {
+			f.draining = true
+			sim.report(f)
+			return sim, f
+		}
+	}
+	t.Fatal("the job has not started")
+	return nil, nil
+}
+
+// runningElsewhere returns how many runs all workers but one hold.
+func (sim *simulation) runningElsewhere(than *fakeWorker) int {
+	n := 0
+	for _, f := range sim.workers {
+		if f != than {
+			n += len(f.worker.Running())
+		}
+	}
+	return n
+}
+
+// Guards against a task that runs twice at the same time: a worker said that it ends,
+// its tasks were started elsewhere at once, and without an acknowledgement it ran on
+// for seconds.
+func TestTasksOfALeavingWorkerWaitForItsEnd(t *testing.T) {
+	for name, step := range leavingSteps {
+		for _, takeover := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				sim, f := newLeavingSite(t, step)
+				others := sim.runningElsewhere(f)
+				f.partitioned = true
+				for range leaveTimeout / leaveRetryInterval {
+					is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
+					if takeover {
+						sim.elect()
+					}
+					sim.runWithoutEnds(leaveRetryInterval)
+					is.Equal(sim.violations, nil)
+					is.Equal(len(f.worker.Running()), 1)
+					is.Equal(sim.runningElsewhere(f), others)
+				}
+				f.partitioned = false
+				sim.terminate(f)
+				sim.runWithoutEnds(handOverTime)
+				is.Equal(sim.violations, nil)
+				is.Equal(sim.runningElsewhere(f), step.Count)
+			})
+		}
+	}
+}
+
+// Guards against tasks that wait for a lease to expire although their worker has left
+// and its address refuses connections.
+func TestTasksOfAWorkerThatLeftAreHandedOverAtOnce(t *testing.T) {
+	for name, step := range leavingSteps {
+		for _, takeover := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				sim, f := newLeavingSite(t, step)
+				is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
+				sim.terminate(f)
+				if takeover {
+					sim.elect()
+				}
+				sim.runWithoutEnds(handOverTime)
+				is.Equal(sim.violations, nil)
+				is.Equal(sim.runningElsewhere(f), step.Count)
+				sim.machine.Read(func(tables *workload.Tables) {
+					is.Equal(tables.Workers[f.worker.ID], nil)
+					is.Equal(len(tables.Suspects), 0)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a worker that left with nothing on it and stays in the state.
+func TestIdleWorkerThatLeavesIsRemovedWithItsNotice(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(11)
+	sim.faultPercent = 0
+	f := sim.workers[0]
+	sim.report(f)
+	is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
+	sim.report(f) // one that was delayed
+	sim.machine.Read(func(tables *workload.Tables) { is.Equal(tables.Workers[f.worker.ID], nil) })
+}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -61,7 +61,12 @@
 	// fenced: the worker follows a later leader. replaced: another incarnation
 	// answered, so this one has ended.
 	fenced, replaced bool
-	closing          bool
+	// draining: the worker has announced its end. leaving: it has sent the notice that
+	// it ends now.
+	draining, leaving bool
+	// notListening: the last call found that no process listens at the address.
+	notListening bool
+	closing      bool
 	// evacuating: the VM is to be maintained; its long-running tasks leave first, and
 	// no other starts there.
 	evacuating bool
@@ -216,7 +221,7 @@
 	}
 	l.lease.recordClock(a.ClockMS, sentAt, now)
 	l.lastContact, l.lastReply, l.failures, l.firstFailure = now, now, 0, 0
-	l.checkIncarnation = false
+	l.checkIncarnation, l.notListening = false, false
 	switch a.Refusal {
 	case workers.RefusedFence:
 		l.fenced = true
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -71,6 +71,13 @@
 	}).Info("worker gone")
 }
 
+// logLeaving logs the notice of a worker that has runs.
+func (d *Dispatcher) logLeaving(l *link) {
+	d.config.Logger.WithFields(log.Fields{
+		"worker": string(l.target.ID), "address": l.target.Address, "listed": len(l.running), "age_ms": (d.now() - l.lastReply).Milliseconds(),
+	}).Info("worker leaves")
+}
+
 func sameStep(a, b workload.TaskRef) bool {
 	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -176,6 +176,7 @@
 		l.firstFailure = l.d.now()
 	}
 	l.failures++
+	l.notListening = workers.NotListening(err)
 	l.dirty = true
 	l.d.counters.callsFailed.Inc(1)
 	l.d.logUnresponsive(l, err)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -119,29 +119,6 @@
 	return changed
 }
 
-// Leave records that an incarnation has ended.
-func (d *Dispatcher) Leave(ctx context.Context, id workload.WorkerID) error {
-	d.mu.Lock()
-	leads := d.term != 0
-	if leads {
-		d.endedIncarnations[id] = d.now()
-	}
-	d.mu.Unlock()
-	if !leads {
-		return state.ErrNotProposed
-	}
-	known := false
-	d.config.Machine.Read(func(t *workload.Tables) { known = t.Workers[id] != nil })
-	if !known {
-		return nil
-	}
-	if err := d.config.Log.Propose(ctx, &workload.Command{EndedWorkers: []workload.WorkerID{id}}); err != nil {
-		return err
-	}
-	d.logRemoved(0, id, removalReason{why: removedLeft})
-	return nil
-}
-
 // workersOfPool lists the workers of a pool, sorted by ID.
 func workersOfPool(t *workload.Tables, pool string) []workload.WorkerID {
 	var ids []workload.WorkerID
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -119,15 +119,18 @@
 		return
 	}
 	runs := t.Runs[worker.ID]
+	l.draining = worker.Draining
 	l.listsUnplanned = l.hasUnplannedRun(runs)
 	l.dropAckedEnds(worker.Acked)
-	if l.replaced {
+	if ended := l.endReason(worker); ended != "" {
 		lost := l.lostRuns(runs)
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
-		c.Lost = append(c.Lost, newLosses(worker.ID, lost, d.lostTogether(t, worker.Pool, l.lastContact))...)
-		c.Crashed = append(c.Crashed, worker.ID)
 		c.NeverStarted = append(c.NeverStarted, l.neverStartedRuns(runs)...)
-		why.removed[worker.ID] = removalReason{why: removedReplaced, lost: lost, tasks: unfinishedTasks(t, worker.ID, lost)}
+		why.removed[worker.ID] = removalReason{why: ended, lost: lost, tasks: unfinishedTasks(t, worker.ID, lost)}
+		if !worker.Draining {
+			c.Lost = append(c.Lost, newLosses(worker.ID, lost, d.lostTogether(t, worker.Pool, l.lastContact))...)
+			c.Crashed = append(c.Crashed, worker.ID)
+		}
 		return
 	}
 	for _, e := range l.ends {
@@ -163,7 +166,12 @@
 	l.adjustPace(t, now)
 	l.setNeedsCalls(len(runs) > 0 || hasLosses && now-l.lastReport < maxContactAge)
 	l.updateIdle(len(runs) == 0 && len(l.running) == 0, now)
-	if len(runs) == 0 && now-l.lastContact > forgetWorkerAfter && l.lastContact > 0 {
+	switch {
+	case len(runs) > 0:
+	case l.leaving:
+		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
+		why.removed[worker.ID] = removalReason{why: removedLeft}
+	case now-l.lastContact > forgetWorkerAfter && l.lastContact > 0:
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
 		why.removed[worker.ID] = removalReason{why: removedUnresponsive}
 	}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -62,6 +62,8 @@
 	capacityChanges bool
 	// unreadablePercent is the share of lists with a row that can't be read.
 	unreadablePercent int
+	// leaves: workers drain and leave.
+	leaves bool
 }
 
 type delayedCall struct {
@@ -173,6 +175,10 @@
 func (sim *simulation) injectFault() {
 	f := sim.workers[sim.random.IntN(len(sim.workers))]
 	switch sim.random.IntN(12) {
+	case 5, 6, 7:
+		if sim.leaves {
+			sim.drainOrLeave(f)
+		}
 	case 0:
 		sim.elect()
 	case 1:
@@ -203,6 +209,7 @@
 		sim.checkInvariants()
 	}
 	sim.now = until
+	sim.endLeaving()
 	sim.restartCrashed()
 	sim.expire()
 }
@@ -275,7 +282,7 @@
 	}
 	f.sequence++
 	r := control.Report{
-		Worker:   workload.Worker{ID: f.worker.ID, Pool: "p", Address: f.address, Capacity: f.worker.Capacity},
+		Worker:   workload.Worker{ID: f.worker.ID, Pool: "p", Address: f.address, Capacity: f.worker.Capacity, Draining: f.draining},
 		Sequence: f.sequence, ClockMS: f.worker.ClockMS(sim.now),
 	}
 	err := sim.leader.Report(context.Background(), r)
@@ -289,6 +296,9 @@
 	sim.faultPercent, sim.unreadablePercent = 0, 0
 	for _, f := range sim.workers {
 		f.partitioned = false
+		if f.draining && f.restartAt == 0 {
+			sim.leave(f, true)
+		}
 	}
 	ctx := context.Background()
 	for range 600 {
@@ -312,21 +322,28 @@
 	}
 }
 
-func TestLeaderKeepsItsInvariants(t *testing.T) { simulateSeeds(t, 0) }
+func TestLeaderKeepsItsInvariants(t *testing.T) { simulateSeeds(t, func(*simulation) {}) }
+
+// Guards against a task that runs twice because its worker has announced its end and
+// runs on.
+func TestLeavingWorkersKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.leaves = true })
+}
 
 // Guards against a task that runs twice at the same time, and against a lost
 // end whose task never ends. One list in ten has an unreadable row. If "could
 // not be read" is taken for "absent", the run in that row is released and
 // started elsewhere, or a later end is acknowledged and the worker drops the
 // one that was not read.
-func TestUnreadableRowsAreNotTakenForAbsent(t *testing.T) { simulateSeeds(t, 10) }
+func TestUnreadableRowsAreNotTakenForAbsent(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.unreadablePercent = 10 })
+}
 
-// simulateSeeds simulates each seed with a share of unreadable lists, in
-// percent.
-func simulateSeeds(t *testing.T, unreadablePercent int) {
+// simulateSeeds simulates each seed with the faults that prepare switches on.
+func simulateSeeds(t *testing.T, prepare func(*simulation)) {
 	for seed := range uint64(seeds(t)) {
 		sim := newSimulation(seed)
-		sim.unreadablePercent = unreadablePercent
+		prepare(sim)
 		for i := range 4000 {
 			sim.step()
 			if len(sim.violations) > 0 {
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -107,7 +107,7 @@
 		"the disk is full; waiting for room", "the disk is slow; handing leadership over",
 		"the disk is slow; leadership could not be handed over":
 		return true
-	case "worker does not answer", "worker gone":
+	case "worker does not answer", "worker leaves", "worker gone":
 		return s.workers[l.text("worker")]
 	case "balance":
 		return s.pools[l.text("pool")] && l.number("need_mcpu") > l.number("have_mcpu")
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -119,7 +119,10 @@
 type CallError struct {
 	// Verdict is whether the call was, or may have been, carried out.
 	Verdict model.Verdict
-	Err     error
+	// NotListening: the worker's host refused the connection, so no process listens
+	// at the address.
+	NotListening bool
+	Err          error
 }
 
 // Error returns the verdict and the cause.
@@ -133,3 +136,10 @@
 	var call *CallError
 	return errors.As(err, &call) && call.Verdict == model.NotRun
 }
+
+// NotListening reports whether a call failed because no process listens at the
+// worker's address.
+func NotListening(err error) bool {
+	var call *CallError
+	return errors.As(err, &call) && call.NotListening
+}
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -22,7 +22,9 @@
 	Workers   []Worker  `cbor:"7,keyasint,omitempty"`
 	Ends      []End     `cbor:"8,keyasint,omitempty"`
 	Releases  []Release `cbor:"9,keyasint,omitempty"`
-	// EndedWorkers lists the incarnations of workers that have certainly ended.
+	// EndedWorkers lists the incarnations of workers that are to be removed: they have
+	// certainly ended, or nothing runs on them and they leave or have been silent for
+	// long.
 	EndedWorkers []WorkerID      `cbor:"10,keyasint,omitempty"`
 	Due          []DueOccurrence `cbor:"11,keyasint,omitempty"`
 	Starts       []Start         `cbor:"12,keyasint,omitempty"`
