dispatch: an end listed before an unreadable row is kept

What callers would see: a task that is done runs again (TWICE). Found by a stricter check of the simulation of the leader, not on a site: no start may follow an end "done" that is acknowledged later under an unbroken lease.

Cause: a list with an unreadable row replaces the listed ends but leaves the time of the last complete list as it was. A run whose end only the complete list named was released as absent if both lists came before one reconciliation. A new leader ordered such an inherited run again, and released it as never started when that call could not be sent.

Ruled out: more ends than one list holds, an expired lease.

Change: while the last list has an unreadable row, no run counts as absent and no inherited run as missing.

Why it works: absence is concluded from one list only, which names every run and every end that is not acknowledged.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -56,10 +56,18 @@
 	f.sequence, f.restartAt = 0, 0
 	f.draining, f.leavesBy = false, 0
 	f.worker.StopTime = sim.stopTime
+	f.worker.OnEnd = func(e workload.End) {
+		if e.Kind == workload.EndDone {
+			sim.unackedDone[e.Run.Task] = append(sim.unackedDone[e.Run.Task], e.Run)
+		}
+	}
 	f.worker.OnAck = func(e workload.End, held bool) {
 		switch e.Kind {
 		case workload.EndDone:
 			sim.done[e.Run.Task] = sim.done[e.Run.Task] || held
+			if held && sim.startedAfter[e.Run] != 0 {
+				sim.reportViolation("%s was done with attempt %d before attempt %d started", e.Run.Task, e.Run.Attempt, sim.startedAfter[e.Run])
+			}
 		case workload.EndFailed:
 			sim.failed[e.Run.Task]++
 		}
@@ -186,6 +194,11 @@
 		if job.Spec.Steps == nil {
 			return // the job has ended and its runs don't count any more
 		}
+		for _, done := range sim.unackedDone[run.Task] {
+			if !job.Spec.Steps[run.Task.Step].Speculative {
+				sim.startedAfter[done] = run.Attempt
+			}
+		}
 		if sim.failed[run.Task] >= 3 {
 			sim.reportViolation("%s started after 3 failures", run.Task)
 		}
--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -32,6 +34,71 @@
 	is.Equal(sim.leader.links[f.worker.ID].sequence, uint64(1))
 }
 
+// stepWorker runs one round of the leader and the calls to a worker. The other workers
+// never report.
+func (sim *simulation) stepWorker(f *fakeWorker) {
+	sim.advance(10 * time.Millisecond)
+	sim.report(f)
+	l := sim.leader.links[f.worker.ID]
+	sim.leader.round(context.Background(), sim.term)
+	for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
+		l.perform(context.Background(), c)
+	}
+	if l.mustHold() {
+		l.hold(context.Background())
+	}
+}
+
+// Guards against a done task that is started again: its end was in one list, and in a
+// row of the next one that could not be read, before the leader committed it.
+func TestEndInARowThatBecomesUnreadableIsKept(t *testing.T) {
+	for name, takeover := range map[string]bool{"the leader that started it": false, "a new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1)
+			sim.faultPercent = 0
+			f := sim.workers[0]
+			sim.stepWorker(f)
+			sim.submitJob("j", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1}})
+			for range 4 {
+				sim.stepWorker(f)
+			}
+			is.Equal(len(f.worker.Running()), 1)
+			if takeover {
+				sim.elect()
+				sim.report(f)
+			}
+			f.worker.End(f.worker.Running()[0], workload.EndDone)
+			sim.advance(10 * time.Millisecond)
+			l := sim.leader.links[f.worker.ID]
+			l.hold(context.Background())
+			l.recordUnreadableEnd()
+			f.restartAt = sim.now + time.Hour // calls fail
+			for range 2 {
+				sim.leader.round(context.Background(), sim.term)
+				for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
+					l.perform(context.Background(), c)
+				}
+			}
+			sim.machine.Read(func(tables *workload.Tables) { is.Equal(len(tables.Runs[f.worker.ID]), 1) })
+			f.restartAt = 0
+			for range 3 {
+				sim.stepWorker(f)
+			}
+			is.Equal(len(f.worker.Running()), 0)
+			is.Equal(sim.stateOf("j"), workload.JobCompleted)
+		})
+	}
+}
+
+// recordUnreadableEnd records a list without runs whose only row can't be read.
+func (l *link) recordUnreadableEnd() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.d.now()
+	l.recordList(workers.List{Reply: workers.Reply{ClockMS: l.lease.clockMS}, UnreadableRows: 1}, now)
+}
+
 // VMs must not be moved into a pool that lost none. This happened when the row
 // of one of its VMs could not be read in one list and the VM counted as lost.
 func TestVMWithUnreadableRowKeepsItsPool(t *testing.T) {
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -39,7 +39,7 @@
 		return releasedRefused
 	}
 	if l.inherited[run] {
-		if l.listedAt == 0 {
+		if l.listedAt == 0 || l.unreadableRows > 0 {
 			return ""
 		}
 		delete(l.inherited, run)
@@ -78,9 +78,10 @@
 }
 
 // unlistedSince returns releasedUnlisted if a list was requested after the
-// reply to a call. The caller has checked that the list lacks the run.
+// reply to a call. The caller has checked that the last list lacks the run. If a row
+// of that list can't be read, it may hold the end that the list before it named.
 func (l *link) unlistedSince(p callState) string {
-	if p.answered && l.listedAt > p.answeredAt {
+	if p.answered && l.listedAt > p.answeredAt && l.unreadableRows == 0 {
 		return releasedUnlisted
 	}
 	return ""
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -62,6 +62,10 @@
 	capacityChanges bool
 	// unreadablePercent is the share of lists with a row that can't be read.
 	unreadablePercent int
+	// unackedDone holds the runs that ended as done and whose end may not be
+	// acknowledged yet, startedAfter the attempt that started after such a run.
+	unackedDone  map[workload.TaskRef][]workload.RunRef
+	startedAfter map[workload.RunRef]int
 	// leaves: workers drain and leave.
 	leaves bool
 }
@@ -75,7 +79,8 @@
 	sim := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, machine: workload.NewMachine(),
 		done: map[workload.TaskRef]bool{}, failed: map[workload.TaskRef]int{}, faultPercent: 12,
-		crashers: map[workload.JobID]*crasher{},
+		crashers:    map[workload.JobID]*crasher{},
+		unackedDone: map[workload.TaskRef][]workload.RunRef{}, startedAfter: map[workload.RunRef]int{},
 	}
 	for i := range 4 {
 		sim.workers = append(sim.workers, &fakeWorker{address: fmt.Sprintf("10.0.0.%d:80", i)})
