dispatch: a full list of ends shows no run as absent

Cause: a worker lists at most 500 ends, the others once these are acknowledged. Such a list was read as a complete one, so a run in neither of its lists counted as absent, was released and started again.

Ruled out: an expired lease (the acknowledgements counted), lost calls (all ends arrived, in order).

While the last list has it, a run whose start was sent, or that an earlier leader committed, is neither ordered nor released. The stand-in worker lists 500 ends at once, as the protocol says.

Why it works: the running list is always whole, and ends come in the order of their numbers, so the first list below the limit names every end that is left.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -56,6 +56,9 @@
 	f.sequence, f.restartAt = 0, 0
 	f.draining, f.leavesBy = false, 0
 	f.worker.StopTime = sim.stopTime
+	if sim.endsPerList > 0 {
+		f.worker.EndsPerList = sim.endsPerList
+	}
 	f.worker.OnEnd = func(e workload.End) {
 		if e.Kind == workload.EndDone {
 			sim.unackedDone[e.Run.Task] = append(sim.unackedDone[e.Run.Task], e.Run)
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -158,13 +158,19 @@
 // unless their end is listed, and listedAt, which decides whether committed
 // runs count as absent, stays as it was. The worker gets no new work until its
 // lists can be read again.
+//
+// A list that may leave out ends shows all that runs, but a run that it lacks may
+// have ended, see mayHaveUnlistedEnd.
 func (l *link) recordList(list workers.List, sentAt time.Duration) {
 	now := l.d.now()
 	before := l.running
 	if list.UnreadableRows > 0 && l.unreadableRows == 0 {
 		l.d.logUnread(l, list.UnreadableRows)
 	}
-	l.unreadableRows = list.UnreadableRows
+	if list.MoreEnds && !l.moreEnds {
+		l.d.logMoreEnds(l, len(list.Ends))
+	}
+	l.unreadableRows, l.moreEnds = list.UnreadableRows, list.MoreEnds
 	if l.firstListMS == 0 {
 		l.firstListMS = list.ClockMS
 	}
@@ -187,7 +193,9 @@
 		l.keepUnendedRuns(before)
 		return
 	}
-	l.listedAt = sentAt
+	if !l.moreEnds {
+		l.listedAt = sentAt
+	}
 }
 
 // keepUnendedRuns adds the runs that were listed before and have not ended.
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -29,7 +29,7 @@
 	// again only if the first list lacks them.
 	inherited map[workload.RunRef]bool
 	// lastContact is when the worker last answered or reported, listedAt when the
-	// call that returned the lists was sent; 0 before the first.
+	// call that returned the last complete lists was sent; 0 before the first.
 	lastContact, listedAt time.Duration
 	// lastListAt is when the last reply with lists arrived, 0 before the first.
 	lastListAt time.Duration
@@ -48,6 +48,8 @@
 	firstListMS int64
 	// unreadableRows counts the rows of the last list that could not be read.
 	unreadableRows int
+	// moreEnds: the last list may have left out ends.
+	moreEnds bool
 	// needsCalls is true while runs are committed on the worker, or it has recorded
 	// losses and reported recently: the leader must renew its leases or learn what
 	// runs there.
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -133,6 +133,13 @@
 		WithField("rows", rows).WithField("acked", l.acked).Warn("rows of a worker's lists can't be read; it gets no new work")
 }
 
+// logMoreEnds writes a line when a worker begins to have more ends than it lists at
+// once.
+func (d *Dispatcher) logMoreEnds(l *link, listed int) {
+	d.config.Logger.WithField("worker", string(l.target.ID)).WithField("listed", listed).
+		WithField("acked", l.acked).Info("a worker has more ends than it lists at once")
+}
+
 // logStall logs that a run shows no progress. waitsFor is the task of its step
 // because of which it is not stopped yet, nil if it is stopped.
 func (d *Dispatcher) logStall(l *link, run workload.RunRef, seen *observedRun, waitsFor *workload.TaskRef) {
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -38,6 +38,9 @@
 	if o.certainlyRefused() {
 		return releasedRefused
 	}
+	if l.mayHaveUnlistedEnd(run, o) {
+		return ""
+	}
 	if l.inherited[run] {
 		if l.listedAt == 0 || l.unreadableRows > 0 {
 			return ""
@@ -108,6 +111,13 @@
 	return slices.ContainsFunc(l.ends, func(e workload.End) bool { return e.Run == run })
 }
 
+// mayHaveUnlistedEnd reports whether the end of a run may be one that the last list
+// left out. If the run were taken for absent, a task that is done would be started
+// again.
+func (l *link) mayHaveUnlistedEnd(run workload.RunRef, o *order) bool {
+	return l.moreEnds && (o.start.sent || l.inherited[run])
+}
+
 func (l *link) orderStart(run workload.RunRef, o *order, now time.Duration) {
 	if !o.start.queued && !o.start.calling {
 		o.start.queued, o.start.queuedAt = true, now
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -62,6 +62,8 @@
 	capacityChanges bool
 	// unreadablePercent is the share of lists with a row that can't be read.
 	unreadablePercent int
+	// endsPerList is how many ends a worker lists at once, 0 for the protocol's number.
+	endsPerList int
 	// unackedDone holds the runs that ended as done and whose end may not be
 	// acknowledged yet, startedAfter the attempt that started after such a run.
 	unackedDone  map[workload.TaskRef][]workload.RunRef
@@ -344,6 +346,17 @@
 	simulateSeeds(t, func(sim *simulation) { sim.unreadablePercent = 10 })
 }
 
+// Guards against a task that is started again after it was done: its end was not yet
+// listed, as its worker had more ends than one list holds.
+func TestUnlistedEndsAreNotTakenForAbsent(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) {
+		sim.endsPerList = 2
+		for _, f := range sim.workers {
+			f.worker.EndsPerList = sim.endsPerList
+		}
+	})
+}
+
 // simulateSeeds simulates each seed with the faults that prepare switches on.
 func simulateSeeds(t *testing.T, prepare func(*simulation)) {
 	for seed := range uint64(seeds(t)) {
--- a/internal/relay/lane_test.go
+++ b/internal/relay/lane_test.go
@@ -54,7 +54,7 @@
 	return workers.List{
 		Reply:   workers.Reply{ClockMS: o.LeaseUntilMS},
 		Running: []workers.RunStatus{{Run: someRun, Checkpoint: "c", Percent: 40, Load: 3}},
-		Ends:    []workload.End{{Worker: "w", Number: 5, Run: someRun, Kind: workload.EndDone}}, EndsAfterGap: 1, UnreadableRows: 2,
+		Ends:    []workload.End{{Worker: "w", Number: 5, Run: someRun, Kind: workload.EndDone}}, MoreEnds: true, EndsAfterGap: 1, UnreadableRows: 2,
 	}, f.err
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -65,7 +65,8 @@
 	ClockMS int64
 	Running []runRow
 	Ends    []workload.End
-	// EndsAfterGap and UnreadableRows are those of workers.List.
+	// MoreEnds, EndsAfterGap and UnreadableRows are those of workers.List.
+	MoreEnds                     bool
 	EndsAfterGap, UnreadableRows int
 }
 
@@ -83,7 +84,7 @@
 func newReply(id uint64, list workers.List, err error) reply {
 	r := reply{
 		ID: id, Refusal: list.Refusal, ClockMS: list.ClockMS, Ends: list.Ends,
-		EndsAfterGap: list.EndsAfterGap, UnreadableRows: list.UnreadableRows,
+		MoreEnds: list.MoreEnds, EndsAfterGap: list.EndsAfterGap, UnreadableRows: list.UnreadableRows,
 	}
 	for _, run := range list.Running {
 		r.Running = append(r.Running, runRow{Run: run.Run, Checkpoint: run.Checkpoint, Percent: run.Percent, Load: run.Load})
@@ -111,7 +112,7 @@
 	}
 	l := workers.List{
 		Reply: workers.Reply{Refusal: r.Refusal, ClockMS: r.ClockMS}, Ends: r.Ends,
-		EndsAfterGap: r.EndsAfterGap, UnreadableRows: r.UnreadableRows,
+		MoreEnds: r.MoreEnds, EndsAfterGap: r.EndsAfterGap, UnreadableRows: r.UnreadableRows,
 	}
 	for _, row := range r.Running {
 		l.Running = append(l.Running, workers.RunStatus{Run: row.Run, Checkpoint: row.Checkpoint, Percent: row.Percent, Load: row.Load})
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -99,6 +99,9 @@
 	Reply
 	Running []RunStatus
 	Ends    []workload.End
+	// MoreEnds: the worker may have ends beyond the listed ones, which it lists once
+	// these are acknowledged. A run that is in neither list may be one of them.
+	MoreEnds bool
 	// EndsAfterGap is how many of the last Ends were listed after an end that
 	// could not be read.
 	EndsAfterGap int
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -11,6 +11,9 @@
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
+// defaultEndsPerList is how many ends one list holds by the protocol.
+const defaultEndsPerList = 500
+
 // Worker is one incarnation of a worker.
 type Worker struct {
 	ID       workload.WorkerID
@@ -30,6 +33,8 @@
 	// HangRuns keeps the progress of every run at HangAtPercent percent.
 	HangRuns      bool
 	HangAtPercent int
+	// EndsPerList is how many ends one list holds at most.
+	EndsPerList int
 	// StopTime is how long a run that was ordered to stop still runs and is listed.
 	StopTime time.Duration
 	// OnAck is called for each acknowledged end, with whether the lease was held
@@ -57,7 +62,8 @@
 func New(id workload.WorkerID, address string, capacity workload.Resources, speed float64, now time.Duration) *Worker {
 	return &Worker{
 		ID: id, Address: address, Capacity: capacity, ClockRate: speed, StartedAt: now, ClockAtStartMS: 1000,
-		runs: map[workload.RunRef]*run{}, highestAttempt: map[workload.TaskRef]int{},
+		EndsPerList: defaultEndsPerList,
+		runs:        map[workload.RunRef]*run{}, highestAttempt: map[workload.TaskRef]int{},
 	}
 }
 
@@ -119,6 +125,9 @@
 	w.highestAttempt[r.Task] = max(w.highestAttempt[r.Task], r.Attempt)
 }
 
+// DropEnds forgets all listed ends, as if they had been acknowledged.
+func (w *Worker) DropEnds() { w.ends = nil }
+
 // UnackedEnds returns the listed ends that are not acknowledged yet.
 func (w *Worker) UnackedEnds() []workload.End { return w.ends }
 
@@ -179,7 +188,8 @@
 		}
 		w.ends = w.ends[1:]
 	}
-	list.Ends = append(list.Ends, w.ends...)
+	list.Ends = append(list.Ends, w.ends[:min(len(w.ends), w.EndsPerList)]...)
+	list.MoreEnds = len(list.Ends) == w.EndsPerList
 	for r, running := range w.runs {
 		percent := int(min((now-running.started)/(10*time.Millisecond), 100))
 		if w.HangRuns {
