--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -24,6 +24,9 @@
 	// holdRetryPause is the pause after a call without a reply.
 	holdRetryPause    = 150 * time.Millisecond
 	maxHoldRetryPause = 900 * time.Millisecond
+	// drainingRetryPause takes the place of holdRetryPause for a worker that drains:
+	// once it has left, its tasks wait for proof of that.
+	drainingRetryPause = 20 * time.Millisecond
 	// commitWait is how long the next call waits for the listed ends to be
 	// committed. Until then the worker would list them again at once.
 	commitWait = 400 * time.Millisecond
@@ -83,7 +86,7 @@
 	defer l.mu.Unlock()
 	pause := holdRetryPause
 	if l.draining {
-		pause = leavingRetryPause
+		pause = drainingRetryPause
 	}
 	return min(time.Duration(max(l.failures, 1))*pause, maxHoldRetryPause)
 }
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/state"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
@@ -99,7 +98,3 @@
 		return ""
 	}
 }
-
-// leavingRetryPause is the pause after a failed call to a draining worker, whose tasks
-// wait for proof of its end.
-const leavingRetryPause = 20 * time.Millisecond
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -123,14 +123,7 @@
 	l.listsUnplanned = l.hasUnplannedRun(runs)
 	l.dropAckedEnds(worker.Acked)
 	if ended := l.endReason(worker); ended != "" {
-		lost := l.lostRuns(runs)
-		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
-		c.NeverStarted = append(c.NeverStarted, l.neverStartedRuns(runs)...)
-		why.removed[worker.ID] = removalReason{why: ended, lost: lost, tasks: unfinishedTasks(t, worker.ID, lost)}
-		if !worker.Draining {
-			c.Lost = append(c.Lost, newLosses(worker.ID, lost, d.lostTogether(t, worker.Pool, l.lastContact))...)
-			c.Crashed = append(c.Crashed, worker.ID)
-		}
+		d.removeEnded(t, l, worker, c, why, ended)
 		return
 	}
 	for _, e := range l.ends {
@@ -177,6 +170,20 @@
 	}
 }
 
+// removeEnded removes a worker that has certainly ended, with all its runs. A worker
+// that announced its end did not crash.
+func (d *Dispatcher) removeEnded(t *workload.Tables, l *link, worker *workload.Worker, c *workload.Command, why *reasons, ended string) {
+	runs := t.Runs[worker.ID]
+	lost := l.lostRuns(runs)
+	c.EndedWorkers = append(c.EndedWorkers, worker.ID)
+	c.NeverStarted = append(c.NeverStarted, l.neverStartedRuns(runs)...)
+	why.removed[worker.ID] = removalReason{why: ended, lost: lost, tasks: unfinishedTasks(t, worker.ID, lost)}
+	if !worker.Draining {
+		c.Lost = append(c.Lost, newLosses(worker.ID, lost, d.lostTogether(t, worker.Pool, l.lastContact))...)
+		c.Crashed = append(c.Crashed, worker.ID)
+	}
+}
+
 // reconcileInterval is how often a worker without changes is reconciled, because
 // some decisions depend on time alone.
 const reconcileInterval = 150 * time.Millisecond
