dispatch: a worker that was silent for long is used from its next report

What callers would see: a worker that was cut off for more than two minutes gets no work for ten minutes more.

Cause: silence was taken for an end. A worker without runs is removed after two minutes, and every removed incarnation had its reports ignored, against the comment of forgetWorkerAfter.

Ruled out: a delayed report that brings back a worker that has ended. It does, and the worker is removed once it does not answer; nothing can run there.

Change: the removal for silence is told apart from one for an end.

--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -66,6 +66,8 @@
 	// draining: the worker has announced its end. leaving: it has sent the notice that
 	// it ends now.
 	draining, leaving bool
+	// forgotten: the worker is removed because of its silence. It may still run.
+	forgotten bool
 	// notListening: the last call found that no process listens at the address.
 	notListening bool
 	closing      bool
@@ -253,6 +255,12 @@
 	return l.replaced
 }
 
+func (l *link) isForgotten() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.forgotten
+}
+
 func (l *link) reportedAt() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -54,7 +54,7 @@
 	}
 	now := l.d.now()
 	l.sequence, l.lastReport = r.Sequence, now
-	l.lastContact = now
+	l.lastContact, l.forgotten = now, false
 	l.lease.recordClock(r.ClockMS, now, now)
 	return true
 }
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -100,7 +100,9 @@
 			if t.Workers[id] == nil {
 				l.cancel()
 				delete(d.links, id)
-				d.endedIncarnations[id] = d.now()
+				if !l.isForgotten() {
+					d.endedIncarnations[id] = d.now()
+				}
 			}
 		}
 	})
@@ -165,6 +167,7 @@
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
 		why.removed[worker.ID] = removalReason{why: removedLeft}
 	case now-l.lastContact > forgetWorkerAfter && l.lastContact > 0:
+		l.forgotten = true
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
 		why.removed[worker.ID] = removalReason{why: removedUnresponsive}
 	}
