dispatch: a worker that a new leader never hears of is removed

What operators would see: workers in the state that ended long ago, one for each that ended without runs around a change of leader.

Cause: the time without contact counted from the last contact with this leader, and a worker that had none was left out.

Change: it counts from the beginning of the link if there was no contact.

Before > after: TestWorkerThatNeverReportsToANewLeaderIsRemoved failed > passes.

--- a/internal/dispatch/forget_test.go
+++ b/internal/dispatch/forget_test.go
@@ -26,6 +26,16 @@
 	is.Equal(len(f.worker.Running()), 1)
 }
 
+// Guards against workers that stay in the state for ever: they ended before a leader
+// took over that never heard of them.
+func TestWorkerThatNeverReportsToANewLeaderIsRemoved(t *testing.T) {
+	is := is.New(t)
+	sim, f := newSiteWithAnIdleWorker()
+	sim.elect()
+	sim.beSilent()
+	sim.machine.Read(func(tables *workload.Tables) { is.Equal(tables.Workers[f.worker.ID], nil) })
+}
+
 func newSiteWithAnIdleWorker() (*simulation, *fakeWorker) {
 	sim := newSimulation(1)
 	sim.faultPercent = 0
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -31,6 +31,8 @@
 	// lastContact is when the worker last answered or reported, listedAt when the
 	// call that returned the last complete lists was sent; 0 before the first.
 	lastContact, listedAt time.Duration
+	// openedAt is when this leader began to call the worker.
+	openedAt time.Duration
 	// lastListAt is when the last reply with lists arrived, 0 before the first.
 	lastListAt time.Duration
 	// lastReply is when it last answered a call, failures the number of calls
@@ -168,7 +170,7 @@
 
 func newLink(d *Dispatcher, w *workload.Worker, fence uint64) *link {
 	return &link{
-		d: d, target: workers.Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked,
+		d: d, target: workers.Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked, openedAt: d.now(),
 		orderReady: make(chan struct{}, 1), listDue: make(chan struct{}, 1),
 		orders: map[workload.RunRef]*order{}, inherited: map[workload.RunRef]bool{},
 		running: map[workload.RunRef]*observedRun{}, pacePercent: map[workload.RunRef]int{},
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -166,7 +166,7 @@
 	case l.leaving:
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
 		why.removed[worker.ID] = removalReason{why: removedLeft}
-	case now-l.lastContact > forgetWorkerAfter && l.lastContact > 0:
+	case now-max(l.lastContact, l.openedAt) > forgetWorkerAfter:
 		l.forgotten = true
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
 		why.removed[worker.ID] = removalReason{why: removedUnresponsive}
