cmd: the soak has workers drain and leave

The soak of separate processes takes one worker after another out of the site, half of them without an acknowledgement. The draws have a stream of their own, so the faults of each seed stay as they were.

--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -97,6 +95,7 @@
 	relayFaultUntil map[string]time.Time
 	lastWipe        time.Time
 	workerStarts    int
+	leaving         leavingWorker
 
 	mu           sync.Mutex
 	accepted     map[string]bool
@@ -116,6 +115,7 @@
 		memberSite: site, random: rand.New(rand.NewPCG(seed, 11)), ledger: newTaskLedger(),
 		relays: map[string]*relay{}, downUntil: map[string]time.Time{}, frozenUntil: map[string]time.Time{}, relayFaultUntil: map[string]time.Time{},
 		accepted: map[string]bool{}, refused: map[string]bool{}, unchecked: map[string]bool{},
+		leaving: leavingWorker{random: rand.New(rand.NewPCG(seed, 12))},
 	}
 	s.listenOffset = soakOffset
 	for _, core := range s.cores() {
@@ -323,6 +323,7 @@
 	}
 	for start, next := time.Now(), time.Now(); time.Since(start) < faultTime; time.Sleep(20 * time.Millisecond) {
 		s.recoverFaults(time.Now())
+		s.stepLeaving(time.Now())
 		if time.Now().After(next) {
 			s.injectFault()
 			if s.random.IntN(3) == 0 {
@@ -332,6 +333,7 @@
 		}
 	}
 	s.recoverFaults(time.Now().Add(time.Hour))
+	s.endLeaving()
 	close(stop)
 	callers.Wait()
 	s.checkGuarantees()
@@ -381,18 +383,3 @@
 func TestSoak(t *testing.T) {
 	playSoaks(t, soakSeeds, func(t *testing.T, seed uint64) { newSoak(t, seed).run(seed) })
 }
-
-// playSoaks plays the first seeds, or those that COMFREYLOOM_SOAK names.
-func playSoaks(t *testing.T, count int, play func(*testing.T, uint64)) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	first := 1
-	if from, number, ok := strings.Cut(os.Getenv("COMFREYLOOM_SOAK"), ":"); ok {
-		first, _ = strconv.Atoi(from)
-		count, _ = strconv.Atoi(number)
-	}
-	for seed := uint64(first); seed < uint64(first+count); seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(t, seed) })
-	}
-}
