--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -90,60 +90,61 @@
 	return n
 }
 
-// Guards against a task that runs twice at the same time: a worker said that it ends,
-// its tasks were started elsewhere at once, and without an acknowledgement it ran on
-// for seconds.
-func TestTasksOfALeavingWorkerWaitForItsEnd(t *testing.T) {
+// testLeaving runs a test for each kind of step, with and without a change of leader
+// after the notice.
+func testLeaving(t *testing.T, test func(is *is.I, sim *simulation, f *fakeWorker, count int, takeover bool)) {
 	for name, step := range leavingSteps {
-		for _, takeover := range []bool{false, true} {
-			t.Run(name, func(t *testing.T) {
-				is := is.New(t)
+		for suffix, takeover := range map[string]bool{"": false, ", new leader": true} {
+			t.Run(name+suffix, func(t *testing.T) {
 				sim, f := newLeavingSite(t, step)
-				others := sim.runningElsewhere(f)
-				f.partitioned = true
-				for range leaveTimeout / leaveRetryInterval {
-					is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
-					if takeover {
-						sim.elect()
-					}
-					sim.runWithoutEnds(leaveRetryInterval)
-					is.Equal(sim.violations, nil)
-					is.Equal(len(f.worker.Running()), 1)
-					is.Equal(sim.runningElsewhere(f), others)
-				}
-				f.partitioned = false
-				sim.terminate(f)
-				sim.runWithoutEnds(handOverTime)
-				is.Equal(sim.violations, nil)
-				is.Equal(sim.runningElsewhere(f), step.Count)
+				test(is.New(t), sim, f, step.Count, takeover)
 			})
 		}
 	}
 }
 
+// Guards against a task that runs twice at the same time: a worker said that it ends,
+// its tasks were started elsewhere at once, and without an acknowledgement it ran on
+// for seconds.
+func TestTasksOfALeavingWorkerWaitForItsEnd(t *testing.T) {
+	testLeaving(t, func(is *is.I, sim *simulation, f *fakeWorker, count int, takeover bool) {
+		others := sim.runningElsewhere(f)
+		f.partitioned = true
+		for range leaveTimeout / leaveRetryInterval {
+			is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
+			if takeover {
+				sim.elect()
+			}
+			sim.runWithoutEnds(leaveRetryInterval)
+			is.Equal(sim.violations, nil)
+			is.Equal(len(f.worker.Running()), 1)
+			is.Equal(sim.runningElsewhere(f), others)
+		}
+		f.partitioned = false
+		sim.terminate(f)
+		sim.runWithoutEnds(handOverTime)
+		is.Equal(sim.violations, nil)
+		is.Equal(sim.runningElsewhere(f), count)
+	})
+}
+
 // Guards against tasks that wait for a lease to expire although their worker has left
 // and its address refuses connections.
 func TestTasksOfAWorkerThatLeftAreHandedOverAtOnce(t *testing.T) {
-	for name, step := range leavingSteps {
-		for _, takeover := range []bool{false, true} {
-			t.Run(name, func(t *testing.T) {
-				is := is.New(t)
-				sim, f := newLeavingSite(t, step)
-				is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
-				sim.terminate(f)
-				if takeover {
-					sim.elect()
-				}
-				sim.runWithoutEnds(handOverTime)
-				is.Equal(sim.violations, nil)
-				is.Equal(sim.runningElsewhere(f), step.Count)
-				sim.machine.Read(func(tables *workload.Tables) {
-					is.Equal(tables.Workers[f.worker.ID], nil)
-					is.Equal(len(tables.Suspects), 0)
-				})
-			})
+	testLeaving(t, func(is *is.I, sim *simulation, f *fakeWorker, count int, takeover bool) {
+		is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
+		sim.terminate(f)
+		if takeover {
+			sim.elect()
 		}
-	}
+		sim.runWithoutEnds(handOverTime)
+		is.Equal(sim.violations, nil)
+		is.Equal(sim.runningElsewhere(f), count)
+		sim.machine.Read(func(tables *workload.Tables) {
+			is.Equal(tables.Workers[f.worker.ID], nil)
+			is.Equal(len(tables.Suspects), 0)
+		})
+	})
 }
 
 // Guards against a worker that left with nothing on it and stays in the state.
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -349,14 +349,27 @@
 // Guards against a task that is started again after it was done: its end was not yet
 // listed, as its worker had more ends than one list holds.
 func TestUnlistedEndsAreNotTakenForAbsent(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.limitEnds(2) })
+}
+
+// Guards against faults that only show together: workers leave, list few ends at once
+// and list rows that can't be read.
+func TestOverlappingFaultsKeepTheInvariants(t *testing.T) {
 	simulateSeeds(t, func(sim *simulation) {
-		sim.endsPerList = 2
-		for _, f := range sim.workers {
-			f.worker.EndsPerList = sim.endsPerList
-		}
+		sim.leaves = true
+		sim.unreadablePercent = 5
+		sim.limitEnds(2)
 	})
 }
 
+// limitEnds bounds the ends that all workers list at once.
+func (sim *simulation) limitEnds(n int) {
+	sim.endsPerList = n
+	for _, f := range sim.workers {
+		f.worker.EndsPerList = n
+	}
+}
+
 // simulateSeeds simulates each seed with the faults that prepare switches on.
 func simulateSeeds(t *testing.T, prepare func(*simulation)) {
 	for seed := range uint64(seeds(t)) {
