cmd: the wave script asks the VM that leads

Its output shows the cause: the answer of n1 says that n2 leads, in term 5. Why a wave waits is in the status of the leader alone, and the script asked the VM that led when it began. Leaders may change at any time; here the voters share the disk of the machine with all other tests.

Ruled out: a failure that the new leader does not know of.

Nothing is checked less: patterns, counts and time-outs are unchanged.

--- a/cmd/comfreyloom/script_request_test.go
+++ b/cmd/comfreyloom/script_request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -28,6 +29,7 @@
 	body    string
 	pattern string
 	retry   bool
+	leaders string
 	headers headerList
 }
 
@@ -43,7 +45,8 @@
 
 // request implements "request [flags] METHOD URL". It sends one HTTP request and
 // checks the response; with -until it repeats the request until the response
-// matches.
+// matches. With -leader N,N the URL is a path at the operators' address of the
+// node that leads when the request is sent.
 func request(ts *testscript.TestScript, neg bool, argv []string) {
 	var args requestArgs
 	flags := flag.NewFlagSet("request", flag.ContinueOnError)
@@ -52,6 +55,7 @@
 	flags.StringVar(&args.body, "d", "", "")
 	flags.StringVar(&args.pattern, "match", "", "")
 	flags.BoolVar(&args.retry, "until", false, "")
+	flags.StringVar(&args.leaders, "leader", "", "")
 	flags.Var(&args.headers, "H", "")
 	ts.Check(flags.Parse(argv))
 	if neg || flags.NArg() != 2 {
@@ -71,6 +75,13 @@
 }
 
 func (a requestArgs) once(ts *testscript.TestScript, method, url string) error {
+	if a.leaders != "" {
+		leader := commonLeader(ts, strings.Split(a.leaders, ","))
+		if leader == "" {
+			return errors.New("the nodes name no common leader")
+		}
+		url = ts.Getenv("OPERATORS"+leader) + url
+	}
 	r, err := http.NewRequest(method, "http://"+url, strings.NewReader(a.body))
 	ts.Check(err)
 	for _, h := range a.headers {
