dispatch: an order that is answered as done ends no worker by itself

Cause: the platform answers an order as done also when it was carried out earlier. A leader that was killed with the answer on its way leaves no outcome; the next one orders again, gets 'done', and commitFleetReply committed the end of the worker that its list showed, which had joined after the maintenance.

Change: the worker stays, closed and without runs, until a list of VMs that was requested after the answer shows the outcome. If the VM is away or has another worker, the round removes it with the proofs of leave.go; if the same worker is up, the order had been carried out before it joined, and it is opened again. The simulation has a platform that repeats, delays and loses orders, and checks at the end that each worker that is up is known and open.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -104,7 +104,7 @@
 		return
 	}
 	d.blockRecentlyOrdered(now)
-	f.completeFlights(now)
+	d.completeFlights(now)
 	d.reopenWorkers(ctx, term)
 	plan := d.decideFleet(now)
 	for _, id := range plan.Open {
--- a/internal/dispatch/flights.go
+++ b/internal/dispatch/flights.go
@@ -49,17 +49,26 @@
 	retryAt time.Duration
 }
 
-// completeFlights removes the flights whose VM is back.
-func (f *fleetState) completeFlights(now time.Duration) {
+// completeFlights removes the flights whose VM is back, and marks the workers that
+// their orders ended. The platform also answers an order as done that was carried out
+// earlier, so only a list that was requested after the answer shows what has ended.
+func (d *Dispatcher) completeFlights(now time.Duration) {
+	f := d.fleet
 	for i := range f.vms {
 		vm := &f.vms[i]
 		fl := f.flights[vm.ID]
-		if fl == nil || !fl.done || f.listedAt <= fl.Sent {
+		if fl == nil || !fl.done || f.listedAt <= fl.Sent || vm.State == capacity.Unclear {
 			continue
 		}
-		arrived := vm.State == capacity.Up && vm.Worker != "" && vm.Worker != fl.Worker
-		parked := fl.Order.Kind == capacity.Move && vm.Pool == fl.Order.Pool && vm.State != capacity.Moving && vm.State != capacity.Unclear
-		if arrived || parked {
+		up := vm.State == capacity.Up && vm.Worker != ""
+		switch {
+		case up && vm.Worker == fl.Worker:
+			d.logFleet(fl.Order, "order to the platform had been carried out before its worker joined")
+		case up || vm.State != capacity.Up:
+			d.markEnded(fl.Worker)
+		}
+		parked := fl.Order.Kind == capacity.Move && vm.Pool == fl.Order.Pool && vm.State != capacity.Moving
+		if up || parked {
 			delete(f.flights, vm.ID)
 		}
 	}
@@ -70,6 +79,20 @@
 	}
 }
 
+// markEnded has the next round remove a worker that an order for its VM has ended.
+func (d *Dispatcher) markEnded(id workload.WorkerID) {
+	l := d.links[id]
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.endedByOrder {
+		l.endedByOrder, l.dirty = true, true
+		d.wakeUp()
+	}
+}
+
 // beginFlight begins an order. The worker stays closed until the VM is back.
 func (d *Dispatcher) beginFlight(ctx context.Context, term uint64, o capacity.Order) {
 	f := d.fleet
@@ -168,22 +191,14 @@
 	if fl.Order.Kind == capacity.Maintain && (reply == FleetDone || reply == FleetUnknown || reply == FleetWrongWave) {
 		c.Begun = append(c.Begun, workload.WaveBegun{Wave: fl.Order.Wave, VM: fl.Order.VM})
 	}
-	switch {
-	case fl.Worker == "":
-	case reply == FleetDone:
-		c.EndedWorkers = append(c.EndedWorkers, fl.Worker)
-	default:
+	if fl.Worker != "" && reply != FleetDone {
 		c.Open = append(c.Open, fl.Worker)
 	}
-	if len(c.Begun)+len(c.EndedWorkers)+len(c.Open) == 0 {
+	if len(c.Begun)+len(c.Open) == 0 {
 		return
 	}
 	if err := d.propose(ctx, c); err != nil {
 		d.logFleetError("what the platform did is not committed; it is asked for again", err)
-		return
-	}
-	for _, id := range c.EndedWorkers {
-		d.logRemoved(term, id, removalReason{why: removedOrdered})
 	}
 }
 
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -90,6 +90,8 @@
 // address, and a worker listens there as long as it runs.
 func (l *link) endReason(worker *workload.Worker) string {
 	switch {
+	case l.endedByOrder:
+		return removedOrdered
 	case l.replaced:
 		return removedReplaced
 	case worker.Draining && l.notListening:
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -65,6 +65,8 @@
 	// fenced: the worker follows a later leader. replaced: another incarnation
 	// answered, so this one has ended.
 	fenced, replaced bool
+	// endedByOrder: an order for the worker's VM has ended it.
+	endedByOrder bool
 	// draining: the worker has announced its end. leaving: it has sent the notice that
 	// it ends now.
 	draining, leaving bool
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -174,14 +174,14 @@
 }
 
 // removeEnded removes a worker that has certainly ended, with all its runs. A worker
-// that announced its end did not crash.
+// that announced its end, or that an order ended, did not crash.
 func (d *Dispatcher) removeEnded(t *workload.Tables, l *link, worker *workload.Worker, c *workload.Command, why *reasons, ended string) {
 	runs := t.Runs[worker.ID]
 	lost := l.lostRuns(runs)
 	c.EndedWorkers = append(c.EndedWorkers, worker.ID)
 	c.NeverStarted = append(c.NeverStarted, l.neverStartedRuns(runs)...)
 	why.removed[worker.ID] = removalReason{why: ended, lost: lost, tasks: unfinishedTasks(t, worker.ID, lost)}
-	if !worker.Draining {
+	if !worker.Draining && ended != removedOrdered {
 		c.Lost = append(c.Lost, newLosses(worker.ID, lost, d.lostTogether(t, worker.Pool, l.lastContact))...)
 		c.Crashed = append(c.Crashed, worker.ID)
 	}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -70,6 +70,8 @@
 	startedAfter map[workload.RunRef]int
 	// leaves: workers drain and leave.
 	leaves bool
+	// platform carries out orders for VMs, nil without any.
+	platform *fakePlatform
 }
 
 type delayedCall struct {
@@ -121,6 +123,9 @@
 	sim.leader = d
 	sim.apply(&workload.Command{Term: sim.term, StartTerm: true})
 	d.beginTerm(context.Background(), sim.term, &conc.WaitGroup{})
+	if sim.platform != nil {
+		sim.usePlatform()
+	}
 }
 
 // fakeLog is the control log as one leader sees it.
@@ -186,6 +191,14 @@
 		if sim.leaves {
 			sim.drainOrLeave(f)
 		}
+	case 8:
+		if sim.platform != nil {
+			sim.orderSomeVM()
+		}
+	case 9, 10, 11:
+		if sim.platform != nil {
+			sim.fleetRound()
+		}
 	case 0:
 		sim.elect()
 	case 1:
@@ -316,6 +329,9 @@
 				f.worker.End(r, workload.EndDone)
 			}
 		}
+		if sim.platform != nil {
+			sim.fleetRound()
+		}
 		sim.leader.round(ctx, sim.term)
 		for _, l := range sim.leader.links {
 			for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
@@ -391,6 +407,11 @@
 					t.Fatalf("seed %d: job %s is %s at the end", seed, id, j.State)
 				}
 			}
+			for _, f := range sim.workers {
+				if w := tables.Workers[f.worker.ID]; f.restartAt == 0 && (w == nil || w.Closed) {
+					t.Fatalf("seed %d: worker %s is up and not used at the end: %+v", seed, f.worker.ID, w)
+				}
+			}
 		})
 	}
 }
