--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -16,8 +16,8 @@
 // counters holds the metrics of the dispatcher. stalls is published as
 // dispatch.standstills, unresponsiveWorkers as dispatch.workers.silent.
 type counters struct {
-	registry                             metrics.Registry
-	unknownOutcomes, callsFailed, stalls metrics.Counter
+	registry                                             metrics.Registry
+	unknownOutcomes, callsFailed, stalls, contradictions metrics.Counter
 	// unreadableLists counts how often a worker's lists began to hold rows that
 	// can't be read.
 	unreadableLists metrics.Counter
@@ -39,6 +39,7 @@
 	c := &counters{
 		registry:        r,
 		unknownOutcomes: counter("unknown"), callsFailed: counter("calls_failed"), stalls: counter("standstills"),
+		contradictions:  counter("contradictions"),
 		unreadableLists: counter("lists_unread"), crashes: counter("crashes"), givenUp: counter("jobs_given_up"),
 		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"),
 		roundTime:  metrics.GetOrRegisterTimer("dispatch.round", r),
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/state"
 	"github.com/comfreyloom/comfreyloom/internal/steady"
+	"github.com/comfreyloom/comfreyloom/internal/telemetry"
 	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
@@ -97,6 +98,8 @@
 	// endedIncarnations holds when incarnations were found to have ended, so that a
 	// late report does not add one again.
 	endedIncarnations map[workload.WorkerID]time.Duration
+	// contradictions limits the lines about reports that contradict a known worker.
+	contradictions telemetry.Throttle
 	// stalled lists the long-running runs that were found stalled in this round.
 	stalled []stalledRun
 	// waitingSuspects holds the tasks that lost workers and wait for a start, each
@@ -126,9 +129,10 @@
 	return &Dispatcher{
 		config: c, counters: newCounters(c.Metrics), wake: make(chan struct{}, 1),
 		links: map[workload.WorkerID]*link{}, endedIncarnations: map[workload.WorkerID]time.Duration{},
-		lostContacts: map[workload.WorkerID]lostContact{},
-		leading:      context.Background(),
-		launch:       func(ctx context.Context, l *link) { l.run(ctx) },
+		lostContacts:   map[workload.WorkerID]lostContact{},
+		contradictions: telemetry.Throttle{Interval: contradictionInterval},
+		leading:        context.Background(),
+		launch:         func(ctx context.Context, l *link) { l.run(ctx) },
 	}
 }
 
--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -34,6 +34,27 @@
 	is.Equal(sim.leader.links[f.worker.ID].sequence, uint64(1))
 }
 
+// Guards against a worker that is taken for ended because a program that is no worker
+// reports under its ID: that it drains, from an address at which nothing listens.
+func TestReportFromAnotherAddressIsIgnored(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	f := sim.workers[0]
+	sim.report(f)
+	stray := control.Report{
+		Worker:   workload.Worker{ID: f.worker.ID, Pool: "p", Address: "10.9.9.9:80", Draining: true},
+		Sequence: 1 << 53, ClockMS: 1,
+	}
+	is.NoErr(sim.leader.Report(context.Background(), stray))
+	sim.elect()
+	sim.submitJob("j", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1}})
+	for range 4 {
+		sim.stepWorker(f)
+	}
+	is.Equal(len(f.worker.Running()), 1)
+}
+
 // stepWorker runs one round of the leader and the calls to a worker. The other workers
 // never report.
 func (sim *simulation) stepWorker(f *fakeWorker) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -23,7 +24,7 @@
 		d.mu.Unlock()
 		return nil
 	}
-	if d.claimsUnknownPool(r.Worker) {
+	if d.contradictsKnownWorker(r.Worker) {
 		d.mu.Unlock()
 		return nil
 	}
@@ -88,21 +89,35 @@
 	}
 }
 
-// claimsUnknownPool reports whether a known worker claims a pool that is not
-// configured. An incarnation never changes its pool, so the report is not from
-// that worker. If it were accepted, the worker and its runs would be taken out
-// of their pool.
-func (d *Dispatcher) claimsUnknownPool(w workload.Worker) bool {
-	unknownPool := false
+// contradictionInterval is the time between two log lines about reports that contradict
+// one worker. Each of them is counted.
+const contradictionInterval = time.Minute
+
+// contradictsKnownWorker reports whether a report names another address than the
+// worker with its ID, or a pool that is not configured. An incarnation keeps both, so
+// the report is not from that worker. If it were accepted, the worker and its runs
+// would be taken out of their pool, or be called where they are not.
+func (d *Dispatcher) contradictsKnownWorker(w workload.Worker) bool {
+	unknownPool, otherAddress := false, false
 	d.config.Machine.Read(func(t *workload.Tables) {
 		old := t.Workers[w.ID]
 		unknownPool = old != nil && old.Pool != w.Pool && !t.HasPool(w.Pool)
+		otherAddress = old != nil && old.Address != w.Address
 	})
+	if !unknownPool && !otherAddress {
+		return false
+	}
+	d.counters.contradictions.Inc(1)
+	if !d.contradictions.Allow(string(w.ID), d.now()) {
+		return true
+	}
+	line := d.config.Logger.WithField("worker", string(w.ID)).WithField("pool", w.Pool).WithField("address", w.Address)
 	if unknownPool {
-		d.config.Logger.WithField("worker", string(w.ID)).WithField("pool", w.Pool).
-			Warn("report left aside: the worker is known in another pool and this one is not configured")
+		line.Warn("report left aside: the worker is known in another pool and this one is not configured")
+	} else {
+		line.Warn("report left aside: the worker is known at another address")
 	}
-	return unknownPool
+	return true
 }
 
 // changesWorker reports whether a report holds anything that the state lacks.
