dispatch: the answer to an order may come after its retry

Cause: the call of an order ended after 1.2 s, the time in which an order must have been sent so that the next leader knows when the last one can have left. The answer of an order that is slower was never read: each retry ended the same way, and the worker stayed closed.

Evidence: the record shows the platform carrying the orders out and answering each of their retries as done; the leader logs "an order to the platform was not answered" for each.

Change: the two times are separate. The first conclusive answer settles the order. "Busy" and "too many calls" are not conclusive while an earlier call of the same order waits, as that may be what the VM is busy with.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -122,11 +122,14 @@
 	// launch starts the goroutines of a link. Tests replace it and make the calls
 	// themselves.
 	launch func(context.Context, *link)
+	// spawn runs a call about VMs in a goroutine of the term. Tests replace it and run
+	// the calls one after another.
+	spawn func(func())
 }
 
 // New returns a dispatcher.
 func New(c Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		config: c, counters: newCounters(c.Metrics), wake: make(chan struct{}, 1),
 		links: map[workload.WorkerID]*link{}, endedIncarnations: map[workload.WorkerID]time.Duration{},
 		lostContacts:   map[workload.WorkerID]lostContact{},
@@ -134,6 +137,8 @@
 		leading:        context.Background(),
 		launch:         func(ctx context.Context, l *link) { l.run(ctx) },
 	}
+	d.spawn = func(f func()) { d.group.Go(f) }
+	return d
 }
 
 func (d *Dispatcher) now() time.Duration { return d.config.Now() }
--- a/internal/dispatch/fake_platform_test.go
+++ b/internal/dispatch/fake_platform_test.go
@@ -14,6 +14,8 @@
 type fakePlatform struct {
 	sim *simulation
 	vms []*fakeVM
+	// calls are those that the leader has begun.
+	calls []func()
 }
 
 // fakeVM is the VM of a worker.
@@ -44,6 +46,7 @@
 // usePlatform gives the present leader the platform and has it read the list.
 func (sim *simulation) usePlatform() {
 	sim.leader.config.Fleet, sim.leader.config.FleetRate = sim.platform, 100
+	sim.leader.spawn = func(call func()) { sim.platform.calls = append(sim.platform.calls, call) }
 	sim.fleetRound()
 }
 
@@ -53,7 +56,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	sim.leader.fleetRound(ctx, sim.term)
-	sim.leader.group.Wait()
+	sim.makeFleetCalls()
+}
+
+// makeFleetCalls makes the calls that the leader has begun, one after another.
+func (sim *simulation) makeFleetCalls() {
+	for _, call := range sim.platform.calls {
+		call()
+	}
+	sim.platform.calls = nil
 }
 
 // runFleetRounds lets pass a second, in which a list of VMs is read.
@@ -71,7 +82,7 @@
 	d.mu.Lock()
 	d.beginFlight(context.Background(), sim.term, o)
 	d.mu.Unlock()
-	d.group.Wait()
+	sim.makeFleetCalls()
 }
 
 // orderSomeVM has the present leader send an order for one of the VMs. The platform has
@@ -97,7 +108,7 @@
 	return all, nil
 }
 
-func (p *fakePlatform) Move(_ context.Context, id workload.VMID, pool, _ string, _ uint64) (FleetReply, error) {
+func (p *fakePlatform) Move(_ context.Context, id workload.VMID, pool string, _ OrderTerms) (FleetReply, error) {
 	return p.handle(id, func(vm *fakeVM) FleetReply {
 		if vm.pool == pool {
 			return FleetDone
@@ -107,7 +118,7 @@
 	})
 }
 
-func (p *fakePlatform) Maintain(_ context.Context, id workload.VMID, wave int64, _ string, _ uint64) (FleetReply, error) {
+func (p *fakePlatform) Maintain(_ context.Context, id workload.VMID, wave int64, _ OrderTerms) (FleetReply, error) {
 	return p.handle(id, func(vm *fakeVM) FleetReply {
 		if vm.maintained[wave] {
 			return FleetDone
--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -17,8 +17,11 @@
 	// limits their rate for the whole site.
 	listInterval     = 3 * time.Second
 	fastListInterval = 350 * time.Millisecond
-	// fleetTimeout bounds one call to the platform.
+	// fleetTimeout bounds a read of the list, and the time in which an order must have
+	// been sent. An order that isn't answered in that time is sent again.
 	fleetTimeout = 1200 * time.Millisecond
+	// orderAnswerTimeout is how long an answer to an order is awaited.
+	orderAnswerTimeout = 6 * time.Second
 	// fleetRetryPause is the pause after an order that was refused or not
 	// answered.
 	fleetRetryPause = 400 * time.Millisecond
@@ -119,7 +122,7 @@
 		d.beginFlight(ctx, term, o)
 	}
 	for _, fl := range f.flights {
-		if !fl.calling && !fl.done && now >= fl.retryAt {
+		if !fl.done && now >= fl.retryAt {
 			d.sendFlight(ctx, term, fl)
 		}
 	}
@@ -237,7 +240,7 @@
 		return
 	}
 	f.listing = true
-	d.group.Go(func() {
+	d.spawn(func() {
 		limited, cancel := context.WithTimeout(ctx, fleetTimeout)
 		defer cancel()
 		began := d.now()
--- a/internal/dispatch/flights.go
+++ b/internal/dispatch/flights.go
@@ -13,8 +13,18 @@
 // Fleet makes the calls to the platform.
 type Fleet interface {
 	List(ctx context.Context) ([]capacity.VM, error)
-	Move(ctx context.Context, vm workload.VMID, pool, holder string, fence uint64) (FleetReply, error)
-	Maintain(ctx context.Context, vm workload.VMID, wave int64, holder string, fence uint64) (FleetReply, error)
+	Move(ctx context.Context, vm workload.VMID, pool string, terms OrderTerms) (FleetReply, error)
+	Maintain(ctx context.Context, vm workload.VMID, wave int64, terms OrderTerms) (FleetReply, error)
+}
+
+// OrderTerms are the same for every kind of order.
+type OrderTerms struct {
+	// Holder and Fence identify the leader and its term.
+	Holder string
+	Fence  uint64
+	// SendBy is when the order must have been sent, or not be sent at all. Its answer
+	// may take longer.
+	SendBy time.Time
 }
 
 // FleetReply is the platform's reply to an order.
@@ -40,11 +50,17 @@
 	return [...]string{"done", "fence", "busy", "wave", "unknown", "limited"}[a]
 }
 
+// isTemporary reports whether the reply says nothing of an earlier call for the same
+// order, which may be what the VM is busy with.
+func (a FleetReply) isTemporary() bool { return a == FleetBusy || a == FleetRateLimited }
+
 // flight is an order that is in flight, or that was carried out while its VM is
 // not back yet.
 type flight struct {
 	capacity.InFlightOrder
-	calling, done bool
+	done bool
+	// calls counts the calls, waiting those of them that wait for an answer.
+	calls, waiting int
 	// retryAt is when an order without a reply is sent again.
 	retryAt time.Duration
 }
@@ -126,16 +142,20 @@
 // caller holds the lock until markClosing has marked the worker, so no new start
 // is decided; carryOutOrder checks for starts that were decided earlier.
 func (d *Dispatcher) sendFlight(ctx context.Context, term uint64, fl *flight) {
-	fl.calling = true
-	d.group.Go(func() {
-		limited, cancel := context.WithTimeout(ctx, fleetTimeout)
+	fl.calls++
+	fl.waiting++
+	fl.retryAt = d.now() + fleetTimeout + fleetRetryPause
+	number := fl.calls
+	terms := OrderTerms{Holder: d.config.Self, Fence: term, SendBy: time.Now().Add(fleetTimeout)}
+	d.spawn(func() {
+		limited, cancel := context.WithTimeout(ctx, orderAnswerTimeout)
 		defer cancel()
-		reply, err := d.carryOutOrder(limited, term, fl)
+		reply, err := d.carryOutOrder(limited, fl, terms)
 		d.mu.Lock()
-		fl.calling = false
-		d.handleFleetReply(fl, reply, err)
+		fl.waiting--
+		settled := d.handleFleetReply(fl, number, reply, err)
 		d.mu.Unlock()
-		if err == nil {
+		if settled {
 			d.commitFleetReply(ctx, term, fl, reply)
 		}
 	})
@@ -144,9 +164,9 @@
 // carryOutOrder commits that the worker is closed, checks again that it has no
 // runs and calls the platform. A start that was decided earlier is either
 // committed before the worker is closed, and then found by the check, or refused.
-func (d *Dispatcher) carryOutOrder(ctx context.Context, term uint64, fl *flight) (FleetReply, error) {
+func (d *Dispatcher) carryOutOrder(ctx context.Context, fl *flight, terms OrderTerms) (FleetReply, error) {
 	o := fl.Order
-	intent := &workload.Command{Term: term, Ordered: []workload.VMID{o.VM}, Close: []workload.WorkerID{fl.Worker}}
+	intent := &workload.Command{Term: terms.Fence, Ordered: []workload.VMID{o.VM}, Close: []workload.WorkerID{fl.Worker}}
 	if err := d.propose(ctx, intent); err != nil {
 		return FleetRateLimited, nil // nothing was ordered; the next round decides again
 	}
@@ -154,9 +174,9 @@
 		return FleetBusy, nil
 	}
 	if o.Kind == capacity.Move {
-		return d.config.Fleet.Move(ctx, o.VM, o.Pool, d.config.Self, term)
+		return d.config.Fleet.Move(ctx, o.VM, o.Pool, terms)
 	}
-	return d.config.Fleet.Maintain(ctx, o.VM, o.Wave, d.config.Self, term)
+	return d.config.Fleet.Maintain(ctx, o.VM, o.Wave, terms)
 }
 
 // hasNoRuns reports whether nothing is committed on a worker.
@@ -166,23 +186,33 @@
 	return empty
 }
 
-// handleFleetReply updates a flight after its call.
-func (d *Dispatcher) handleFleetReply(fl *flight, reply FleetReply, err error) {
+// handleFleetReply updates a flight after one of its calls. It returns whether the
+// reply settles what became of the order.
+func (d *Dispatcher) handleFleetReply(fl *flight, number int, reply FleetReply, err error) bool {
 	f, now := d.fleet, d.now()
+	if fl.done || f.flights[fl.Order.VM] != fl {
+		return false // another call was answered first
+	}
 	if err != nil {
-		// The order may have been carried out, or may still be. Only a reply to a
-		// retry shows which.
-		fl.retryAt = now + fleetRetryPause
 		d.logFleetError("an order to the platform was not answered", err)
-		return
+	} else {
+		d.logFleetReply(fl.Order, reply)
+	}
+	if err != nil || fl.waiting > 0 && reply.isTemporary() {
+		// The order may have been carried out, or may still be. Only a reply to
+		// another call shows which.
+		if number == fl.calls {
+			fl.retryAt = now + fleetRetryPause
+		}
+		return false
 	}
-	d.logFleetReply(fl.Order, reply)
 	if reply == FleetDone {
 		fl.done, fl.Sent = true, now
-		return
+		return true
 	}
 	delete(f.flights, fl.Order.VM)
 	f.blockedUntil[fl.Order.VM] = now + fleetRetryPause
+	return true
 }
 
 // commitFleetReply commits the consequences of the reply to an order.
@@ -211,7 +241,7 @@
 		return
 	}
 	d.fleet.reopening = true
-	d.group.Go(func() {
+	d.spawn(func() {
 		steady.Pause(ctx, fleetRetryPause) // the commit that opens them may be in flight
 		d.mu.Lock()
 		c := &workload.Command{Term: term, Open: d.closedWithoutOrder()}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -72,6 +73,8 @@
 	leaves bool
 	// platform carries out orders for VMs, nil without any.
 	platform *fakePlatform
+	// proposing lets one goroutine at a time use the control log.
+	proposing sync.Mutex
 }
 
 type delayedCall struct {
@@ -140,6 +143,8 @@
 
 func (l *fakeLog) Propose(_ context.Context, c *workload.Command) error {
 	sim := l.sim
+	sim.proposing.Lock()
+	defer sim.proposing.Unlock()
 	if l.term != sim.term || sim.refuseProposals || sim.chance(sim.faultPercent/4) {
 		return state.ErrNotProposed
 	}
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -77,10 +77,8 @@
 	timeLeft time.Duration
 }
 
-func (f *deadlineFleet) Move(ctx context.Context, _ workload.VMID, _, _ string, _ uint64) (FleetReply, error) {
-	if deadline, bounded := ctx.Deadline(); bounded {
-		f.timeLeft = time.Until(deadline)
-	}
+func (f *deadlineFleet) Move(_ context.Context, _ workload.VMID, _ string, terms OrderTerms) (FleetReply, error) {
+	f.timeLeft = time.Until(terms.SendBy)
 	return FleetDone, nil
 }
 
