dispatch, workload: a job has begun when a worker has accepted a start of it

Cause: a job was marked as running with the commit of a start, and never marked back. The leader's log shows starts committed every 0.6 s, refused and released within 0.14 s.

Ruled out: a count of the wrong queue, or an old answer: it was 4 with every job accepted 5 s before.

Change: a job whose starts all came to nothing is queued again in the replicated state, unless a task is done, has failed or has saved progress. 'pending' asks the leader's links whether a worker has accepted or listed a run. Pools are sized by tasks and runs, so nothing else depends on it.

Mixed builds may differ in the state that they show of such a job.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -107,13 +107,13 @@
 
 // pending counts the pending jobs of a queue.
 func (s *Server) pending(name *controlpb.QueueName, reply *controlpb.Reply) error {
+	var queue workload.QueueID
 	s.machine.Read(func(t *workload.Tables) {
-		var queue workload.QueueID
 		queue, reply.Finding = route(t, name.GetHost(), name.GetPath(), "")
-		if reply.Finding == controlpb.Finding_FINDING_OK {
-			reply.Pending = uint64(t.Pending(queue))
-		}
 	})
+	if reply.Finding == controlpb.Finding_FINDING_OK {
+		reply.Pending = uint64(s.dispatcher.Pending(queue))
+	}
 	return nil
 }
 
@@ -152,7 +152,7 @@
 		return nil
 	}
 	reply.Finding = controlpb.Finding_FINDING_OK
-	return s.reporter.Report(ctx, r)
+	return s.dispatcher.Report(ctx, r)
 }
 
 // startWave stores a wave unless one with its ID exists.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -31,25 +31,27 @@
 	Propose(ctx context.Context, c *workload.Command) error
 }
 
-// Reporter receives the reports of workers on the leader.
-type Reporter interface {
+// Dispatcher is the part of the leader that knows the workers.
+type Dispatcher interface {
 	// Report returns once the leader uses the report for its decisions.
 	Report(ctx context.Context, r Report) error
 	// Leave returns once no leader starts anything on the incarnation any more.
 	Leave(ctx context.Context, id workload.WorkerID) error
+	// Pending returns the number of live jobs of a queue of which nothing has started.
+	Pending(queue workload.QueueID) int
 }
 
 // Server handles the control calls on a core VM.
 type Server struct {
-	log       Log
-	machine   *workload.Machine
-	directory *Directory
-	reporter  Reporter
+	log        Log
+	machine    *workload.Machine
+	directory  *Directory
+	dispatcher Dispatcher
 }
 
 // NewServer returns the server of a core VM.
-func NewServer(l Log, m *workload.Machine, d *Directory, r Reporter) *Server {
-	return &Server{log: l, machine: m, directory: d, reporter: r}
+func NewServer(l Log, m *workload.Machine, d *Directory, w Dispatcher) *Server {
+	return &Server{log: l, machine: m, directory: d, dispatcher: w}
 }
 
 var _ controlpb.Control = (*Server)(nil)
@@ -123,7 +125,7 @@
 		return s.report(ctx, request.Report, reply)
 	case *controlpb.Request_Leave:
 		reply.Finding = controlpb.Finding_FINDING_OK
-		return s.reporter.Leave(ctx, workload.WorkerID(request.Leave.GetId()))
+		return s.dispatcher.Leave(ctx, workload.WorkerID(request.Leave.GetId()))
 	case *controlpb.Request_StartWave:
 		return s.startWave(ctx, request.StartWave, reply)
 	case *controlpb.Request_Wave:
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -10,7 +10,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
-var _ control.Reporter = (*Dispatcher)(nil)
+var _ control.Dispatcher = (*Dispatcher)(nil)
 
 // Report handles a report of a worker. It returns once any change in it is
 // committed: from then on no leader starts anything on a draining worker.
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -52,6 +52,9 @@
 	for _, id := range c.EndedWorkers {
 		t.removeWorker(id, c.AtMS)
 	}
+	for _, run := range c.NeverStarted {
+		t.requeue(run.Task.Job)
+	}
 	for _, id := range c.Close {
 		t.setClosed(id, true)
 	}
@@ -305,6 +308,16 @@
 	t.dropDoneOccurrences(job)
 }
 
+// requeue marks a job as queued again if its starts have come to nothing: it has no run
+// left, and nothing in the tables shows that a task has ever begun.
+func (t *Tables) requeue(id JobID) {
+	job := t.Jobs[id]
+	if job == nil || job.State != JobRunning || job.Spec.Repeat != nil || job.IsActive() || job.HasProgress() {
+		return
+	}
+	job.State = JobQueued
+}
+
 // removeWorker removes a worker whose incarnation has ended, with all its runs.
 func (t *Tables) removeWorker(id WorkerID, nowMS int64) {
 	for run := range t.Runs[id] {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -1,6 +1,9 @@
 package workload
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // JobID identifies a job; the caller chooses it.
 type JobID string
@@ -251,6 +254,42 @@
 	return true
 }
 
+// HasProgress reports whether a task of the job is done, has failed or has saved
+// progress.
+func (j *Job) HasProgress() bool {
+	for _, o := range j.Occurrences {
+		for i := range o.Steps {
+			if slices.ContainsFunc(o.Steps[i].Tasks, Task.hasProgress) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (t Task) hasProgress() bool { return t.Done || t.Failures > 0 || t.Checkpoint != "" }
+
+// EachRun calls f for each run of the job until it returns false. It returns whether f
+// did so for none.
+func (j *Job) EachRun(f func(worker WorkerID, run RunRef) bool) bool {
+	for _, o := range j.Occurrences {
+		for s := range o.Steps {
+			if o.Steps[s].Active == 0 {
+				continue
+			}
+			for i := range o.Steps[s].Tasks {
+				for _, run := range o.Steps[s].Tasks[i].Runs {
+					ref := RunRef{Task: TaskRef{Job: j.ID, Occurrence: o.K, Step: s, Index: i}, Attempt: run.Attempt}
+					if !f(run.Worker, ref) {
+						return false
+					}
+				}
+			}
+		}
+	}
+	return true
+}
+
 // IsActive reports whether any task of the job may still be running.
 func (j *Job) IsActive() bool {
 	for _, o := range j.Occurrences {
