relay: the leader is told that nothing listens at a worker's address

On a large site, where other core VMs call workers for the leader, tasks of a worker that left would have waited for their leases, up to 6 s, in place of some 0.1 s.

Cause: since the notice of a leaving worker is no proof of its end, a refused connection is one; workers.CallError carries it, and the reply of a relay did not. Found by reading each place that makes such an error; no caller has seen it.

Evidence: TestRelayTellsThatNothingListens on the old code: false != true. Ruled out by reading: lanes that are lost themselves; relay.lane makes their errors and never marks them so.

Change: one field of the reply.

--- a/internal/relay/lane_test.go
+++ b/internal/relay/lane_test.go
@@ -221,6 +221,19 @@
 	is.Equal(verdictOf(errors.New("unknown")), model.MayHaveRun)
 }
 
+// Guards against tasks of a worker that left which wait for their leases on a large site,
+// because the leader isn't told that nothing listens at the worker's address.
+func TestRelayTellsThatNothingListens(t *testing.T) {
+	is := is.New(t)
+	for _, notListening := range []bool{true, false} {
+		l := newTestLane(t)
+		l.direct.err = &workers.CallError{Verdict: model.NotRun, NotListening: notListening, Err: errors.New("refused")}
+		_, err := l.do(context.Background(), call{Kind: callHold, TimeoutMS: 1000})
+		is.True(err != nil)
+		is.Equal(workers.NotListening(err), notListening)
+	}
+}
+
 // A relay that is stopping takes no call, so that none ends with its process.
 func TestStoppingRelayTakesNoCall(t *testing.T) {
 	is := is.New(t)
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -57,14 +57,15 @@
 type reply struct {
 	_  struct{} `cbor:",toarray"`
 	ID uint64
-	// Error is the text of the call's error, empty if the worker replied; Verdict is
-	// whether a call with an error may have run.
-	Error   string
-	Verdict model.Verdict
-	Refusal workers.Refusal
-	ClockMS int64
-	Running []runRow
-	Ends    []workload.End
+	// Error is the text of the call's error, empty if the worker replied; Verdict and
+	// NotListening are those of workers.CallError.
+	Error        string
+	Verdict      model.Verdict
+	NotListening bool
+	Refusal      workers.Refusal
+	ClockMS      int64
+	Running      []runRow
+	Ends         []workload.End
 	// MoreEnds, EndsAfterGap and UnreadableRows are those of workers.List.
 	MoreEnds                     bool
 	EndsAfterGap, UnreadableRows int
@@ -90,7 +91,7 @@
 		r.Running = append(r.Running, runRow{Run: run.Run, Checkpoint: run.Checkpoint, Percent: run.Percent, Load: run.Load})
 	}
 	if err != nil {
-		r.Error, r.Verdict = err.Error(), verdictOf(err)
+		r.Error, r.Verdict, r.NotListening = err.Error(), verdictOf(err), workers.NotListening(err)
 	}
 	return r
 }
@@ -108,7 +109,7 @@
 // list returns what the worker replied.
 func (r *reply) list() (workers.List, error) {
 	if r.Error != "" {
-		return workers.List{}, &workers.CallError{Verdict: r.Verdict, Err: errors.New(r.Error)}
+		return workers.List{}, &workers.CallError{Verdict: r.Verdict, NotListening: r.NotListening, Err: errors.New(r.Error)}
 	}
 	l := workers.List{
 		Reply: workers.Reply{Refusal: r.Refusal, ClockMS: r.ClockMS}, Ends: r.Ends,
