--- /dev/null
+++ b/internal/dispatch/invariants_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// settle stops all faults and lets the remaining work finish.
+func (sim *simulation) settle() {
+	sim.faultPercent, sim.unreadablePercent = 0, 0
+	for _, f := range sim.workers {
+		f.partitioned = false
+		if f.draining && f.restartAt == 0 {
+			sim.leave(f, true)
+		}
+	}
+	ctx := context.Background()
+	for range 600 {
+		sim.advance(50 * time.Millisecond)
+		for _, f := range sim.workers {
+			sim.report(f)
+			for _, r := range f.worker.Running() {
+				f.worker.End(r, workload.EndDone)
+			}
+		}
+		if sim.platform != nil {
+			sim.fleetRound()
+		}
+		sim.leader.round(ctx, sim.term)
+		for _, l := range sim.leader.links {
+			for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
+				l.perform(ctx, c)
+			}
+			if l.mustHold() {
+				l.hold(ctx)
+			}
+		}
+		sim.checkInvariants()
+	}
+}
+
+func TestLeaderKeepsItsInvariants(t *testing.T) { simulateSeeds(t, func(*simulation) {}) }
+
+// Guards against a task that runs twice because its worker has announced its end and
+// runs on.
+func TestLeavingWorkersKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.leaves = true })
+}
+
+// Guards against a task that runs twice at the same time, and against a lost
+// end whose task never ends. One list in ten has an unreadable row. If "could
+// not be read" is taken for "absent", the run in that row is released and
+// started elsewhere, or a later end is acknowledged and the worker drops the
+// one that was not read.
+func TestUnreadableRowsAreNotTakenForAbsent(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.unreadablePercent = 10 })
+}
+
+// Guards against a task that is started again after it was done: its end was not yet
+// listed, as its worker had more ends than one list holds.
+func TestUnlistedEndsAreNotTakenForAbsent(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.limitEnds(2) })
+}
+
+// Guards against faults that only show together: workers leave, list few ends at once
+// and list rows that can't be read.
+func TestOverlappingFaultsKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) {
+		sim.leaves = true
+		sim.unreadablePercent = 5
+		sim.limitEnds(2)
+	})
+}
+
+// limitEnds bounds the ends that all workers list at once.
+func (sim *simulation) limitEnds(n int) {
+	sim.endsPerList = n
+	for _, f := range sim.workers {
+		f.worker.EndsPerList = n
+	}
+}
+
+// simulateSeeds simulates each seed with the faults that prepare switches on.
+func simulateSeeds(t *testing.T, prepare func(*simulation)) {
+	for seed := range uint64(seeds(t)) {
+		sim := newSimulation(seed)
+		prepare(sim)
+		for i := range 4000 {
+			sim.step()
+			if len(sim.violations) > 0 {
+				t.Fatalf("seed %d, step %d: %s", seed, i, sim.violations[0])
+			}
+		}
+		sim.settle()
+		if len(sim.violations) > 0 {
+			t.Fatalf("seed %d, after the faults: %s", seed, sim.violations[0])
+		}
+		sim.machine.Read(func(tables *workload.Tables) {
+			for _, id := range sim.jobs {
+				if j := tables.Jobs[id]; !j.State.Final() {
+					t.Fatalf("seed %d: job %s is %s at the end", seed, id, j.State)
+				}
+			}
+			for _, f := range sim.workers {
+				if w := tables.Workers[f.worker.ID]; f.restartAt == 0 && (w == nil || w.Closed) {
+					t.Fatalf("seed %d: worker %s is up and not used at the end: %+v", seed, f.worker.ID, w)
+				}
+			}
+		})
+	}
+}
