--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -85,6 +85,7 @@
 
 // simulateSeeds simulates each seed with the faults that prepare switches on.
 func simulateSeeds(t *testing.T, prepare func(*simulation)) {
+	t.Parallel()
 	for seed := range uint64(seeds(t)) {
 		sim := newSimulation(seed)
 		prepare(sim)
