--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -25,7 +25,11 @@
 	// givenUp the jobs that failed because of such crashes.
 	crashes, givenUp       metrics.Counter
 	starts, ends, releases metrics.Counter
-	roundTime, firstStart  metrics.Timer
+	// uncertainStarts counts the starts with a call that got no reply, refusedStops the
+	// refused calls to stop a run, unplannedRuns the runs that a worker listed and that
+	// were not committed there.
+	uncertainStarts, refusedStops, unplannedRuns metrics.Counter
+	roundTime, firstStart                        metrics.Timer
 
 	queuedJobs, runningJobs, oldestQueued                           metrics.Gauge
 	knownWorkers, usableWorkers, unresponsiveWorkers, closedWorkers metrics.Gauge
@@ -41,6 +45,7 @@
 		unknownOutcomes: counter("unknown"), callsFailed: counter("calls_failed"), stalls: counter("standstills"),
 		contradictions:  counter("contradictions"),
 		unreadableLists: counter("lists_unread"), crashes: counter("crashes"), givenUp: counter("jobs_given_up"),
+		uncertainStarts: counter("starts_unanswered"), refusedStops: counter("stops_refused"), unplannedRuns: counter("runs_unplanned"),
 		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"),
 		roundTime:  metrics.GetOrRegisterTimer("dispatch.round", r),
 		firstStart: metrics.GetOrRegisterTimer("dispatch.first_start", r),
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -136,6 +136,8 @@
 	abandoned bool
 	// stallRecorded: the run was found stalled.
 	stallRecorded bool
+	// unplanned: the worker listed the run while it was not committed there.
+	unplanned bool
 }
 
 // certainlyRefused reports whether the start was refused and can't be carried
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -116,6 +116,28 @@
 		WithField("attempt", run.Attempt).WithField("refusal", a.Refusal.String()).Info("start refused")
 }
 
+// logUncertainStart logs the first call of a start that got no reply. The worker may
+// carry it out later.
+func (d *Dispatcher) logUncertainStart(to workers.Target, run workload.RunRef, err error) {
+	d.counters.uncertainStarts.Inc(1)
+	d.config.Logger.WithField("worker", string(to.ID)).WithField("task", run.Task.String()).
+		WithField("attempt", run.Attempt).WithError(err).Info("start not answered")
+}
+
+// logStopRefusal logs that a worker refused to stop a run.
+func (d *Dispatcher) logStopRefusal(to workers.Target, run workload.RunRef, a workers.Reply) {
+	d.counters.refusedStops.Inc(1)
+	d.config.Logger.WithField("worker", string(to.ID)).WithField("task", run.Task.String()).
+		WithField("attempt", run.Attempt).WithField("refusal", a.Refusal.String()).Info("stop refused")
+}
+
+// logUnplannedRun logs that a worker lists a run that is not committed there.
+func (d *Dispatcher) logUnplannedRun(l *link, run workload.RunRef) {
+	d.counters.unplannedRuns.Inc(1)
+	d.config.Logger.WithField("worker", string(l.target.ID)).WithField("task", run.Task.String()).
+		WithField("attempt", run.Attempt).WithField("list_age_ms", (d.now() - l.listedAt).Milliseconds()).Warn("worker lists a run that is not planned there")
+}
+
 // logUnresponsive writes a line for the failed call with which a worker reaches
 // unresponsiveFailures in a row.
 func (d *Dispatcher) logUnresponsive(l *link, err error) {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -102,6 +102,9 @@
 			record.start.answered, record.start.answeredAt, record.refusal = true, l.d.now(), workers.RefusedBusy
 			l.refusedUntil = l.d.now() + refusalBackoff
 		} else if !workers.NotSent(err) {
+			if !record.uncertain {
+				l.d.logUncertainStart(l.target, run, err)
+			}
 			record.uncertain = true
 		}
 		l.d.wakeUp()
@@ -147,6 +150,9 @@
 		return false
 	}
 	l.recordReply(reply, sentAt)
+	if reply.Refusal != workers.Accepted {
+		l.d.logStopRefusal(l.target, run, reply)
+	}
 	record.stop.answered, record.stop.answeredAt = true, l.d.now()
 	notify(l.listDue)
 	return true
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -138,9 +138,15 @@
 // stopUnplannedRuns stops runs on the worker that are not committed there.
 func (l *link) stopUnplannedRuns(runs map[workload.RunRef]bool, now time.Duration) {
 	for run := range l.running {
-		if !runs[run] {
-			l.orderStop(run, l.orderOf(run), now)
+		if runs[run] {
+			continue
 		}
+		o := l.orderOf(run)
+		if !o.unplanned {
+			o.unplanned = true
+			l.d.logUnplannedRun(l, run)
+		}
+		l.orderStop(run, o, now)
 	}
 }
 
--- a/internal/explain/describe.go
+++ b/internal/explain/describe.go
@@ -40,6 +40,12 @@
 		return describeRelease(l)
 	case "start refused":
 		return fmt.Sprintf("worker %s refused task %s: %s", l.text("worker"), l.text("task"), l.text("refusal"))
+	case "start not answered":
+		return fmt.Sprintf("the start of task %s, attempt %s, got no answer from %s; it may still be carried out", l.text("task"), l.text("attempt"), l.text("worker"))
+	case "stop refused":
+		return fmt.Sprintf("worker %s refused to stop task %s, attempt %s: %s", l.text("worker"), l.text("task"), l.text("attempt"), l.text("refusal"))
+	case "worker lists a run that is not planned there":
+		return fmt.Sprintf("worker %s runs task %s, attempt %s, which is not planned there; it is stopped", l.text("worker"), l.text("task"), l.text("attempt"))
 	case "run evicted":
 		return fmt.Sprintf("task %s at %s %% on %s is to be stopped: %s; the list was %s ms old", l.text("task"), l.text("percent"), l.text("worker"), l.text("why"), l.text("list_age_ms"))
 	case "run stands still":
