dispatch: tests of a refused stop, failing

The stand-in of the simulation may refuse any call or carry it out late as a test decides. A start gets no reply, its repetition and the stop are refused, the next list lacks the run: its capacity and its task are given away, and the late start brings the worker to 3,000 of 2,000 thousandths of a core and the task to two runs.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -84,11 +84,20 @@
 
 // deliver finds the incarnation that a call reaches. It returns an error if the
 // call gets no reply.
-func (n fakeNet) deliver(to workers.Target, deliverLate func(*standin.Worker)) (*standin.Worker, workers.Refusal, error) {
+func (n fakeNet) deliver(kind callKind, to workers.Target, deliverLate func(*standin.Worker)) (*standin.Worker, workers.Refusal, error) {
 	for _, f := range n.sim.workers {
 		if f.address != to.Address {
 			continue
 		}
+		if n.sim.decide != nil {
+			switch fate := n.sim.decide(kind); {
+			case fate.late > 0:
+				n.delay(f, to, fate.late, deliverLate)
+				return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
+			case fate.refusal != workers.Accepted:
+				return nil, fate.refusal, nil
+			}
+		}
 		if f.restartAt > 0 && !f.partitioned {
 			return nil, 0, &workers.CallError{Verdict: model.NotRun, NotListening: true, Err: io.EOF}
 		}
@@ -96,12 +105,7 @@
 			return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
 		}
 		if n.sim.chance(n.sim.faultPercent / 3) {
-			at := n.sim.now + time.Duration(2000+n.sim.random.IntN(10000))*time.Millisecond
-			n.sim.delayed = append(n.sim.delayed, delayedCall{at: at, do: func() {
-				if f.worker.ID == to.ID {
-					deliverLate(f.worker)
-				}
-			}})
+			n.delay(f, to, time.Duration(2000+n.sim.random.IntN(10000))*time.Millisecond, deliverLate)
 			return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
 		}
 		if n.sim.chance(n.sim.faultPercent / 10) {
@@ -115,6 +119,15 @@
 	return nil, 0, &workers.CallError{Verdict: model.NotRun, Err: io.EOF}
 }
 
+// delay has the incarnation that a call is addressed to carry it out later.
+func (n fakeNet) delay(f *fakeWorker, to workers.Target, by time.Duration, deliverLate func(*standin.Worker)) {
+	n.sim.delayed = append(n.sim.delayed, delayedCall{at: n.sim.now + by, do: func() {
+		if f.worker.ID == to.ID {
+			deliverLate(f.worker)
+		}
+	}})
+}
+
 // lostReply returns an error if the call was carried out and its reply is
 // lost.
 func (n fakeNet) lostReply() error {
@@ -134,7 +147,7 @@
 		}
 		return a
 	}
-	worker, refusal, err := n.deliver(to, func(worker *standin.Worker) { start(worker) })
+	worker, refusal, err := n.deliver(callStart, to, func(worker *standin.Worker) { start(worker) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.Reply{Refusal: refusal}, err
 	}
@@ -146,7 +159,7 @@
 }
 
 func (n fakeNet) Stop(_ context.Context, to workers.Target, run workload.RunRef, fence uint64) (workers.Reply, error) {
-	worker, refusal, err := n.deliver(to, func(worker *standin.Worker) { worker.Stop(run, fence, n.sim.now) })
+	worker, refusal, err := n.deliver(callStop, to, func(worker *standin.Worker) { worker.Stop(run, fence, n.sim.now) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.Reply{Refusal: refusal}, err
 	}
@@ -157,7 +170,7 @@
 }
 
 func (n fakeNet) Hold(_ context.Context, to workers.Target, o workers.HoldOrder) (workers.List, error) {
-	worker, refusal, err := n.deliver(to, func(worker *standin.Worker) { worker.Hold(o, n.sim.now) })
+	worker, refusal, err := n.deliver(callHold, to, func(worker *standin.Worker) { worker.Hold(o, n.sim.now) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.List{Reply: workers.Reply{Refusal: refusal}}, err
 	}
--- /dev/null
+++ b/internal/dispatch/refusals_test.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/workers"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// lateStart is when a start that got no reply is carried out.
+const lateStart = 3 * time.Second
+
+// testRefusedStops has the start of a job get no reply and be carried out late, while the
+// first worker refuses each repetition, and the stop for as long as refusing says. The
+// workers with an index below known are in use.
+func testRefusedStops(t *testing.T, known int, refusal workers.Refusal, refusing time.Duration) *simulation {
+	is := is.New(t)
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	f, others := sim.workers[0], sim.workers[1:known]
+	sim.workers = []*fakeWorker{f}
+	sim.runWithoutEnds(200 * time.Millisecond)
+	starts, until := 0, sim.now+refusing
+	sim.decide = func(kind callKind) fate {
+		if kind == callStart {
+			if starts++; starts == 1 {
+				return fate{late: lateStart}
+			}
+		}
+		if kind != callHold && sim.now < until {
+			return fate{refusal: refusal}
+		}
+		return fate{}
+	}
+	step := workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1500}}
+	sim.submitJob("first", step)
+	sim.runWithoutEnds(200 * time.Millisecond)
+	is.Equal(starts > 1, true) // the start was repeated
+	sim.workers = append(sim.workers, others...)
+	sim.submitJob("second", step)
+	sim.runWithoutEnds(refusing)
+	sim.decide = nil
+	sim.runWithoutEnds(lateStart)
+	is.Equal(sim.violations, nil)
+	return sim
+}
+
+// Guards against a worker that is started beyond its capacity: it refused to stop a run
+// whose start was still to be carried out, and the run's capacity was given away.
+func TestRefusedStopKeepsTheCapacityOfTheRun(t *testing.T) {
+	testRefusedStops(t, 1, workers.RefusedBusy, time.Second)
+}
+
+// Guards against a task that runs twice at the same time: the worker that was to start it
+// late refused the stop, and the task was started elsewhere.
+func TestRefusedStopKeepsTheTaskOfTheRun(t *testing.T) {
+	testRefusedStops(t, 2, workers.RefusedBusy, time.Second)
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -69,6 +69,8 @@
 	// acknowledged yet, startedAfter the attempt that started after such a run.
 	unackedDone  map[workload.TaskRef][]workload.RunRef
 	startedAfter map[workload.RunRef]int
+	// decide returns what becomes of a call, nil to leave that to chance.
+	decide func(callKind) fate
 	// leaves: workers drain and leave.
 	leaves bool
 	// platform carries out orders for VMs, nil without any.
@@ -77,6 +79,16 @@
 	proposing sync.Mutex
 }
 
+// callHold is the kind of a call for the lists, which is not queued.
+const callHold callKind = 0
+
+// fate is what becomes of a call: it is refused, or it gets no reply and is carried out
+// later. The zero fate has it carried out.
+type fate struct {
+	refusal workers.Refusal
+	late    time.Duration
+}
+
 type delayedCall struct {
 	at time.Duration
 	do func()
