dispatch: a stop counts as answered once its worker has accepted it

Cause: performStop recorded any reply as an answer. Where a start got no reply and its repetition was refused, the leader sends a stop so that the late start is refused. An unhealthy worker refused the stop too and had done nothing; the next list lacked the run, and the run was released: its capacity and its task were given away, and seconds later the worker carried out the start.

TestRefusedStop* failed before.

Change: only an accepted stop is an answer; a refused one is sent again after 100 ms. An accepted stop makes the worker refuse the start whenever it arrives, so a list requested afterwards does prove that the run is absent.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,6 +47,8 @@
 	// stopRetryInterval is the time after which a stop without effect is sent
 	// again.
 	stopRetryInterval = 800 * time.Millisecond
+	// refusedStopRetryInterval is the time after which a refused stop is sent again.
+	refusedStopRetryInterval = 100 * time.Millisecond
 )
 
 // Config configures a Dispatcher.
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -146,11 +146,13 @@
 	return o.start.answered && !o.uncertain && o.refusal != workers.Accepted && o.refusal != workers.RefusedStale
 }
 
-// callState is the state of one call.
+// callState is the state of one call. A stop is answered once it was accepted.
 type callState struct {
 	queued, calling, sent, answered bool
-	// answeredAt is when the reply arrived.
+	// answeredAt is when the reply arrived, for a stop the one that accepted it.
 	answeredAt time.Duration
+	// refusedAt is when a stop was last refused, 0 for never.
+	refusedAt time.Duration
 	// sentAt is when the call was first sent.
 	sentAt   time.Duration
 	queuedAt time.Duration
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -151,7 +151,10 @@
 	}
 	l.recordReply(reply, sentAt)
 	if reply.Refusal != workers.Accepted {
+		// The worker may still carry out a start of the run.
 		l.d.logStopRefusal(l.target, run, reply)
+		record.stop.refusedAt = l.d.now()
+		return true
 	}
 	record.stop.answered, record.stop.answeredAt = true, l.d.now()
 	notify(l.listDue)
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -125,12 +125,15 @@
 	}
 }
 
-// orderStop queues a stop, and queues it again if it was answered without
-// effect.
+// orderStop queues a stop, and queues it again if it was refused or answered
+// without effect.
 func (l *link) orderStop(run workload.RunRef, o *order, now time.Duration) {
 	if o.stop.queued || o.stop.calling || o.stop.answered && now-o.stop.queuedAt < stopRetryInterval {
 		return
 	}
+	if o.stop.refusedAt > 0 && now-o.stop.refusedAt < refusedStopRetryInterval {
+		return
+	}
 	o.stop.queued, o.stop.queuedAt = true, now
 	l.enqueue(call{kind: callStop, run: run})
 }
