--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -114,6 +114,9 @@
 		if f.worker.ID != to.ID {
 			return nil, workers.RefusedIncarnation, nil
 		}
+		if n.sim.chance(n.sim.refusePercent) {
+			return nil, workers.RefusedBusy, nil
+		}
 		return f.worker, workers.Accepted, nil
 	}
 	return nil, 0, &workers.CallError{Verdict: model.NotRun, Err: io.EOF}
--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -10,7 +10,7 @@
 
 // settle stops all faults and lets the remaining work finish.
 func (sim *simulation) settle() {
-	sim.faultPercent, sim.unreadablePercent = 0, 0
+	sim.faultPercent, sim.unreadablePercent, sim.refusePercent = 0, 0, 0
 	for _, f := range sim.workers {
 		f.partitioned = false
 		if f.draining && f.restartAt == 0 {
@@ -75,6 +75,21 @@
 	})
 }
 
+// Guards against a run that is taken for stopped, or never started, because its worker
+// has answered: it refused, and had done nothing.
+func TestRefusingWorkersKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) { sim.refusePercent = 40 })
+}
+
+// Guards against faults that only show together with refused calls.
+func TestRefusalsBesideOtherFaultsKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) {
+		sim.refusePercent, sim.faultPercent = 25, 24
+		sim.leaves, sim.unreadablePercent, sim.stopTime, sim.knownStopTime = true, 5, 400*time.Millisecond, 400*time.Millisecond
+		sim.limitEnds(2)
+	})
+}
+
 // limitEnds bounds the ends that all workers list at once.
 func (sim *simulation) limitEnds(n int) {
 	sim.endsPerList = n
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -69,6 +69,9 @@
 	// acknowledged yet, startedAfter the attempt that started after such a run.
 	unackedDone  map[workload.TaskRef][]workload.RunRef
 	startedAfter map[workload.RunRef]int
+	// refusePercent is the share of calls of each kind that a worker refuses and has done
+	// nothing for.
+	refusePercent int
 	// decide returns what becomes of a call, nil to leave that to chance.
 	decide func(callKind) fate
 	// leaves: workers drain and leave.
