platform: only definite replies say that an order was not carried out

Every status but 2xx, 400, 409 and 421 counted as a refusal of a worker that has done nothing, and every unknown reason of a 409 as a lack of capacity.

Change: such a reply is OutcomeUnclear. For a start it counts like a call without a reply: the run is stopped, and released once the stop is accepted and a later list lacks it. For a stop it is no acceptance, for a hold no list.

--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -55,7 +55,7 @@
 	for kind := workload.EndDone; kind <= workload.EndGangIncomplete; kind++ {
 		c.end(kind).Inc(0)
 	}
-	for refusal := workers.RefusedFence; refusal <= workers.RefusedIncarnation; refusal++ {
+	for refusal := workers.RefusedFence; refusal <= workers.OutcomeUnclear; refusal++ {
 		c.refusal(refusal).Inc(0)
 	}
 	for reply := FleetDone; reply <= FleetRateLimited; reply++ {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -90,12 +90,15 @@
 			continue
 		}
 		if n.sim.decide != nil {
-			switch fate := n.sim.decide(kind); {
-			case fate.late > 0:
+			fate := n.sim.decide(kind)
+			if fate.late > 0 {
 				n.delay(f, to, fate.late, deliverLate)
-				return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
+			}
+			switch {
 			case fate.refusal != workers.Accepted:
 				return nil, fate.refusal, nil
+			case fate.late > 0:
+				return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
 			}
 		}
 		if f.restartAt > 0 && !f.partitioned {
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -127,8 +127,9 @@
 	start, stop callState
 	// refusal is that of the reply to the start.
 	refusal workers.Refusal
-	// uncertain is set when a start was sent and not answered. The worker may
-	// carry it out seconds later, whatever it replies to the next one.
+	// uncertain is set when a start was sent and got no reply, or one that does not say
+	// what became of it. The worker may carry it out seconds later, whatever it replies to
+	// the next one.
 	uncertain bool
 	// tries counts the calls about the run.
 	tries int
@@ -237,7 +238,7 @@
 	switch a.Refusal {
 	case workers.RefusedFence:
 		l.fenced = true
-	case workers.RefusedBusy, workers.RefusedCapacity:
+	case workers.RefusedBusy, workers.RefusedCapacity, workers.OutcomeUnclear:
 		l.refusedUntil = now + refusalBackoff
 	}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -113,6 +113,7 @@
 	l.recordReply(reply, sentAt)
 	l.d.delays.recordStart(sentAt-record.start.queuedAt, l.d.now()-sentAt)
 	record.start.answered, record.start.answeredAt, record.refusal = true, l.d.now(), reply.Refusal
+	record.uncertain = record.uncertain || reply.Refusal == workers.OutcomeUnclear
 	if reply.Refusal != workers.Accepted {
 		l.d.logRefusal(l.target, run, reply)
 		notify(l.listDue)
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -59,3 +59,26 @@
 func TestRefusedStopKeepsTheTaskOfTheRun(t *testing.T) {
 	testRefusedStops(t, 2, workers.RefusedBusy, time.Second)
 }
+
+// Guards against a run that is released although it may still start: its worker replied
+// with an error that does not say whether the start is carried out.
+func TestUnclearReplyToAStartIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	sim.runWithoutEnds(200 * time.Millisecond)
+	starts := 0
+	sim.decide = func(kind callKind) fate {
+		if kind == callStart {
+			if starts++; starts == 1 {
+				return fate{refusal: workers.OutcomeUnclear, late: lateStart}
+			}
+		}
+		return fate{}
+	}
+	sim.submitJob("j", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1500}})
+	sim.runWithoutEnds(2 * lateStart)
+	is.Equal(sim.violations, nil)
+	is.True(starts > 1) // the task was started again
+	is.Equal(sim.runningElsewhere(nil), 1)
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -85,8 +85,8 @@
 // callHold is the kind of a call for the lists, which is not queued.
 const callHold callKind = 0
 
-// fate is what becomes of a call: it is refused, or it gets no reply and is carried out
-// later. The zero fate has it carried out.
+// fate is what becomes of a call: it is refused, or it is carried out later, without a
+// reply unless it is refused as well. The zero fate has it carried out.
 type fate struct {
 	refusal workers.Refusal
 	late    time.Duration
--- a/internal/workers/calls.go
+++ b/internal/workers/calls.go
@@ -41,11 +41,14 @@
 	// RefusedIncarnation: another incarnation replies at the address; the one
 	// that was addressed has ended.
 	RefusedIncarnation
+	// OutcomeUnclear: the worker replied with an error that does not say whether the
+	// order was, or will be, carried out.
+	OutcomeUnclear
 )
 
 // String returns the name of the refusal for log lines.
 func (r Refusal) String() string {
-	names := [...]string{"accepted", "fence", "old", "late", "room", "ticket", "busy", "form", "incarnation"}
+	names := [...]string{"accepted", "fence", "old", "late", "room", "ticket", "busy", "form", "incarnation", "unclear"}
 	if int(r) < len(names) {
 		return names[r]
 	}
