dispatch: a start is marked as sent in the same step as its run is read

performStart read that the run is wanted, and marked its record as sent only later. It takes a sender that stands still for two rounds, as on a leader without processor time.

Both happen under one read of the state now, in the lock order of the round. A round before sees the run as not sent and has it abandoned, one after sees it as sent.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -13,7 +13,6 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
-	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/state"
 	"github.com/comfreyloom/comfreyloom/internal/steady"
 	"github.com/comfreyloom/comfreyloom/internal/telemetry"
@@ -300,23 +299,3 @@
 	}
 	return err
 }
-
-// startOrder returns the order that starts a run on a worker. It returns false
-// when the run is no longer wanted there.
-func (d *Dispatcher) startOrder(worker workload.WorkerID, run workload.RunRef) (o workers.StartOrder, wanted bool) {
-	d.config.Machine.Read(func(t *workload.Tables) {
-		if _, stopping := t.Stopping[run]; stopping || !t.HasRun(worker, run) {
-			return
-		}
-		job, _, task := t.Task(run.Task)
-		if task == nil || job.State.Final() {
-			return
-		}
-		o = workers.StartOrder{Run: run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint}
-		wanted = true
-	})
-	if wanted {
-		o.Ticket = d.advice.ticket(schedule.StepRef{Job: run.Task.Job, Occurrence: run.Task.Occurrence, Step: run.Task.Step}, worker)
-	}
-	return o, wanted
-}
--- /dev/null
+++ b/internal/dispatch/late_start_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/schedule"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// newQueuedStart returns a site with a job whose one start is queued and not sent, and the
+// link of its worker.
+func newQueuedStart(is *is.I) (*simulation, *link, workload.RunRef) {
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	sim.run(200 * time.Millisecond)
+	sim.submitJob("j", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1500}})
+	ctx := context.Background()
+	for range 3 {
+		sim.advance(10 * time.Millisecond)
+		sim.leader.round(ctx, sim.term)
+	}
+	for _, l := range sim.leader.links {
+		if len(l.queue) > 0 {
+			is.Equal(l.queue[0].kind, callStart)
+			return sim, l, l.queue[0].run
+		}
+	}
+	is.Fail() // no start is queued
+	return nil, nil, workload.RunRef{}
+}
+
+// releaseUnsent has the leader take a worker for unresponsive, release what was not sent
+// to it and drop the records, before the worker answers again.
+func (sim *simulation) releaseUnsent(l *link) {
+	l.failures, l.lastReply = unresponsiveFailures, sim.now-time.Second
+	for range 2 {
+		sim.now += reconcileInterval
+		c := &workload.Command{Term: sim.term}
+		sim.machine.Read(func(t *workload.Tables) { sim.leader.reconcile(t, l, c, newReasons()) })
+		sim.apply(c)
+	}
+	l.failures, l.lastReply = 0, sim.now
+}
+
+// Guards against a task that runs twice: its start was about to be sent when the run was
+// released as one that was never sent.
+func TestReleasedRunIsNotSent(t *testing.T) {
+	is := is.New(t)
+	sim, l, run := newQueuedStart(is)
+	step := schedule.StepRef{Job: run.Task.Job}
+	sim.leader.advice.put(step, schedule.Advice{Tickets: map[workload.WorkerID]string{}}, 2*sim.now)
+	sim.leader.advice.now = func() time.Duration {
+		sim.leader.advice.now = sim.leader.now
+		sim.releaseUnsent(l)
+		return sim.now
+	}
+	c, _ := l.nextCall()
+	l.perform(context.Background(), c)
+	sim.runWithoutEnds(time.Second)
+	is.Equal(sim.violations, nil)
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/steady"
 	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
@@ -76,22 +77,11 @@
 }
 
 func (l *link) performStart(ctx context.Context, run workload.RunRef) bool {
-	o, wanted := l.d.startOrder(l.target.ID, run)
 	sentAt := l.d.now()
-	l.mu.Lock()
-	record := l.orderOf(run)
-	record.start.queued = false
-	if !wanted || !l.lease.clockKnown || record.abandoned {
-		l.mu.Unlock()
+	o, record, wanted := l.beginStart(run, sentAt)
+	if !wanted {
 		return true
 	}
-	o.LeaseUntilMS = l.grantLease(sentAt)
-	o.Fence = l.fence
-	if !record.start.sent {
-		record.start.sentAt = sentAt
-	}
-	record.start.sent, record.start.calling = true, true
-	l.mu.Unlock()
 	reply, err := l.d.config.Workers.Start(ctx, l.target, o)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -122,6 +112,42 @@
 	return true
 }
 
+// beginStart marks the start of a run as sent and returns the order and the record of the
+// run. It returns false if the run must not be started. No round may come between the
+// reading of the state and the mark: it would release the run as one that was never sent.
+func (l *link) beginStart(run workload.RunRef, sentAt time.Duration) (o workers.StartOrder, record *order, wanted bool) {
+	ticket := l.d.advice.ticket(schedule.StepRef{Job: run.Task.Job, Occurrence: run.Task.Occurrence, Step: run.Task.Step}, l.target.ID)
+	l.d.config.Machine.Read(func(t *workload.Tables) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		record = l.orderOf(run)
+		record.start.queued = false
+		if !l.lease.clockKnown || record.abandoned || !isWanted(t, l.target.ID, run) {
+			return
+		}
+		job, _, task := t.Task(run.Task)
+		o = workers.StartOrder{
+			Run: run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: ticket,
+			LeaseUntilMS: l.grantLease(sentAt), Fence: l.fence,
+		}
+		if !record.start.sent {
+			record.start.sentAt = sentAt
+		}
+		record.start.sent, record.start.calling = true, true
+		wanted = true
+	})
+	return o, record, wanted
+}
+
+// isWanted reports whether a run is still to be started on a worker.
+func isWanted(t *workload.Tables, worker workload.WorkerID, run workload.RunRef) bool {
+	if _, stopping := t.Stopping[run]; stopping || !t.HasRun(worker, run) {
+		return false
+	}
+	job, _, task := t.Task(run.Task)
+	return task != nil && !job.State.Final()
+}
+
 // grantLease returns the end of the lease that a call grants, 0 for none. While
 // the worker does not answer, nothing is granted beyond what it may already
 // hold. Otherwise its leases would never certainly expire.
