dispatch: a start's lease counts from before its sender's last check that it leads

A sender checked that it leads, then took a call from its queue, and computed the lease from the moment of sending. A process that stands still in between wakes up as a former leader and sends a start with a fresh lease. The fence holds it off wherever the new leader has called; a worker without runs, or cut off from the new leader, carries it out, though the run may have been released and its task started elsewhere.

The time is taken first, then leadership checked, and the lease counts from that time: a start that leaves after a long pause is refused as late.

--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
@@ -63,3 +64,32 @@
 	sim.runWithoutEnds(time.Second)
 	is.Equal(sim.violations, nil)
 }
+
+// frozenLog is a control log whose process stands still after it has confirmed that it
+// leads, while another leader is elected.
+type frozenLog struct {
+	*fakeLog
+	frozen bool
+}
+
+func (l *frozenLog) Status() control.LogStatus {
+	status := l.fakeLog.Status()
+	if !l.frozen {
+		l.frozen = true
+		l.sim.now += 10 * time.Second
+		l.sim.term++
+	}
+	return status
+}
+
+// Guards against a start that a former leader sends when its process wakes up: a worker
+// that the new leader has not called yet would carry it out with a fresh lease.
+func TestStartOfAWokenLeaderIsNotCarriedOut(t *testing.T) {
+	is := is.New(t)
+	sim, l, _ := newQueuedStart(is)
+	sim.leader.config.Log = &frozenLog{fakeLog: &fakeLog{sim: sim, term: sim.term}}
+	l.sendOrders(context.Background())
+	for _, f := range sim.workers {
+		is.Equal(len(f.worker.Running()), 0)
+	}
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -78,6 +78,12 @@
 
 func (l *link) performStart(ctx context.Context, run workload.RunRef) bool {
 	sentAt := l.d.now()
+	// The lease of the order counts from before this check. If the process stands still
+	// after it, the worker refuses the start as late.
+	if !l.d.leads(l.fence) {
+		l.dequeueStart(run)
+		return true
+	}
 	o, record, wanted := l.beginStart(run, sentAt)
 	if !wanted {
 		return true
@@ -112,6 +118,13 @@
 	return true
 }
 
+// dequeueStart has the next round queue a start again that was not sent.
+func (l *link) dequeueStart(run workload.RunRef) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orderOf(run).start.queued = false
+}
+
 // beginStart marks the start of a run as sent and returns the order and the record of the
 // run. It returns false if the run must not be started. No round may come between the
 // reading of the state and the mark: it would release the run as one that was never sent.
