dispatch: no start is sent to a worker whose capacity has shrunk below its runs

A start that was queued when the report of a smaller capacity was acknowledged still left: only the next round withheld it. A leader without processor time has hundreds of queued starts for many milliseconds. TestStartIsNotSentToAWorkerThatShrank failed before (1500 of 1000 thousandths of a core).

--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -93,3 +93,20 @@
 		is.Equal(len(f.worker.Running()), 0)
 	}
 }
+
+// Guards against a worker that is started beyond its capacity: it shrank after a run was
+// committed on it and before the start was sent.
+func TestStartIsNotSentToAWorkerThatShrank(t *testing.T) {
+	is := is.New(t)
+	sim, l, _ := newQueuedStart(is)
+	for _, f := range sim.workers {
+		if f.worker.ID == l.target.ID {
+			f.worker.Capacity.CPU = 1000
+			sim.report(f)
+		}
+	}
+	c, _ := l.nextCall()
+	l.perform(context.Background(), c)
+	sim.checkInvariants()
+	is.Equal(sim.violations, nil)
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -152,11 +152,15 @@
 	return o, record, wanted
 }
 
-// isWanted reports whether a run is still to be started on a worker.
+// isWanted reports whether a run is still to be started on a worker. It is not if the
+// worker's capacity has shrunk below what is committed there; the next round withholds it.
 func isWanted(t *workload.Tables, worker workload.WorkerID, run workload.RunRef) bool {
 	if _, stopping := t.Stopping[run]; stopping || !t.HasRun(worker, run) {
 		return false
 	}
+	if w := t.Workers[worker]; w == nil || !t.Used[worker].Fits(w.Capacity) {
+		return false
+	}
 	job, _, task := t.Task(run.Task)
 	return task != nil && !job.State.Final()
 }
