dispatch: a refused change of pace is repeated

A refused call to pace a run counted as made: a best-effort task worked on beside a task over its latency target (HARM), with no further call, or stayed paused for good after a refused speed-up. A call without a reply was forgotten with the pace before it, and a paused task counted as one at full pace. A change is repeated now until the worker accepts it. The test of the pace itself shares its set-up and checks what it did. Still open: a change that is carried out seconds late, after newer ones.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -202,8 +202,9 @@
 	}
 }
 
-func (n fakeNet) Pace(context.Context, workers.Target, workload.RunRef, int, uint64) (workers.Reply, error) {
-	return workers.Reply{}, nil
+func (n fakeNet) Pace(_ context.Context, to workers.Target, _ workload.RunRef, _ int, _ uint64) (workers.Reply, error) {
+	_, refusal, err := n.deliver(callPace, to, func(*standin.Worker) {})
+	return workers.Reply{Refusal: refusal}, err
 }
 
 // checkStart checks a start when its worker carries it out.
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -86,8 +86,10 @@
 	// tried again.
 	refusedUntil time.Duration
 	// pacePercent holds the pace of best-effort tasks whose pace was changed.
-	pacePercent   map[workload.RunRef]int
-	paceChangedAt time.Duration
+	pacePercent map[workload.RunRef]int
+	// paceUnconfirmed holds the runs whose worker has not accepted the last change.
+	paceUnconfirmed map[workload.RunRef]bool
+	paceChangedAt   time.Duration
 	// evicted holds runs that are stopped although their job continues.
 	evicted map[workload.RunRef]bool
 	// dirty is set when anything about the worker changed since the last
@@ -180,7 +182,7 @@
 		d: d, target: workers.Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked, openedAt: d.now(),
 		orderReady: make(chan struct{}, 1), listDue: make(chan struct{}, 1),
 		orders: map[workload.RunRef]*order{}, inherited: map[workload.RunRef]bool{},
-		running: map[workload.RunRef]*observedRun{}, pacePercent: map[workload.RunRef]int{},
+		running: map[workload.RunRef]*observedRun{}, pacePercent: map[workload.RunRef]int{}, paceUnconfirmed: map[workload.RunRef]bool{},
 		evicted: map[workload.RunRef]bool{},
 		cancel:  func() {},
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -211,11 +211,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		delete(l.pacePercent, c.run)
+		l.paceUnconfirmed[c.run] = true
 		l.recordFailure(err)
 		return false
 	}
 	l.recordReply(reply, sentAt)
+	if reply.Refusal != workers.Accepted {
+		l.paceUnconfirmed[c.run] = true
+	} else if l.pacePercent[c.run] == c.percent {
+		delete(l.paceUnconfirmed, c.run)
+	}
 	return true
 }
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -36,7 +36,7 @@
 			before = fullPace
 		}
 		after := nextPace(before, pressure)
-		if after == before {
+		if after == before && !l.paceUnconfirmed[run] {
 			continue
 		}
 		l.pacePercent[run], l.paceChangedAt = after, now
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -159,6 +159,7 @@
 		if _, listed := l.running[run]; !listed && !runs[run] {
 			delete(l.orders, run)
 			delete(l.pacePercent, run)
+			delete(l.paceUnconfirmed, run)
 			delete(l.evicted, run)
 		}
 	}
