dispatch: a worker that refuses its lists counts as one that does not answer

A refused call for the lists counted as contact: the leader went on granting leases that the worker did not take, so that the runs there never counted as expired, and its tasks waited for as long as it refused (LOST); and it was called again at once, in a loop.

From 1.3 s of refusals on nothing is granted beyond what the worker may hold, it gets no new work, and its runs are released once every lease has certainly expired. The next call follows after 50 ms. A worker without runs is called until it lists them.

TestTasksOfAWorkerThatRefusesItsListsAreStartedElsewhere and TestRefusedCallForListsIsFollowedByAPause failed before.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -89,7 +89,7 @@
 		if f.address != to.Address {
 			continue
 		}
-		if n.sim.decide != nil {
+		if n.sim.decide != nil && (n.sim.decideFor == nil || n.sim.decideFor == f) {
 			fate := n.sim.decide(kind)
 			if fate.late > 0 {
 				n.delay(f, to, fate.late, deliverLate)
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -24,6 +24,8 @@
 	// holdRetryPause is the pause after a call without a reply.
 	holdRetryPause    = 150 * time.Millisecond
 	maxHoldRetryPause = 900 * time.Millisecond
+	// refusedHoldPause takes the place of holdRetryPause after a refused call.
+	refusedHoldPause = 50 * time.Millisecond
 	// drainingRetryPause takes the place of holdRetryPause for a worker that drains:
 	// once it has left, its tasks wait for proof of that.
 	drainingRetryPause = 20 * time.Millisecond
@@ -76,22 +78,29 @@
 func (l *link) mustHold() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unconfirmed := l.failures > 0 && l.d.now()-l.lastReport < maxContactAge
+	unconfirmed := l.isUnconfirmed() && l.d.now()-l.lastReport < maxContactAge
 	return !l.replaced && !l.fenced && (l.needsCalls || l.checkIncarnation || len(l.running) > 0 || unconfirmed)
 }
 
+// isUnconfirmed reports whether the last call got no reply or was refused its lists. The
+// worker is not used before another one succeeds.
+func (l *link) isUnconfirmed() bool { return l.failures > 0 || l.listsRefusedAt > 0 }
+
 // retryPause grows with the number of consecutive calls without a reply.
 func (l *link) retryPause() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	pause := holdRetryPause
-	if l.draining {
+	switch {
+	case l.failures == 0:
+		return refusedHoldPause
+	case l.draining:
 		pause = drainingRetryPause
 	}
-	return min(time.Duration(max(l.failures, 1))*pause, maxHoldRetryPause)
+	return min(time.Duration(l.failures)*pause, maxHoldRetryPause)
 }
 
-// hold makes one call. It returns false if it got no reply.
+// hold makes one call. It returns false if it got no lists.
 func (l *link) hold(ctx context.Context) bool {
 	sentAt := l.d.now()
 	o := l.holdOrder(sentAt)
@@ -110,8 +119,12 @@
 	// The worker read its clock when it wrote the reply, after its wait.
 	l.recordReply(list.Reply, l.d.now()-time.Millisecond)
 	if list.Refusal != workers.Accepted {
-		return true
+		if l.listsRefusedAt == 0 {
+			l.listsRefusedAt = sentAt
+		}
+		return false
 	}
+	l.listsRefusedAt = 0
 	if len(list.Ends) > 0 && l.lastListAt > 0 {
 		l.d.delays.recordListGap(sentAt - l.lastListAt)
 	}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -41,6 +41,9 @@
 	failures  int
 	// firstFailure is when the first of them failed, 0 while none has.
 	firstFailure time.Duration
+	// listsRefusedAt is when the worker was called that has refused its lists since, 0 if
+	// it has not refused the last call.
+	listsRefusedAt time.Duration
 	// lastHoldFailure is when a call for the lists last got no reply, 0 for
 	// never.
 	lastHoldFailure time.Duration
@@ -213,8 +216,12 @@
 	unresponsiveAfter         = holdWait + 300*time.Millisecond
 )
 
-// unresponsive reports whether the worker does not answer.
+// unresponsive reports whether the worker does not answer, or refuses the calls that
+// renew its lease and list its runs.
 func (l *link) unresponsive(now time.Duration) bool {
+	if l.listsRefusedAt > 0 && now-l.listsRefusedAt > unresponsiveAfter {
+		return true
+	}
 	since := now - l.lastReply
 	return l.failures >= unresponsiveFailures && since > unresponsiveAfterFailures || l.failures > 0 && since > unresponsiveAfter
 }
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -82,3 +83,39 @@
 	is.True(starts > 1) // the task was started again
 	is.Equal(sim.runningElsewhere(nil), 1)
 }
+
+// Guards against tasks that wait for a worker for as long as it refuses to list its runs:
+// the refused calls counted as ones that renew its lease.
+func TestTasksOfAWorkerThatRefusesItsListsAreStartedElsewhere(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	sim.runWithoutEnds(200 * time.Millisecond)
+	sim.submitJob("j", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1500}})
+	sim.runWithoutEnds(time.Second)
+	first := sim.workers[slices.IndexFunc(sim.workers, func(f *fakeWorker) bool { return len(f.worker.Running()) > 0 })]
+	sim.decideFor = first
+	sim.decide = func(kind callKind) fate {
+		if kind == callHold {
+			return fate{refusal: workers.RefusedBusy}
+		}
+		return fate{}
+	}
+	sim.runWithoutEnds(9 * time.Second)
+	is.Equal(sim.violations, nil)
+	is.Equal(sim.runningElsewhere(first), 1)
+}
+
+// Guards against calls in a tight loop to a worker that refuses them.
+func TestRefusedCallForListsIsFollowedByAPause(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	sim.run(200 * time.Millisecond)
+	sim.decide = func(callKind) fate { return fate{refusal: workers.RefusedBusy} }
+	for _, l := range sim.leader.links {
+		is.True(!l.hold(t.Context()))
+		is.True(l.retryPause() >= refusedHoldPause)
+
+	}
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -72,8 +72,10 @@
 	// refusePercent is the share of calls of each kind that a worker refuses and has done
 	// nothing for.
 	refusePercent int
-	// decide returns what becomes of a call, nil to leave that to chance.
-	decide func(callKind) fate
+	// decide returns what becomes of a call, nil to leave that to chance. decideFor is the
+	// worker whose calls it decides about, nil for all.
+	decide    func(callKind) fate
+	decideFor *fakeWorker
 	// leaves: workers drain and leave.
 	leaves bool
 	// platform carries out orders for VMs, nil without any.
