dispatch: a report wakes the calls to a worker whose last call failed

The goroutine that calls for the lists waits without a limit once nothing is committed on a worker that has not reported for 3.5 s. A report made it due again and did not wake it: after a failed call the worker counted as unresponsive until something else was committed there, and nothing is, as it counts as unresponsive.

--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -119,3 +119,36 @@
 
 	}
 }
+
+// Guards against a sound worker that stays unused: it refused or did not answer the last
+// call, nothing is left to run there, and so nobody calls it again.
+func TestWorkerWithoutRunsIsCalledUntilItListsThem(t *testing.T) {
+	for name, refuse := range map[string]func(callKind) fate{
+		"refused":     func(callKind) fate { return fate{refusal: workers.RefusedBusy} },
+		"no answer":   func(callKind) fate { return fate{late: lateStart} },
+		"no decision": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1)
+			sim.faultPercent = 0
+			sim.run(200 * time.Millisecond)
+			f := sim.workers[0]
+			l := sim.leader.links[f.worker.ID]
+			sim.decide = refuse
+			l.hold(t.Context())
+			sim.now += 2 * maxContactAge
+			is.True(!l.mustHold()) // it has not reported for long
+			select {
+			case <-l.listDue:
+			default:
+			}
+			sim.decide = nil
+			sim.report(f)
+			is.Equal(l.mustHold(), refuse != nil)
+			is.Equal(len(l.listDue), map[bool]int{true: 1}[refuse != nil])
+			sim.run(200 * time.Millisecond)
+			is.True(l.usable(sim.now))
+		})
+	}
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -57,6 +57,9 @@
 	l.sequence, l.lastReport = r.Sequence, now
 	l.lastContact, l.forgotten = now, false
 	l.lease.recordClock(r.ClockMS, now, now)
+	if l.isUnconfirmed() {
+		notify(l.listDue)
+	}
 	return true
 }
 
