dispatch: an expired run counts as ended once it had the time of a stop

A worker whose lease has expired may take as long to end its runs as for a stop (stop-ms, 400 ms at two sites); the leader released them 300 ms after the end of the longest lease that the worker can hold. A worker that carries out each grant, answers nothing and has the slowest clock runs a task for up to 150 ms beside its next start elsewhere. The time of a stop is added now.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -99,26 +99,31 @@
 
 // runSite simulates a site for a while; endRuns ends the runs on a worker that are due.
 func (sim *simulation) runSite(length time.Duration, endRuns func(*fakeWorker)) {
-	ctx := context.Background()
 	for until := sim.now + length; sim.now < until; {
-		sim.advance(tickInterval)
-		for _, f := range sim.workers {
-			if f.restartAt == 0 {
-				sim.report(f)
-				endRuns(f)
-			}
+		sim.tick(tickInterval, endRuns)
+	}
+}
+
+// tick simulates one round after a time: reports, a round of the leader and its calls.
+func (sim *simulation) tick(after time.Duration, endRuns func(*fakeWorker)) {
+	ctx := context.Background()
+	sim.advance(after)
+	for _, f := range sim.workers {
+		if f.restartAt == 0 {
+			sim.report(f)
+			endRuns(f)
 		}
-		sim.leader.round(ctx, sim.term)
-		for _, l := range sim.leader.links {
-			for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
-				l.perform(ctx, c)
-			}
-			if l.mustHold() {
-				l.hold(ctx)
-			}
+	}
+	sim.leader.round(ctx, sim.term)
+	for _, l := range sim.leader.links {
+		for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
+			l.perform(ctx, c)
+		}
+		if l.mustHold() {
+			l.hold(ctx)
 		}
-		sim.checkInvariants()
 	}
+	sim.checkInvariants()
 }
 
 // endDue ends the runs whose time has passed. Long-running ones continue.
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -102,7 +102,8 @@
 	if !o.start.sent && !l.inherited[run] {
 		return true
 	}
-	return l.lease.expired(now)
+	// The worker may take as long to end an expired run as a stopped one.
+	return l.lease.expired(now - l.d.config.StopTime)
 }
 
 // hasListedEnd reports whether the worker listed an end of the run that is not
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -37,6 +37,8 @@
 	EndsPerList int
 	// StopTime is how long a run that was ordered to stop still runs and is listed.
 	StopTime time.Duration
+	// LapseTime is how long a run still runs and is listed after the lease has expired.
+	LapseTime time.Duration
 	// OnAck is called for each acknowledged end, with whether the lease was held
 	// from the end until its acknowledgement. If it was not, the
 	// acknowledgement does not count.
@@ -55,8 +57,9 @@
 	lastLapsedEnd uint64
 }
 
-// run is one run. stopsAt is when it ends after an order to stop, 0 without one.
-type run struct{ started, stopsAt time.Duration }
+// run is one run. stopsAt is when it ends after an order to stop, lapsesAt after the lease
+// has expired, 0 without one.
+type run struct{ started, stopsAt, lapsesAt time.Duration }
 
 // New returns a worker that starts now.
 func New(id workload.WorkerID, address string, capacity workload.Resources, speed float64, now time.Duration) *Worker {
@@ -75,16 +78,24 @@
 // Expire ends the runs whose stop is due, and all if the lease has expired.
 func (w *Worker) Expire(now time.Duration) {
 	for r, running := range w.runs {
-		if running.stopsAt > 0 && now >= running.stopsAt {
+		switch {
+		case running.stopsAt > 0 && now >= running.stopsAt:
 			w.End(r, workload.EndStopped)
+		case running.lapsesAt > 0 && now >= running.lapsesAt:
+			w.End(r, workload.EndLapsed)
 		}
 	}
 	if w.ClockMS(now) < w.leaseUntilMS {
 		return
 	}
 	w.lastLapsedEnd = w.lastEnd
-	for r := range w.runs {
-		w.End(r, workload.EndLapsed)
+	for r, running := range w.runs {
+		switch {
+		case w.LapseTime == 0:
+			w.End(r, workload.EndLapsed)
+		case running.lapsesAt == 0:
+			running.lapsesAt = now + w.LapseTime
+		}
 	}
 }
 
