dispatch: a refused start is no sign that its run has run for long

minAge took any reply to a start for its beginning unless the run had certainly been refused. A run whose repeated start was refused while the first call had no reply counted as one that outlasted its trial period, so that another run on a worker that crashed was blamed alone. TestRefusedStartIsNoSignOfALongRun failed before.

--- a/internal/dispatch/loss.go
+++ b/internal/dispatch/loss.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -57,7 +58,7 @@
 // worker's last reply; negative when nothing shows that it started.
 func (l *link) minAge(run workload.RunRef) time.Duration {
 	startedAt := time.Duration(-1)
-	if o := l.orders[run]; o != nil && o.start.answeredAt > 0 && !o.certainlyRefused() {
+	if o := l.orders[run]; o != nil && o.start.answeredAt > 0 && o.refusal == workers.Accepted {
 		startedAt = o.start.answeredAt
 	}
 	if seen := l.running[run]; seen != nil && (startedAt < 0 || seen.firstListed < startedAt) {
