--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -58,6 +58,8 @@
 	// stopTime is how long the workers take to stop a run, knownStopTime what the
 	// leaders take it for.
 	stopTime, knownStopTime time.Duration
+	// lapseTime is how long the workers take to end the runs of an expired lease.
+	lapseTime time.Duration
 	// capacityChanges: runs may exceed a capacity that has shrunk after their
 	// start.
 	capacityChanges bool
@@ -72,6 +74,8 @@
 	// refusePercent is the share of calls of each kind that a worker refuses and has done
 	// nothing for.
 	refusePercent int
+	// unclearPercent is the share of calls whose reply does not say what became of them.
+	unclearPercent int
 	// decide returns what becomes of a call, nil to leave that to chance. decideFor is the
 	// worker whose calls it decides about, nil for all.
 	decide    func(callKind) fate
