dispatch: no start is sent to a draining worker

Cause: whether a worker drains was asked when a run was committed, never when its start was sent or repeated. Change: such a run is withheld like one on a worker that has shrunk: released if it was not sent, else stopped, and started elsewhere.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -167,6 +167,7 @@
 		}
 		return a
 	}
+	n.sim.checkStartOrder(to)
 	worker, refusal, err := n.deliver(callStart, to, func(worker *standin.Worker) { start(worker) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.Reply{Refusal: refusal}, err
@@ -221,6 +222,15 @@
 	return workers.Reply{Refusal: refusal}, err
 }
 
+// checkStartOrder checks a start when it is sent.
+func (sim *simulation) checkStartOrder(to workers.Target) {
+	sim.machine.Read(func(t *workload.Tables) {
+		if w := t.Workers[to.ID]; w != nil && w.Draining {
+			sim.reportViolation("a start is sent to %s, which drains", to.ID)
+		}
+	})
+}
+
 // checkStart checks a start when its worker carries it out.
 func (sim *simulation) checkStart(worker *standin.Worker, run workload.RunRef) {
 	if sim.done[run.Task] {
--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +111,29 @@
 	sim.checkInvariants()
 	is.Equal(sim.violations, nil)
 }
+
+// Guards against a task that starts long after its worker announced that it leaves: its
+// start got no reply before, and was repeated until it was accepted.
+func TestStartIsNotRepeatedToADrainingWorker(t *testing.T) {
+	is := is.New(t)
+	sim, l, _ := newQueuedStart(is)
+	first := sim.workers[slices.IndexFunc(sim.workers, func(f *fakeWorker) bool { return f.worker.ID == l.target.ID })]
+	sim.decideFor = first
+	starts := 0
+	sim.decide = func(kind callKind) fate {
+		if kind != callStart {
+			return fate{}
+		}
+		starts++
+		return fate{late: time.Minute}
+	}
+	sim.runWithoutEnds(200 * time.Millisecond)
+	is.True(starts > 1)
+	first.draining = true
+	sim.report(first)
+	starts = 0
+	sim.runWithoutEnds(time.Second)
+	is.Equal(starts, 0)
+	is.Equal(sim.violations, nil)
+	is.Equal(sim.runningElsewhere(first), 1)
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -153,12 +153,13 @@
 }
 
 // isWanted reports whether a run is still to be started on a worker. It is not if the
-// worker's capacity has shrunk below what is committed there; the next round withholds it.
+// worker drains, or its capacity has shrunk below what is committed there; the next round
+// withholds it.
 func isWanted(t *workload.Tables, worker workload.WorkerID, run workload.RunRef) bool {
 	if _, stopping := t.Stopping[run]; stopping || !t.HasRun(worker, run) {
 		return false
 	}
-	if w := t.Workers[worker]; w == nil || !t.Used[worker].Fits(w.Capacity) {
+	if w := t.Workers[worker]; w == nil || w.Draining || !t.Used[worker].Fits(w.Capacity) {
 		return false
 	}
 	job, _, task := t.Task(run.Task)
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -135,10 +135,10 @@
 		}
 	}
 	expired := false
-	exceeded := !t.Used[worker.ID].Fits(worker.Capacity)
+	withholds := worker.Draining || !t.Used[worker.ID].Fits(worker.Capacity)
 	for run := range runs {
 		_, stopping := t.Stopping[run]
-		if reason := l.reconcileRun(run, stopping || l.evicted[run], exceeded || isFinal(t, run), now); reason != "" {
+		if reason := l.reconcileRun(run, stopping || l.evicted[run], withholds || isFinal(t, run), now); reason != "" {
 			why.released[run] = reason
 			expired = expired || reason == releasedLeaseExpired
 			if impliesNeverStarted(reason) {
