platform/standin: workers refuse calls, reply unclearly and carry calls out late

The stand-ins over HTTP refused nothing but by fence, attempt and lease. A worker may now refuse calls of each kind with 503 or 429, reply with 500 to calls that it carries out at once, later or never, and leave calls without a response that it carries out later; drawn by seed.

--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -96,6 +96,7 @@
 	lastWipe        time.Time
 	workerStarts    int
 	leaving         leavingWorker
+	disorder        standin.Disorder
 
 	mu           sync.Mutex
 	accepted     map[string]bool
@@ -164,6 +165,7 @@
 	s.workerStarts++
 	w, err := standin.StartWorker(fmt.Sprintf("i-%d-%d", i, s.workerStarts), address, "p", operators, s.ledger)
 	s.must(err)
+	w.Disturb(s.disorder, uint64(s.workerStarts))
 	if i < len(s.workers) {
 		s.workers[i] = w
 	} else {
@@ -334,11 +336,20 @@
 	}
 	s.recoverFaults(time.Now().Add(time.Hour))
 	s.endLeaving()
+	s.endDisorder()
 	close(stop)
 	callers.Wait()
 	s.checkGuarantees()
 }
 
+// endDisorder has all workers carry out each call from now on.
+func (s *soak) endDisorder() {
+	s.disorder = standin.Disorder{}
+	for _, w := range s.workers {
+		w.Disturb(s.disorder, 0)
+	}
+}
+
 func (s *soak) checkGuarantees() {
 	if violation := s.ledger.firstViolation(); violation != "" {
 		s.t.Fatalf("%s\n%s", violation, s.logTails())
