dispatch: a refused repetition does not settle an order for a VM

An order to the platform that got no answer may be carried out seconds later. Once its call had timed out, a repetition that was refused as busy or over the rate settled it: the worker was opened for new runs, which the late order ends, and the VM no longer counted for its wave, so that the late maintenance exceeds the wave's limit.

Change: the order stays in flight and is repeated until a definite reply, or for 20 s after the last call without an answer.

--- a/internal/dispatch/fleet.go
+++ b/internal/dispatch/fleet.go
@@ -35,7 +35,8 @@
 	// before they are stopped.
 	shortTaskGrace = 6 * time.Second
 	// flightTimeout is the time after which an order that was carried out is
-	// dropped although the VM did not come back. The VM was lost in between.
+	// dropped although the VM did not come back, and one that got no reply although it
+	// is still refused. The VM was lost in between.
 	flightTimeout = 20 * time.Second
 )
 
--- a/internal/dispatch/flights.go
+++ b/internal/dispatch/flights.go
@@ -7,6 +7,7 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/steady"
+	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -63,6 +64,9 @@
 	calls, waiting int
 	// retryAt is when an order without a reply is sent again.
 	retryAt time.Duration
+	// uncertainUntil is until when a call that got no reply may be carried out, 0 without
+	// one.
+	uncertainUntil time.Duration
 }
 
 // completeFlights removes the flights whose VM is back, and marks the workers that
@@ -198,7 +202,10 @@
 	} else {
 		d.logFleetReply(fl.Order, reply)
 	}
-	if err != nil || fl.waiting > 0 && reply.isTemporary() {
+	if err != nil && !workers.NotSent(err) {
+		fl.uncertainUntil = now + flightTimeout
+	}
+	if err != nil || reply.isTemporary() && (fl.waiting > 0 || now < fl.uncertainUntil) {
 		// The order may have been carried out, or may still be. Only a reply to
 		// another call shows which.
 		if number == fl.calls {
