--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -10,8 +10,8 @@
 
 // reconcileRun queues the orders that a committed run needs. It returns the
 // reason why it is certain that the run neither runs nor will run, or "" while
-// it is not certain. A withheld run does not start any more: its
-// worker drains, the worker's capacity has shrunk, or its job is final.
+// it is not certain. A withheld run does not start any more: its worker drains,
+// the worker's capacity has shrunk, or its job is final.
 func (l *link) reconcileRun(run workload.RunRef, stopping, withheld bool, now time.Duration) string {
 	if l.hasListedEnd(run) {
 		return ""
