--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -17,28 +16,16 @@
 			sim.leave(f, true)
 		}
 	}
-	ctx := context.Background()
-	for range 600 {
-		sim.advance(50 * time.Millisecond)
-		for _, f := range sim.workers {
-			sim.report(f)
-			for _, r := range f.worker.Running() {
-				f.worker.End(r, workload.EndDone)
-			}
+	endAll := func(f *fakeWorker) {
+		for _, r := range f.worker.Running() {
+			f.worker.End(r, workload.EndDone)
 		}
+	}
+	for range 600 {
 		if sim.platform != nil {
 			sim.fleetRound()
 		}
-		sim.leader.round(ctx, sim.term)
-		for _, l := range sim.leader.links {
-			for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
-				l.perform(ctx, c)
-			}
-			if l.mustHold() {
-				l.hold(ctx)
-			}
-		}
-		sim.checkInvariants()
+		sim.tick(tickInterval, endAll)
 	}
 }
 
