dispatch: lines of released runs and removed workers tell what they rest on

The lines named the kind of proof only. They now hold how old the worker's last reply and lists are, how much of its lease is left, and whether it drains, has sent its notice or refuses connections. dispatch.runs_ended_within_lease counts the runs that were given up with their worker while it may still have held a lease: each of them rests on a proof other than time.

--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -25,6 +25,9 @@
 	// givenUp the jobs that failed because of such crashes.
 	crashes, givenUp       metrics.Counter
 	starts, ends, releases metrics.Counter
+	// endedWithinLease counts the runs that were given up with their worker before its
+	// lease had certainly expired.
+	endedWithinLease metrics.Counter
 	// uncertainStarts counts the starts with a call that got no reply, refusedStops the
 	// refused calls to stop a run, unplannedRuns the runs that a worker listed and that
 	// were not committed there.
@@ -46,7 +49,7 @@
 		contradictions:  counter("contradictions"),
 		unreadableLists: counter("lists_unread"), crashes: counter("crashes"), givenUp: counter("jobs_given_up"),
 		uncertainStarts: counter("starts_unanswered"), refusedStops: counter("stops_refused"), unplannedRuns: counter("runs_unplanned"),
-		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"),
+		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"), endedWithinLease: counter("runs_ended_within_lease"),
 		roundTime:  metrics.GetOrRegisterTimer("dispatch.round", r),
 		firstStart: metrics.GetOrRegisterTimer("dispatch.first_start", r),
 		queuedJobs: gauge("jobs.queued"), runningJobs: gauge("jobs.running"), oldestQueued: gauge("jobs.oldest_ms"),
@@ -86,6 +89,13 @@
 	}
 }
 
+// countRunsWithinLease counts the runs of a removed worker that may still have held a lease.
+func (c *counters) countRunsWithinLease(reason removalReason, known evidence) {
+	if known.leaseLeft > 0 {
+		c.endedWithinLease.Inc(int64(len(reason.lost)))
+	}
+}
+
 // recordFirstStarts records how long jobs waited from their acceptance to the
 // first start of one of their tasks.
 func (c *counters) recordFirstStarts(t *workload.Tables, starts []workload.Start, nowMS int64) {
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -60,10 +60,23 @@
 	if err := d.config.Log.Propose(ctx, &workload.Command{EndedWorkers: []workload.WorkerID{id}}); err != nil {
 		return err
 	}
-	d.logRemoved(0, id, removalReason{why: removedLeft})
+	d.logRemoved(0, id, removalReason{why: removedLeft}, d.evidenceOf(id))
 	return nil
 }
 
+// evidenceOf returns what is known of a worker now, the zero value without a link.
+func (d *Dispatcher) evidenceOf(id workload.WorkerID) evidence {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.links[id]
+	if l == nil {
+		return evidence{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.evidenceAt(d.now())
+}
+
 // recordLeaving marks the link of a worker that has sent the notice and has runs.
 func (d *Dispatcher) recordLeaving(worker *workload.Worker) {
 	d.mu.Lock()
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -30,10 +30,12 @@
 		}
 	}
 	for _, r := range c.Releases {
-		d.runLine(c.Term, r.Run, r.Worker, "").WithField("why", why.released[r.Run]).Info("run released")
+		line := d.runLine(c.Term, r.Run, r.Worker, "").WithField("why", why.released[r.Run])
+		line.WithFields(why.evidence[r.Worker].fields()).Info("run released")
 	}
 	for _, id := range c.EndedWorkers {
-		d.logRemoved(c.Term, id, why.removed[id])
+		d.counters.countRunsWithinLease(why.removed[id], why.evidence[id])
+		d.logRemoved(c.Term, id, why.removed[id], why.evidence[id])
 	}
 	for _, id := range c.Crashed {
 		d.logSuspects(id, why.removed[id])
@@ -63,12 +65,20 @@
 	}
 }
 
-// logRemoved logs why a worker was removed and what may have been running
-// there.
-func (d *Dispatcher) logRemoved(term uint64, id workload.WorkerID, reason removalReason) {
+// logRemoved logs why a worker was removed, what may have been running there and what was
+// known of it.
+func (d *Dispatcher) logRemoved(term uint64, id workload.WorkerID, reason removalReason, known evidence) {
 	d.config.Logger.WithFields(log.Fields{
 		"term": term, "worker": string(id), "why": reason.why, "runs": len(reason.lost), "lost": formatLost(reason.lost),
-	}).Info("worker gone")
+	}).WithFields(known.fields()).Info("worker gone")
+}
+
+// fields returns the fields of a line that rests on the evidence.
+func (e evidence) fields() log.Fields {
+	return log.Fields{
+		"reply_age_ms": e.replyAge.Milliseconds(), "list_age_ms": e.listAge.Milliseconds(), "lease_left_ms": e.leaseLeft.Milliseconds(),
+		"failures": e.failures, "refuses_connections": e.notListening, "draining": e.draining, "leaving": e.leaving,
+	}
 }
 
 // logLeaving logs the notice of a worker that has runs.
--- a/internal/dispatch/reasons.go
+++ b/internal/dispatch/reasons.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
@@ -32,6 +33,38 @@
 type reasons struct {
 	released map[workload.RunRef]string
 	removed  map[workload.WorkerID]removalReason
+	evidence map[workload.WorkerID]evidence
+}
+
+// evidence is what the leader knew of a worker when it decided that runs there are over.
+type evidence struct {
+	// replyAge is the time since the worker last replied, listAge since its last complete
+	// lists were requested; negative if that never happened.
+	replyAge, listAge time.Duration
+	// leaseLeft is how long the worker may still hold a lease, negative once every lease
+	// has certainly expired.
+	leaseLeft time.Duration
+	// failures is the number of calls without a reply since then, notListening whether
+	// the last of them was refused by the worker's host.
+	failures          int
+	notListening      bool
+	draining, leaving bool
+}
+
+// evidenceAt returns what is known of the worker at a time.
+func (l *link) evidenceAt(now time.Duration) evidence {
+	return evidence{
+		replyAge: ageOf(l.lastReply, now), listAge: ageOf(l.listedAt, now), leaseLeft: l.lease.expiresAt - now,
+		failures: l.failures, notListening: l.notListening, draining: l.draining, leaving: l.leaving,
+	}
+}
+
+// ageOf returns the age of an event, -1 ms for one that never happened.
+func ageOf(at, now time.Duration) time.Duration {
+	if at == 0 {
+		return -time.Millisecond
+	}
+	return now - at
 }
 
 // removalReason holds why a worker was removed and what was lost with it.
@@ -44,7 +77,7 @@
 }
 
 func newReasons() *reasons {
-	return &reasons{released: map[workload.RunRef]string{}, removed: map[workload.WorkerID]removalReason{}}
+	return &reasons{released: map[workload.RunRef]string{}, removed: map[workload.WorkerID]removalReason{}, evidence: map[workload.WorkerID]evidence{}}
 }
 
 // maxLostLogged bounds the runs that one line names.
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -125,6 +125,7 @@
 	l.listsUnplanned = l.hasUnplannedRun(runs)
 	l.dropAckedEnds(worker.Acked)
 	if ended := l.endReason(worker); ended != "" {
+		why.evidence[worker.ID] = l.evidenceAt(now)
 		d.removeEnded(t, l, worker, c, why, ended)
 		return
 	}
@@ -140,6 +141,7 @@
 		_, stopping := t.Stopping[run]
 		if reason := l.reconcileRun(run, stopping || l.evicted[run], withholds || isFinal(t, run), now); reason != "" {
 			why.released[run] = reason
+			why.evidence[worker.ID] = l.evidenceAt(now)
 			expired = expired || reason == releasedLeaseExpired
 			if impliesNeverStarted(reason) {
 				c.NeverStarted = append(c.NeverStarted, run)
@@ -165,10 +167,12 @@
 	case len(runs) > 0:
 	case l.leaving:
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
+		why.evidence[worker.ID] = l.evidenceAt(now)
 		why.removed[worker.ID] = removalReason{why: removedLeft}
 	case now-max(l.lastContact, l.openedAt) > forgetWorkerAfter:
 		l.forgotten = true
 		c.EndedWorkers = append(c.EndedWorkers, worker.ID)
+		why.evidence[worker.ID] = l.evidenceAt(now)
 		why.removed[worker.ID] = removalReason{why: removedUnresponsive}
 	}
 }
