dispatch: a renewal's lease counts from before its sender's last check that it leads

What callers could have seen: a task that runs twice (TWICE), for up to the time that a former leader stood still. Found while listing who can hold a lease that a leader does not know of; not the users' case, as both their starts come from one leader.

Cause: the process of a leader stands still between its check that it leads and the call that renews a worker's leases. The call then granted a fresh lease, counted from the moment it woke up. The next leader counts the longest lease from the start of its own term; if it can't reach the worker, which the former one still reaches, it starts the tasks elsewhere before that lease ends. Starts had the same fault, renewals were overlooked.

Ruled out: stops and changes of pace grant nothing. It works because the time that the lease counts from is read first: whatever the process loses after the check is lost to the lease.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -103,6 +103,11 @@
 // hold makes one call. It returns false if it got no lists.
 func (l *link) hold(ctx context.Context) bool {
 	sentAt := l.d.now()
+	// The lease counts from before this check, as for starts: the next leader counts the
+	// leases of this one from the start of its term.
+	if !l.d.leads(l.fence) {
+		return false
+	}
 	o := l.holdOrder(sentAt)
 	limit := time.Duration(o.WaitMS)*time.Millisecond + holdSlack
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/control"
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
+	"github.com/comfreyloom/comfreyloom/internal/workers/standin"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -66,10 +67,11 @@
 	is.Equal(sim.violations, nil)
 }
 
-// frozenLog is a control log whose process stands still after it has confirmed that it
-// leads, while another leader is elected.
+// frozenLog is a control log whose process stands still for a time after it has confirmed
+// that it leads, while another leader is elected.
 type frozenLog struct {
 	*fakeLog
+	length time.Duration
 	frozen bool
 }
 
@@ -77,7 +79,7 @@
 	status := l.fakeLog.Status()
 	if !l.frozen {
 		l.frozen = true
-		l.sim.now += 10 * time.Second
+		l.sim.now += l.length
 		l.sim.term++
 	}
 	return status
@@ -88,13 +90,42 @@
 func TestStartOfAWokenLeaderIsNotCarriedOut(t *testing.T) {
 	is := is.New(t)
 	sim, l, _ := newQueuedStart(is)
-	sim.leader.config.Log = &frozenLog{fakeLog: &fakeLog{sim: sim, term: sim.term}}
+	sim.leader.config.Log = &frozenLog{fakeLog: &fakeLog{sim: sim, term: sim.term}, length: 10 * time.Second}
 	l.sendOrders(context.Background())
 	for _, f := range sim.workers {
 		is.Equal(len(f.worker.Running()), 0)
 	}
 }
 
+// Guards against a task that runs twice: a former leader whose process wakes up renewed a
+// lease, and the next one counted the longest lease from the start of its own term.
+func TestWokenLeaderRenewsNoLease(t *testing.T) {
+	is := is.New(t)
+	sim, l, _ := newQueuedStart(is)
+	c, _ := l.nextCall()
+	l.perform(context.Background(), c)
+	granted := sim.now
+	sim.leader.config.Log = &frozenLog{fakeLog: &fakeLog{sim: sim, term: sim.term}, length: 3 * time.Second}
+	l.holdLeases(context.Background())
+	is.Equal(len(sim.workerOf(l).Running()), 1)
+	sim.now = granted + slowestLease
+	sim.expire()
+	is.Equal(len(sim.workerOf(l).Running()), 0)
+}
+
+// slowestLease is how long the lease of a leader of the simulation lasts by a slow clock.
+const slowestLease = 5*time.Second*100/98 + time.Millisecond
+
+// workerOf returns the worker of a link.
+func (sim *simulation) workerOf(l *link) *standin.Worker {
+	for _, f := range sim.workers {
+		if f.worker.ID == l.target.ID {
+			return f.worker
+		}
+	}
+	return nil
+}
+
 // Guards against a worker that is started beyond its capacity: it shrank after a run was
 // committed on it and before the start was sent.
 func TestStartIsNotSentToAWorkerThatShrank(t *testing.T) {
