--- /dev/null
+++ b/internal/dispatch/closed_listener_test.go
@@ -0,0 +1,142 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// leaseWait bounds how long the tasks of a worker that can't be reached wait for its
+	// leases to expire.
+	leaseWait = 8 * time.Second
+	// terminationDelay is when a worker that closed its listener ends, well before its
+	// leases expire.
+	terminationDelay = time.Second
+)
+
+// Guards against a task that runs twice at the same time: its worker drained and had
+// closed its listener, and the refused connection was taken for its end.
+func TestTasksOfAWorkerThatClosedItsListenerWaitForItsEnd(t *testing.T) {
+	for name, notice := range map[string]bool{"draining": false, "notice sent": true} {
+		t.Run(name, func(t *testing.T) {
+			testLeaving(t, func(is *is.I, sim *simulation, _ *fakeWorker, count int, takeover bool) {
+				closed, rest := sim.closeListeners(is, notice, takeover)
+				sim.runUntilLapsed(is, closed, rest)
+				sim.runWithoutEnds(leaseWait)
+				is.Equal(sim.violations, nil)
+				is.Equal(countRuns(rest), count)
+			})
+		})
+	}
+}
+
+// Guards against tasks that run twice: connections to a worker were refused on their way,
+// and then the worker reported that it drains.
+func TestDrainingReportAfterARefusedConnectionIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(11)
+	sim.faultPercent = 0
+	sim.run(200 * time.Millisecond)
+	sim.submitJob("j", workload.StepSpec{Count: 40, Need: workload.Resources{CPU: 100}})
+	sim.runWithoutEnds(500 * time.Millisecond)
+	f := sim.workers[0]
+	is.True(len(f.worker.Running()) > 1)
+	f.listenerClosed = true
+	sim.runWithoutEnds(time.Second)
+	f.draining = true
+	sim.runWithoutEnds(3 * time.Second)
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against tasks that wait for a lease to expire although the next worker at the
+// address of the one that left has answered.
+func TestTasksOfAWorkerThatClosedItsListenerAreHandedOverToItsSuccessor(t *testing.T) {
+	testLeaving(t, func(is *is.I, sim *simulation, _ *fakeWorker, count int, takeover bool) {
+		closed, rest := sim.closeListeners(is, true, takeover)
+		sim.runWithoutEnds(terminationDelay)
+		is.Equal(countRuns(rest), 0)
+		for _, f := range closed {
+			sim.terminate(f)
+			sim.startIncarnation(f)
+		}
+		sim.runWithoutEnds(handOverTime)
+		is.Equal(sim.violations, nil)
+		is.Equal(countRuns(sim.workers), count)
+	})
+}
+
+// closeListeners has all workers with runs drain, and their addresses refuse connections
+// from now on. It returns these workers and the rest.
+func (sim *simulation) closeListeners(is *is.I, notice, takeover bool) (closed, rest []*fakeWorker) {
+	for _, f := range sim.workers {
+		if len(f.worker.Running()) == 0 {
+			rest = append(rest, f)
+			continue
+		}
+		closed = append(closed, f)
+		f.draining, f.listenerClosed = true, true
+		sim.report(f)
+		if notice {
+			is.NoErr(sim.leader.Leave(context.Background(), f.worker.ID))
+		}
+	}
+	if takeover {
+		sim.elect()
+	}
+	return closed, rest
+}
+
+// runUntilLapsed simulates a site until the runs on some workers have lapsed. Nothing may
+// start on the rest before.
+func (sim *simulation) runUntilLapsed(is *is.I, closed, rest []*fakeWorker) {
+	running := closed[0].worker.Running()
+	for until := sim.now + leaseWait; sim.now < until && countRuns(closed) > 0; {
+		is.Equal(countRuns(rest), 0)
+		sim.runWithoutEnds(tickInterval)
+		is.Equal(sim.violations, nil)
+		if len(closed[0].worker.Running()) == 0 {
+			sim.breakGang(running[0])
+		}
+	}
+	is.Equal(countRuns(closed), 0)
+}
+
+// countRuns returns how many runs some workers hold.
+func countRuns(of []*fakeWorker) int {
+	n := 0
+	for _, f := range of {
+		n += len(f.worker.Running())
+	}
+	return n
+}
+
+// Guards against a task that runs twice because the address of its worker, which drains
+// or leaves, refuses connections for a while or until the worker ends.
+func TestWorkersThatCloseTheirListenersKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, (*simulation).useClosedListeners)
+}
+
+// Guards against faults that only show together with addresses that refuse connections.
+func TestClosedListenersBesideOtherFaultsKeepTheInvariants(t *testing.T) {
+	simulateSeeds(t, func(sim *simulation) {
+		sim.useClosedListeners()
+		sim.unreadablePercent, sim.refusePercent, sim.unclearPercent = 5, 10, 10
+		sim.limitEnds(2)
+		sim.stopEnds(workerStopTime)
+		sim.addPlatform()
+	})
+}
+
+// useClosedListeners has workers leave and close their listeners, with runs all the while.
+func (sim *simulation) useClosedListeners() {
+	sim.leaves, sim.closesListeners = true, true
+	sim.keepBusy()
+}
+
+// keepBusy has most workers hold runs at most times.
+func (sim *simulation) keepBusy() { sim.maxJobs, sim.calmPercent = 150, 75 }
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -43,6 +43,8 @@
 	// acknowledgement of its notice, 0 before it sends one.
 	draining bool
 	leavesBy time.Duration
+	// listenerClosed: its address refuses connections, and it continues to run.
+	listenerClosed bool
 }
 
 // startIncarnation replaces the incarnation at an address.
@@ -54,7 +56,7 @@
 	id := workload.WorkerID(fmt.Sprintf("i-%d", sim.incarnations))
 	f.worker = standin.New(id, f.address, workload.Resources{CPU: 2000, MemoryMB: 1000}, 0.98+0.02*sim.random.Float64(), sim.now)
 	f.sequence, f.restartAt = 0, 0
-	f.draining, f.leavesBy = false, 0
+	f.draining, f.leavesBy, f.listenerClosed = false, 0, false
 	f.worker.StopTime, f.worker.LapseTime = sim.stopTime, sim.lapseTime
 	if sim.endsPerList > 0 {
 		f.worker.EndsPerList = sim.endsPerList
@@ -101,7 +103,7 @@
 				return nil, 0, &workers.CallError{Verdict: model.MayHaveRun, Err: io.EOF}
 			}
 		}
-		if f.restartAt > 0 && !f.partitioned {
+		if (f.restartAt > 0 || f.listenerClosed) && !f.partitioned {
 			return nil, 0, &workers.CallError{Verdict: model.NotRun, NotListening: true, Err: io.EOF}
 		}
 		if f.partitioned || n.sim.chance(n.sim.faultPercent/3) {
--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -11,7 +11,7 @@
 func (sim *simulation) settle() {
 	sim.faultPercent, sim.unreadablePercent, sim.refusePercent, sim.unclearPercent = 0, 0, 0, 0
 	for _, f := range sim.workers {
-		f.partitioned = false
+		f.partitioned, f.listenerClosed = false, false
 		if f.draining && f.restartAt == 0 {
 			sim.leave(f, true)
 		}
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -25,9 +25,13 @@
 	switch {
 	case f.restartAt > 0:
 	case !f.draining:
-		f.draining = true
+		f.draining = !sim.staysCalm()
+		f.listenerClosed = f.draining && sim.closesListeners && sim.chance(30)
 		sim.report(f)
+	case sim.closesListeners && sim.chance(50):
+		f.listenerClosed = !f.listenerClosed
 	default:
+		f.listenerClosed = f.listenerClosed || sim.closesListeners && sim.chance(50)
 		sim.leave(f, !sim.chance(30))
 	}
 }
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -80,8 +80,12 @@
 	// worker whose calls it decides about, nil for all.
 	decide    func(callKind) fate
 	decideFor *fakeWorker
-	// leaves: workers drain and leave.
-	leaves bool
+	// leaves: workers drain and leave. closesListeners: from then on their addresses may
+	// refuse connections while their runs go on, and accept them again.
+	leaves, closesListeners bool
+	// maxJobs bounds the jobs that are submitted. calmPercent is the share of the ends,
+	// partitions and notices that are left out.
+	maxJobs, calmPercent int
 	// platform carries out orders for VMs, nil without any.
 	platform *fakePlatform
 	// proposing lets one goroutine at a time use the control log.
@@ -106,7 +110,7 @@
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
 		random: rand.New(rand.NewPCG(seed, 7)), now: time.Hour, machine: workload.NewMachine(),
-		done: map[workload.TaskRef]bool{}, failed: map[workload.TaskRef]int{}, faultPercent: 12,
+		done: map[workload.TaskRef]bool{}, failed: map[workload.TaskRef]int{}, faultPercent: 12, maxJobs: 60,
 		crashers:    map[workload.JobID]*crasher{},
 		unackedDone: map[workload.TaskRef][]workload.RunRef{}, startedAfter: map[workload.RunRef]int{},
 	}
@@ -209,6 +213,9 @@
 	sim.checkInvariants()
 }
 
+// staysCalm reports whether an event is left out, so that workers keep their runs.
+func (sim *simulation) staysCalm() bool { return sim.calmPercent > 0 && sim.chance(sim.calmPercent) }
+
 // injectFault performs one of the rarer events, or none.
 func (sim *simulation) injectFault() {
 	f := sim.workers[sim.random.IntN(len(sim.workers))]
@@ -230,7 +237,7 @@
 	case 1:
 		sim.startIncarnation(f)
 	case 2, 3:
-		f.partitioned = !f.partitioned
+		f.partitioned = !f.partitioned && !sim.staysCalm()
 	case 4:
 		if len(sim.jobs) > 0 {
 			sim.apply(&workload.Command{AtMS: sim.now.Milliseconds(), Cancel: []workload.JobID{sim.jobs[sim.random.IntN(len(sim.jobs))]}})
@@ -279,7 +286,7 @@
 }
 
 func (sim *simulation) submit() {
-	if len(sim.jobs) > 60 {
+	if len(sim.jobs) > sim.maxJobs {
 		return
 	}
 	id := workload.JobID(fmt.Sprintf("job-%d", len(sim.jobs)))
@@ -300,7 +307,7 @@
 func (sim *simulation) endSomeRun() {
 	f := sim.workers[sim.random.IntN(len(sim.workers))]
 	running := f.worker.Running()
-	if len(running) == 0 {
+	if len(running) == 0 || sim.staysCalm() {
 		return
 	}
 	slices.SortFunc(running, func(a, b workload.RunRef) int { return compareText(a.Task.String(), b.Task.String()) })
