dispatch: another incarnation at a draining worker's address is not taken for its end

The answer of another incarnation shows that this one accepts no connections there, no more.

Now it is a proof only for a worker that doesn't drain, as such a worker listens as long as it runs; for one that drains the runs wait for the lease. A worker that leaves has its runs stopped with its notice, so this wait is for those that could not be reached then.

--- a/internal/dispatch/closed_listener_test.go
+++ b/internal/dispatch/closed_listener_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreyloom/comfreyloom/internal/workers/standin"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -14,9 +15,6 @@
 	// leaseWait bounds how long the tasks of a worker that can't be reached wait for its
 	// leases to expire.
 	leaseWait = 8 * time.Second
-	// terminationDelay is when a worker that closed its listener ends, well before its
-	// leases expire.
-	terminationDelay = time.Second
 )
 
 // Guards against a task that runs twice at the same time: its worker drained and had
@@ -53,23 +51,77 @@
 	is.Equal(sim.violations, nil)
 }
 
-// Guards against tasks that wait for a lease to expire although the next worker at the
-// address of the one that left has answered.
-func TestTasksOfAWorkerThatClosedItsListenerAreHandedOverToItsSuccessor(t *testing.T) {
+// Guards against a task that runs twice at the same time: its worker drained, had closed
+// its listener and ran on, and the next worker at its address was taken for its end.
+func TestTasksOfAWorkerThatClosedItsListenerWaitBesideItsSuccessor(t *testing.T) {
 	testLeaving(t, func(is *is.I, sim *simulation, _ *fakeWorker, count int, takeover bool) {
-		closed, rest := sim.closeListeners(is, true, takeover)
-		sim.runWithoutEnds(terminationDelay)
-		is.Equal(countRuns(rest), 0)
+		closed, _ := sim.closeListeners(is, true, takeover)
+		var predecessors []*standin.Worker
 		for _, f := range closed {
-			sim.terminate(f)
-			sim.startIncarnation(f)
+			predecessors = append(predecessors, sim.succeed(f))
 		}
-		sim.runWithoutEnds(handOverTime)
-		is.Equal(sim.violations, nil)
+		for until := sim.now + leaseWait; sim.now < until; {
+			sim.runWithoutEnds(tickInterval)
+			sim.breakLapsedGangs(predecessors)
+			if countListed(predecessors) > 0 {
+				is.Equal(countRuns(sim.workers), 0)
+			}
+		}
+		is.Equal(countListed(predecessors), 0)
 		is.Equal(countRuns(sim.workers), count)
 	})
 }
 
+// succeed starts the next worker at an address. It returns the one before, which runs on.
+func (sim *simulation) succeed(f *fakeWorker) *standin.Worker {
+	predecessor := f.worker
+	sim.startIncarnation(f)
+	predecessor.Terminated = false
+	return predecessor
+}
+
+// breakLapsedGangs expires the leases of workers without an address, and ends the other
+// members of the gangs that lost one.
+func (sim *simulation) breakLapsedGangs(all []*standin.Worker) {
+	for _, w := range all {
+		running := w.Running()
+		w.Expire(sim.now)
+		for _, run := range running[len(w.Running()):] {
+			sim.breakGang(run)
+		}
+	}
+}
+
+// countListed returns how many runs some workers hold.
+func countListed(all []*standin.Worker) int {
+	n := 0
+	for _, w := range all {
+		n += len(w.Running())
+	}
+	return n
+}
+
+// Guards against tasks that wait for a lease to expire although their worker crashed and
+// the next one at its address has answered.
+func TestTasksOfAWorkerThatCrashedAreHandedOverToItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(11)
+	sim.faultPercent = 0
+	sim.run(200 * time.Millisecond)
+	sim.submitJob("j", leavingSteps["task"])
+	sim.runWithoutEnds(200 * time.Millisecond)
+	for _, f := range sim.workers {
+		if len(f.worker.Running()) > 0 {
+			sim.terminate(f)
+			sim.startIncarnation(f)
+		}
+	}
+	is.Equal(countRuns(sim.workers), 0)
+	sim.runWithoutEnds(handOverTime)
+	is.Equal(sim.violations, nil)
+	is.Equal(countRuns(sim.workers), 1)
+}
+
 // closeListeners has all workers with runs drain, and their addresses refuse connections
 // from now on. It returns these workers and the rest.
 func (sim *simulation) closeListeners(is *is.I, notice, takeover bool) (closed, rest []*fakeWorker) {
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -155,14 +155,16 @@
 	d.wakeUp()
 }
 
-// endReason returns why it is certain that the worker has ended, "" while it is not.
-// A notice is no proof, as the worker runs on until it has the acknowledgement, and neither
-// is a refused connection: a server that shuts down stops listening before its runs end.
-func (l *link) endReason() string {
+// endReason returns why it is certain that the worker has ended, "" while it is not. A
+// notice is no proof, as the worker runs on until it has the acknowledgement. Neither is a
+// refused connection, nor the answer of another incarnation at the address of a worker that
+// drains: a server that shuts down stops listening before its runs end. A worker that
+// doesn't drain listens as long as it runs.
+func (l *link) endReason(worker *workload.Worker, now time.Duration) string {
 	switch {
 	case l.endedByOrder:
 		return removedOrdered
-	case l.replaced:
+	case l.replaced && (!worker.Draining || l.hasExpired(now)):
 		return removedReplaced
 	default:
 		return ""
--- a/internal/dispatch/reconcile_run.go
+++ b/internal/dispatch/reconcile_run.go
@@ -102,7 +102,12 @@
 	if !o.start.sent && !l.inherited[run] {
 		return true
 	}
-	// The worker may take as long to end an expired run as a stopped one.
+	return l.hasExpired(now)
+}
+
+// hasExpired reports whether nothing runs on the worker any more because every lease has
+// expired. The worker may take as long to end an expired run as a stopped one.
+func (l *link) hasExpired(now time.Duration) bool {
 	return l.lease.expired(now - l.d.config.StopTime)
 }
 
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -124,7 +124,7 @@
 	l.draining = worker.Draining
 	l.listsUnplanned = l.hasUnplannedRun(runs)
 	l.dropAckedEnds(worker.Acked)
-	if ended := l.endReason(); ended != "" {
+	if ended := l.endReason(worker, now); ended != "" {
 		why.evidence[worker.ID] = l.evidenceAt(now)
 		d.removeEnded(t, l, worker, c, why, ended)
 		return
