--- a/internal/dispatch/reasons.go
+++ b/internal/dispatch/reasons.go
@@ -41,8 +41,7 @@
 	// replyAge is the time since the worker last replied, listAge since its last complete
 	// lists were requested; negative if that never happened.
 	replyAge, listAge time.Duration
-	// leaseLeft is how long the worker may still hold a lease, negative once every lease
-	// has certainly expired.
+	// leaseLeft is how long the worker may still hold a lease, negative if it holds none.
 	leaseLeft time.Duration
 	// failures is the number of calls without a reply since then, notListening whether
 	// the last of them was refused by the worker's host.
@@ -54,7 +53,7 @@
 // evidenceAt returns what is known of the worker at a time.
 func (l *link) evidenceAt(now time.Duration) evidence {
 	return evidence{
-		replyAge: ageOf(l.lastReply, now), listAge: ageOf(l.listedAt, now), leaseLeft: l.lease.expiresAt - now,
+		replyAge: ageOf(l.lastReply, now), listAge: ageOf(l.listedAt, now), leaseLeft: max(l.lease.expiresAt-now, -time.Millisecond),
 		failures: l.failures, notListening: l.notListening, draining: l.draining, leaving: l.leaving,
 	}
 }
