dispatch: leases of a draining worker are short

Cause: the lease of a worker that has announced its end is as long as that of any other.

While a worker drains it is asked twice as often and holds leases of 2 s. It drains for drain-ms at least, so the long lease from before is mostly over when it ends. If the leader changes meanwhile its tasks may lapse; they are about to end anyway. A notice whose worker refuses connections is acknowledged at once.

Ruled out: stopping all runs early while it drains; tasks that have a place elsewhere are moved already, the others would have none.

--- a/internal/dispatch/closed_listener_test.go
+++ b/internal/dispatch/closed_listener_test.go
@@ -122,6 +122,23 @@
 	is.Equal(countRuns(sim.workers), 1)
 }
 
+// Guards against tasks that wait for a long lease to expire although their worker announced
+// its end long before it.
+func TestTasksOfAWorkerThatEndedWhileItDrainedWaitForAShortLease(t *testing.T) {
+	for _, name := range []string{"long-running", "gang"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim, f := newLeavingSite(t, leavingSteps[name])
+			sim.runWithoutEnds(sim.leader.config.Lease)
+			is.Equal(len(f.worker.Running()), 1)
+			sim.terminate(f)
+			sim.runWithoutEnds(drainingLease + expiryMargin + unresponsiveAfterFailures + handOverTime)
+			is.Equal(sim.violations, nil)
+			is.Equal(sim.runningElsewhere(f), leavingSteps[name].Count)
+		})
+	}
+}
+
 // closeListeners has all workers with runs drain, and their addresses refuse connections
 // from now on. It returns these workers and the rest.
 func (sim *simulation) closeListeners(is *is.I, notice, takeover bool) (closed, rest []*fakeWorker) {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -17,6 +17,9 @@
 	// shortHoldWait is the wait after a call without a reply. Each lost call
 	// delays the ends of the worker's tasks by its wait.
 	shortHoldWait = 250 * time.Millisecond
+	// drainingHoldWait is the wait at a worker that drains. It leaves several tries within
+	// drainingLease.
+	drainingHoldWait = 500 * time.Millisecond
 	// shortHoldPeriod is how long waits stay short after a call without a reply.
 	shortHoldPeriod = 5 * time.Second
 	// holdSlack is the time allowed for the call in addition to the wait.
@@ -154,6 +157,9 @@
 	if l.lastHoldFailure > 0 && now-l.lastHoldFailure < shortHoldPeriod {
 		return shortHoldWait
 	}
+	if l.draining {
+		return drainingHoldWait
+	}
 	return holdWait
 }
 
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -9,6 +9,9 @@
 	// expiryMargin is added to the end of a lease before it counts as expired, as
 	// the worker kills expired runs by a timer of its own.
 	expiryMargin = 300 * time.Millisecond
+	// drainingLease is the length of the leases of a worker that drains. Once it has
+	// ended, nothing shows that but the end of its lease, and its tasks wait for it.
+	drainingLease = 2 * time.Second
 )
 
 // lease is what the leader knows of a worker's clock and leases. The worker
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -74,8 +74,8 @@
 	return ctx.Err()
 }
 
-// stopsDue returns until when the notice of a worker waits for its runs to end. It returns
-// false if this VM no longer leads.
+// stopsDue returns until when the notice of a worker waits for its runs to end, 0 if it takes
+// no orders any more. It returns false if this VM no longer leads.
 func (d *Dispatcher) stopsDue(id workload.WorkerID) (due time.Duration, leads bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -85,6 +85,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.notListening {
+		return 0, true
+	}
 	return l.leavingSince + d.config.StopTime + noticeTimeout, true
 }
 
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -184,7 +184,7 @@
 
 func newLink(d *Dispatcher, w *workload.Worker, fence uint64) *link {
 	return &link{
-		d: d, target: workers.Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked, openedAt: d.now(),
+		d: d, target: workers.Target{ID: w.ID, Address: w.Address}, fence: fence, acked: w.Acked, draining: w.Draining, openedAt: d.now(),
 		orderReady: make(chan struct{}, 1), listDue: make(chan struct{}, 1),
 		orders: map[workload.RunRef]*order{}, inherited: map[workload.RunRef]bool{},
 		running: map[workload.RunRef]*observedRun{}, pacePercent: map[workload.RunRef]int{}, paceUnconfirmed: map[workload.RunRef]bool{},
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -176,7 +176,15 @@
 	if l.unresponsive(now) {
 		return l.lease.grantedMS
 	}
-	return l.lease.extend(now, l.d.config.Lease)
+	return l.lease.extend(now, l.leaseLength())
+}
+
+// leaseLength returns the length of a lease that is granted now.
+func (l *link) leaseLength() time.Duration {
+	if l.draining {
+		return min(l.d.config.Lease, drainingLease)
+	}
+	return l.d.config.Lease
 }
 
 func (l *link) performStop(ctx context.Context, run workload.RunRef) bool {
