dispatch: a notice waits 0.6 s at most, whatever the time of a stop

worker_stop_within may be a minute; a notice that waited as long would never be acknowledged in time.

--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// noticeTimeout bounds how long a notice waits for the runs of its worker to end, in
-	// addition to the time of a stop. Workers send a notice again after a second.
-	noticeTimeout = 200 * time.Millisecond
+	// noticeTimeout bounds how long a notice waits for the runs of its worker to end.
+	// Workers send a notice again after a second.
+	noticeTimeout = 600 * time.Millisecond
 	// noticeAttempt bounds one call of Leave. It is less than control allows for an
 	// attempt; the caller tries again.
 	noticeAttempt      = 200 * time.Millisecond
@@ -88,7 +88,7 @@
 	if l.notListening {
 		return 0, true
 	}
-	return l.leavingSince + d.config.StopTime + noticeTimeout, true
+	return l.leavingSince + noticeTimeout, true
 }
 
 // workerByID returns a copy of a worker in the replicated state.
