dispatch: the end of a draining worker is no loss of its tasks

What callers could have seen: a task that is started alone, and in the end given up, because workers ended as planned (BUDGET).

Cause: only the removal of a worker spared those that drain, a release by lease did not. TestEndOfADrainingWorkerIsNoLossOfItsTasks failed before in 2 of 2 cases (1 lost worker, 0 expected).

--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -149,7 +149,7 @@
 			c.Releases = append(c.Releases, workload.Release{Worker: worker.ID, Run: run})
 		}
 	}
-	if expired {
+	if expired && !worker.Draining {
 		c.Lost = append(c.Lost, l.expiredLosses(t, runs, why)...)
 	}
 	hasLosses := len(t.Losses[worker.ID]) > 0
