dispatch: the wait of a notice fits control's attempts and the stops of a slow worker

What callers could have seen: requests of one core VM that wait or fail while a worker leaves, and tasks that wait for a lease although their worker answers.

- An attempt of 0.2 s began after the commit that the worker drains and ended before the commit that removes it: with commits of 160 ms it took 360 ms, more than control allows, which then takes the leader for unresponsive.
It begins with the call, and the round removes the worker.
- The pause between two lists applied to a leaving worker: its stops came too late for the notice on a site of 350 workers.
It doesn't any more, and the notice waits for 0.75 s.
- A leader that lost and regained its lead within a notice acknowledged it without stops.
- Starts that were never sent are withheld, not stopped.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		l.awaitCommit(ctx)
-		steady.Pause(ctx, l.d.holdPause())
+		steady.Pause(ctx, l.holdPause())
 	}
 }
 
@@ -78,6 +78,18 @@
 	return time.Duration(max(d.heldWorkers.Load()-unpacedWorkers, 0)) * time.Second / time.Duration(rate)
 }
 
+// holdPause returns the pause before the next call, none while the notice of the worker
+// waits for its runs to end.
+func (l *link) holdPause() time.Duration {
+	l.mu.Lock()
+	leaving := l.leaving
+	l.mu.Unlock()
+	if leaving {
+		return 0
+	}
+	return l.d.holdPause()
+}
+
 func (l *link) mustHold() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/dispatch/leave.go
+++ b/internal/dispatch/leave.go
@@ -12,14 +12,15 @@
 const (
 	// noticeTimeout bounds how long a notice waits for the runs of its worker to end.
 	// Workers send a notice again after a second.
-	noticeTimeout = 600 * time.Millisecond
-	// noticeAttempt bounds one call of Leave. It is less than control allows for an
-	// attempt; the caller tries again.
+	noticeTimeout = 750 * time.Millisecond
+	// noticeAttempt bounds the wait of one call of Leave, with what it commits. It is less
+	// than control allows for an attempt; the caller tries again.
 	noticeAttempt      = 200 * time.Millisecond
 	noticePollInterval = 10 * time.Millisecond
 )
 
-// errRunsLeft is returned while the runs of a worker that leaves are being stopped.
+// errRunsLeft is returned while the runs of a worker that leaves are being stopped. Sending
+// the notice again is safe, so that control does as if nothing had been proposed.
 var errRunsLeft = fmt.Errorf("dispatch: the runs of the worker are being stopped: %w", state.ErrNotProposed)
 
 // Leave handles a worker's notice that it ends. It returns nil once no leader starts
@@ -28,6 +29,7 @@
 // one, so a run whose end it has not listed stays committed until the end of the worker is
 // certain (see link.endReason).
 func (d *Dispatcher) Leave(ctx context.Context, id workload.WorkerID) error {
+	attemptEnd := d.now() + noticeAttempt
 	d.mu.Lock()
 	leads := d.term != 0
 	d.mu.Unlock()
@@ -49,16 +51,16 @@
 		return d.removeLeaving(ctx, id)
 	}
 	d.recordLeaving(&worker)
-	return d.awaitStops(ctx, id)
+	return d.awaitStops(ctx, id, attemptEnd)
 }
 
-// awaitStops waits until a worker that leaves has no runs. It returns errRunsLeft if it has
-// some and the time since its first notice allows waiting for them.
-func (d *Dispatcher) awaitStops(ctx context.Context, id workload.WorkerID) error {
-	attemptEnd := d.now() + noticeAttempt
+// awaitStops waits until a worker that leaves has no runs; the round removes it then. It
+// returns errRunsLeft at the end of the attempt if the time since the first notice allows
+// waiting for longer.
+func (d *Dispatcher) awaitStops(ctx context.Context, id workload.WorkerID, attemptEnd time.Duration) error {
 	for ctx.Err() == nil {
-		if d.hasNoRuns(id) {
-			return d.removeLeaving(ctx, id)
+		if _, known := d.workerByID(id); !known {
+			return nil
 		}
 		due, leads := d.stopsDue(id)
 		switch now := d.now(); {
@@ -85,6 +87,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.leaving {
+		return 0, false // it leads again, and has not had the notice since
+	}
 	if l.notListening {
 		return 0, true
 	}
@@ -112,9 +117,6 @@
 // it ends.
 func (d *Dispatcher) removeLeaving(ctx context.Context, id workload.WorkerID) error {
 	d.recordEnded(id)
-	if _, known := d.workerByID(id); !known {
-		return nil
-	}
 	if err := d.config.Log.Propose(ctx, &workload.Command{EndedWorkers: []workload.WorkerID{id}}); err != nil {
 		return err
 	}
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -139,7 +139,7 @@
 	withholds := worker.Draining || !t.Used[worker.ID].Fits(worker.Capacity)
 	for run := range runs {
 		_, stopping := t.Stopping[run]
-		if reason := l.reconcileRun(run, stopping || l.evicted[run] || l.leaving, withholds || isFinal(t, run), now); reason != "" {
+		if reason := l.reconcileRun(run, stopping || l.evicted[run] || l.leaving && !l.neverStarted(run), withholds || isFinal(t, run), now); reason != "" {
 			why.released[run] = reason
 			why.evidence[worker.ID] = l.evidenceAt(now)
 			expired = expired || reason == releasedLeaseExpired
