--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -170,6 +170,8 @@
 		return a
 	}
 	n.sim.checkStartOrder(to)
+	n.sim.makeOtherSteps()
+	defer n.sim.makeOtherSteps()
 	worker, refusal, err := n.deliver(callStart, to, func(worker *standin.Worker) { start(worker) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.Reply{Refusal: refusal}, err
@@ -182,6 +184,8 @@
 }
 
 func (n fakeNet) Stop(_ context.Context, to workers.Target, run workload.RunRef, fence uint64) (workers.Reply, error) {
+	n.sim.makeOtherSteps()
+	defer n.sim.makeOtherSteps()
 	worker, refusal, err := n.deliver(callStop, to, func(worker *standin.Worker) { worker.Stop(run, fence, n.sim.now) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.Reply{Refusal: refusal}, err
@@ -193,6 +197,8 @@
 }
 
 func (n fakeNet) Hold(_ context.Context, to workers.Target, o workers.HoldOrder) (workers.List, error) {
+	sentAt := n.sim.now
+	n.sim.makeOtherSteps()
 	worker, refusal, err := n.deliver(callHold, to, func(worker *standin.Worker) { worker.Hold(o, n.sim.now) })
 	if err != nil || refusal != workers.Accepted {
 		return workers.List{Reply: workers.Reply{Refusal: refusal}}, err
@@ -201,6 +207,10 @@
 	if n.sim.unreadablePercent > 0 && n.sim.chance(n.sim.unreadablePercent) {
 		n.sim.corruptRow(&list)
 	}
+	n.sim.makeOtherSteps()
+	if n.sim.now-sentAt > time.Duration(o.WaitMS)*time.Millisecond+holdSlack {
+		return workers.List{}, &workers.CallError{Verdict: model.MayHaveRun, Err: context.DeadlineExceeded}
+	}
 	return list, n.lostReply()
 }
 
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -86,6 +86,12 @@
 	// maxJobs bounds the jobs that are submitted. calmPercent is the share of the ends,
 	// partitions and notices that are left out.
 	maxJobs, calmPercent int
+	// lateReportPercent is the share of reports that arrive seconds late.
+	lateReportPercent int
+	// callsOverlap: other steps happen while a call is on its way. callsUnderway is how
+	// many calls are.
+	callsOverlap  bool
+	callsUnderway int
 	// platform carries out orders for VMs, nil without any.
 	platform *fakePlatform
 	// proposing lets one goroutine at a time use the control log.
@@ -187,7 +193,11 @@
 // step performs one random action.
 func (sim *simulation) step() {
 	ctx := context.Background()
-	switch sim.random.IntN(14) {
+	kind := sim.random.IntN(14)
+	if sim.callsUnderway > 0 && (kind == 7 || kind == 8) {
+		return // a link requests one list at a time
+	}
+	switch kind {
 	case 0, 1:
 		sim.advance(time.Duration(sim.random.IntN(300)) * time.Millisecond)
 	case 2, 3:
@@ -339,6 +349,15 @@
 		Worker:   workload.Worker{ID: f.worker.ID, Pool: "p", Address: f.address, Capacity: f.worker.Capacity, Draining: f.draining},
 		Sequence: f.sequence, ClockMS: f.worker.ClockMS(sim.now),
 	}
+	if sim.lateReportPercent > 0 && sim.chance(sim.lateReportPercent) {
+		at := sim.now + time.Duration(100+sim.random.IntN(8000))*time.Millisecond
+		sim.delayed = append(sim.delayed, delayedCall{at: at, do: func() { sim.sendReport(r) }})
+		return
+	}
+	sim.sendReport(r)
+}
+
+func (sim *simulation) sendReport(r control.Report) {
 	err := sim.leader.Report(context.Background(), r)
 	if err != nil && !errors.Is(err, state.ErrNotProposed) && !errors.Is(err, state.ErrOutcomeUnknown) {
 		panic(err)
