dispatch: a worker whose first list left something open is asked for another one

What callers could have seen: a worker that a new leader never uses again.

Cause: a new leader uses a worker only after a complete list, if an earlier leader committed runs there. If the first list is full of ends and these leave nothing committed, nobody asked for another list.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -94,7 +94,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	unconfirmed := l.isUnconfirmed() && l.d.now()-l.lastReport < maxContactAge
-	return !l.replaced && !l.fenced && (l.needsCalls || l.checkIncarnation || len(l.running) > 0 || unconfirmed)
+	return !l.replaced && !l.fenced && (l.needsCalls || l.checkIncarnation || len(l.running) > 0 || unconfirmed || l.lacksFirstList())
 }
 
 // isUnconfirmed reports whether the last call got no reply or was refused its lists. The
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -232,9 +232,13 @@
 func (l *link) usable(now time.Duration) bool {
 	return !l.replaced && !l.fenced && l.lease.clockKnown && !l.unresponsive(now) && l.unreadableRows == 0 &&
 		now >= l.refusedUntil && now-l.lastContact < maxContactAge &&
-		(len(l.inherited) == 0 || l.listedAt > 0)
+		!l.lacksFirstList()
 }
 
+// lacksFirstList reports whether an earlier leader committed runs on the worker and no
+// complete list has shown yet what became of them.
+func (l *link) lacksFirstList() bool { return len(l.inherited) > 0 && l.listedAt == 0 }
+
 // recordReply records a reply of the worker.
 func (l *link) recordReply(a workers.Reply, sentAt time.Duration) {
 	now := l.d.now()
