--- a/cmd/comfreyloom/script_test.go
+++ b/cmd/comfreyloom/script_test.go
@@ -26,6 +26,7 @@
 		"load":        loadMain,
 		"watch":       watchMain,
 		"revise":      reviseMain,
+		"worker":      workerMain,
 	})
 }
 
--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -25,6 +25,8 @@
 	// soakOffset is the distance of a process's listen IP from its relay's.
 	soakOffset  = 50
 	soakWorkers = 3
+	// soakRunMS bounds the run time of a task, in milliseconds.
+	soakRunMS = 900
 )
 
 // taskLedger records the starts and ends of tasks that the workers observe.
@@ -97,6 +99,8 @@
 	workerStarts    int
 	leaving         leavingWorker
 	disorder        standin.Disorder
+	// maxRunMS bounds the run time of a task, in milliseconds.
+	maxRunMS int
 
 	mu           sync.Mutex
 	accepted     map[string]bool
@@ -110,13 +114,22 @@
 	return newSizedSoak(newMemberSite(t), seed)
 }
 
-// newSizedSoak starts the processes of a site behind relays.
+// newSizedSoak starts the processes of a site behind relays, and workers.
 func newSizedSoak(site *memberSite, seed uint64) *soak {
+	s := newBareSoak(site, seed)
+	for i := range soakWorkers {
+		s.startWorker(i, s.network+".200:0")
+	}
+	return s
+}
+
+// newBareSoak starts the processes of a site behind relays.
+func newBareSoak(site *memberSite, seed uint64) *soak {
 	s := &soak{
 		memberSite: site, random: rand.New(rand.NewPCG(seed, 11)), ledger: newTaskLedger(),
 		relays: map[string]*relay{}, downUntil: map[string]time.Time{}, frozenUntil: map[string]time.Time{}, relayFaultUntil: map[string]time.Time{},
 		accepted: map[string]bool{}, refused: map[string]bool{}, unchecked: map[string]bool{},
-		leaving: leavingWorker{random: rand.New(rand.NewPCG(seed, 12))},
+		maxRunMS: soakRunMS, leaving: leavingWorker{random: rand.New(rand.NewPCG(seed, 12))},
 	}
 	s.listenOffset = soakOffset
 	for _, core := range s.cores() {
@@ -131,9 +144,6 @@
 		s.start(entry, false)
 	}
 	s.waitFor("the first configuration is accepted", func() bool { return s.configure() })
-	for i := range soakWorkers {
-		s.startWorker(i, s.network+".200:0")
-	}
 	return s
 }
 
@@ -198,7 +208,7 @@
 		case <-time.After(time.Duration(60+random.IntN(120)) * time.Millisecond):
 		}
 		id := fmt.Sprintf("%016x", n)
-		body := standin.Job{RunMS: 20 + random.IntN(900), Count: 1 + random.IntN(4), MilliCPU: 700}.Body()
+		body := standin.Job{RunMS: 20 + random.IntN(s.maxRunMS), Count: 1 + random.IntN(4), MilliCPU: 700}.Body()
 		entry := s.address(fmt.Sprintf("entry%d", random.IntN(s.entryCount)), 2)
 		status, _ := s.call(http.MethodPost, entry, standin.JobPath(id), body)
 		s.mu.Lock()
