--- a/cmd/comfreyloom/soak_worker_ways_test.go
+++ b/cmd/comfreyloom/soak_worker_ways_test.go
@@ -35,6 +35,7 @@
 	{name: "drain-refuse", relayed: true, play: func(p *workerPlace) { p.drainAnd((*workerPlace).refuse) }},
 	{name: "reset", relayed: true, play: (*workerPlace).reset},
 	{name: "drain-reset", relayed: true, play: func(p *workerPlace) { p.drainAnd((*workerPlace).reset) }},
+	{name: "handover", probe: true, play: (*workerPlace).handOver},
 	{name: "unlisted", probe: true, play: func(p *workerPlace) { p.worker.order("unlisted 200") }},
 }
 
@@ -103,6 +104,26 @@
 	<-p.worker.ended
 }
 
+// handOver has the worker leave and starts the next incarnation at its address as soon as
+// it listens no more, while its runs continue.
+func (p *workerPlace) handOver() {
+	p.worker.order("drain")
+	time.Sleep(drainTime)
+	p.worker.order("leave %d closed,lost", p.between(2000, 4000).Milliseconds())
+	leaving := p.worker
+	for range 20 {
+		time.Sleep(p.between(50, 300))
+		if err := p.start(); err != nil {
+			p.soak.t.Errorf("worker %d: %v", p.index, err)
+			return
+		}
+		if time.Sleep(p.between(200, 300)); !p.worker.hasEnded() {
+			break
+		}
+	}
+	<-leaving.ended
+}
+
 // drainAnd has the worker drain through a fault and leave afterwards.
 func (p *workerPlace) drainAnd(fault func(*workerPlace)) {
 	p.worker.order("drain")
--- a/cmd/comfreyloom/worker_process_test.go
+++ b/cmd/comfreyloom/worker_process_test.go
@@ -32,6 +32,7 @@
 	flag.Parse()
 	w, err := standin.StartRelayedWorker(*id, *listen, *reported, "p", strings.Split(*cores, ","), eventWriter{})
 	exitOn(err)
+	w.SetPercentTime(processPercentTime)
 	lines := bufio.NewScanner(os.Stdin)
 	for lines.Scan() {
 		var order, ways string
