--- a/cmd/comfreyloom/soak_worker_process_test.go
+++ b/cmd/comfreyloom/soak_worker_process_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -51,6 +52,9 @@
 // newProcessSoak starts a site with workers that end in the given ways. The name is that
 // of the folder for its logs.
 func newProcessSoak(t *testing.T, seed uint64, name string, ways []endWay) *processSoak {
+	if len(ways) == 0 {
+		t.Fatalf("%s names no way", waysVariable)
+	}
 	site := newMemberSite(t)
 	site.leaseMax = processLeaseMax
 	s := &processSoak{soak: newBareSoak(site, seed), runs: newRunLedger()}
@@ -184,7 +188,7 @@
 		})
 	}
 	if names != "each" {
-		play(t, names, strings.ReplaceAll("ways-"+names, ",", "+"))
+		play(t, names, cmp.Or(strings.ReplaceAll(names, ",", "+"), "all"))
 		return
 	}
 	for _, way := range endWays {
