--- a/cmd/comfreyloom/soak_refusal_test.go
+++ b/cmd/comfreyloom/soak_refusal_test.go
@@ -27,3 +27,11 @@
 		}
 	})
 }
+
+// endDisorder has all workers carry out each call from now on.
+func (s *soak) endDisorder() {
+	s.disorder = standin.Disorder{}
+	for _, w := range s.workers {
+		w.Disturb(s.disorder, 0)
+	}
+}
--- a/cmd/comfreyloom/soak_relay_test.go
+++ b/cmd/comfreyloom/soak_relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -35,3 +36,14 @@
 	}
 	return false
 }
+
+// startRelay starts a relay whose link has a bandwidth in bytes a second, 0 for
+// unlimited.
+func (s *soak) startRelay(l link, bandwidth int) *relay {
+	r := &relay{cuts: map[direction]bool{}, open: map[*relayed]bool{}, link: newSlowLink(bandwidth)}
+	listener, err := net.Listen("tcp", l.listen)
+	s.must(err)
+	s.t.Cleanup(func() { _ = listener.Close() })
+	go r.serve(l, listener)
+	return r
+}
--- a/cmd/comfreyloom/soak_test.go
+++ b/cmd/comfreyloom/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -150,17 +149,6 @@
 	return s
 }
 
-// startRelay starts a relay whose link has a bandwidth in bytes a second, 0 for
-// unlimited.
-func (s *soak) startRelay(l link, bandwidth int) *relay {
-	r := &relay{cuts: map[direction]bool{}, open: map[*relayed]bool{}, link: newSlowLink(bandwidth)}
-	listener, err := net.Listen("tcp", l.listen)
-	s.must(err)
-	s.t.Cleanup(func() { _ = listener.Close() })
-	go r.serve(l, listener)
-	return r
-}
-
 func (s *soak) cores() []string {
 	var all []string
 	for i := range s.coreCount {
@@ -355,14 +343,6 @@
 	s.checkGuarantees()
 }
 
-// endDisorder has all workers carry out each call from now on.
-func (s *soak) endDisorder() {
-	s.disorder = standin.Disorder{}
-	for _, w := range s.workers {
-		w.Disturb(s.disorder, 0)
-	}
-}
-
 func (s *soak) checkGuarantees() {
 	if violation := s.ledger.firstViolation(); violation != "" {
 		s.t.Fatalf("%s\n%s", violation, s.logTails())
