--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -68,16 +68,17 @@
 }
 
 // frozenLog is a control log whose process stands still for a time after it has confirmed
-// that it leads, while another leader is elected.
+// that it leads, while another leader is elected. It is confirmed a number of times before.
 type frozenLog struct {
 	*fakeLog
 	length time.Duration
+	before int
 	frozen bool
 }
 
 func (l *frozenLog) Status() control.LogStatus {
 	status := l.fakeLog.Status()
-	if !l.frozen {
+	if l.before--; !l.frozen && l.before < 0 {
 		l.frozen = true
 		l.sim.now += l.length
 		l.sim.term++
@@ -100,17 +101,21 @@
 // Guards against a task that runs twice: a former leader whose process wakes up renewed a
 // lease, and the next one counted the longest lease from the start of its own term.
 func TestWokenLeaderRenewsNoLease(t *testing.T) {
-	is := is.New(t)
-	sim, l, _ := newQueuedStart(is)
-	c, _ := l.nextCall()
-	l.perform(context.Background(), c)
-	granted := sim.now
-	sim.leader.config.Log = &frozenLog{fakeLog: &fakeLog{sim: sim, term: sim.term}, length: 3 * time.Second}
-	l.holdLeases(context.Background())
-	is.Equal(len(sim.workerOf(l).Running()), 1)
-	sim.now = granted + slowestLease
-	sim.expire()
-	is.Equal(len(sim.workerOf(l).Running()), 0)
+	for name, before := range map[string]int{"before its last check": 0, "after its last check": 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim, l, _ := newQueuedStart(is)
+			c, _ := l.nextCall()
+			l.perform(context.Background(), c)
+			granted := sim.now
+			sim.leader.config.Log = &frozenLog{fakeLog: &fakeLog{sim: sim, term: sim.term}, length: 3 * time.Second, before: before}
+			l.holdLeases(context.Background())
+			is.Equal(len(sim.workerOf(l).Running()), 1)
+			sim.now = granted + slowestLease
+			sim.expire()
+			is.Equal(len(sim.workerOf(l).Running()), 0)
+		})
+	}
 }
 
 // slowestLease is how long the lease of a leader of the simulation lasts by a slow clock.
