--- a/review/scenes/cases.go
+++ b/review/scenes/cases.go
@@ -233,3 +233,108 @@
 	time.Sleep(2*lastingTime + calm)
 	return s.lacksTasks(job, tasks, cpu, 10*time.Second), nil
 }
+
+// playCrowdedPool plays a pool that grows beyond the number of workers that one call to the
+// advisor may name, and a job that only machines of the old ones may run.
+func playCrowdedPool(s *site) (bool, error) {
+	const before, added, tasks, cpu = 90, 22, 2, 1000
+	stop, err := s.startAdvisor(map[string]bool{vmName(before - 2): true, vmName(before - 1): true}, 3*time.Second)
+	if err != nil {
+		return false, err
+	}
+	defer stop()
+	advised := route("q", "/q/", "p", 0, 3)
+	advised["advisor"] = map[string]any{"decision-ms": decisionTime.Milliseconds(), "per-worker-ms": perWorkerTime.Milliseconds(), "valid-ms": 3000}
+	if _, err := s.startWith(before, 16_000, 65_536, []map[string]any{advised}); err != nil {
+		return false, err
+	}
+	if s.trouble {
+		for i := range added {
+			v := &vm{name: fmt.Sprintf("a%02d", i), pool: "p", labels: []string{"a", fmt.Sprintf("s%d", i/4+1)}, cpu: 16_000, memory: 65_536}
+			if err := s.platform.add(v); err != nil {
+				return false, err
+			}
+		}
+		s.record.note("%d minions joined %d", added, before)
+	}
+	time.Sleep(calm)
+	job := jobID(1)
+	plain := map[string]any{
+		"spec":   payload(taskSpec{MS: 1000}),
+		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "mem-mb": 256, "estimated-ms": 1000}},
+	}
+	if err := s.submit("/q/"+job, plain); err != nil {
+		return false, err
+	}
+	time.Sleep(finishTime)
+	if s.awaitState("/q/"+job, "completed", time.Second) == "completed" {
+		return false, nil
+	}
+	lost := s.isIdle(job, tasks*cpu, func(string) int64 { return cpu }, 2*idleTime)
+	if lost {
+		time.Sleep(finishTime)
+		s.awaitState("/q/"+job, "completed", time.Second)
+	}
+	return lost, nil
+}
+
+// playTakenMachines plays the loss of the only minion on which a task that lasts may run, and
+// jobs of another service.
+func playTakenMachines(s *site) (bool, error) {
+	const machinesOfP, machinesOfQ, jobs = 8, 4, 5
+	if err := s.start(); err != nil {
+		return false, err
+	}
+	routes := []map[string]any{route("p", "/p/", "p", 0, 3), route("q", "/q/", "q", 0, 3)}
+	if err := s.configure(config(1, routes, "p", "q")); err != nil {
+		return false, err
+	}
+	var only *vm
+	for i := range machinesOfP + machinesOfQ {
+		v := &vm{name: vmName(i), pool: "p", labels: []string{"a", fmt.Sprintf("r%d", i/4+1)}, cpu: 16_000, memory: 65_536}
+		switch {
+		case i == 0:
+			only, v.labels[0] = v, "b"
+		case i >= machinesOfP:
+			v.pool = "q"
+		}
+		if err := s.platform.add(v); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(2 * reportInterval)
+	lasting := map[string]any{
+		"spec":   payload(taskSpec{Lasting: true}),
+		"phases": []map[string]any{{"count": 1, "cpu": 2000, "mem-mb": 1024, "estimated-ms": 1000, "long-running": true, "requirements": "b", "image": "img"}},
+	}
+	if err := s.submit("/p/"+jobID(1), lasting); err != nil {
+		return false, err
+	}
+	time.Sleep(calm / 2)
+	if s.trouble {
+		s.platform.lose(only)
+	}
+	time.Sleep(2 * calm)
+	s.platform.note()
+	for n := range jobs {
+		plain := map[string]any{
+			"spec":   payload(taskSpec{MS: 1000}),
+			"phases": []map[string]any{{"count": 2, "cpu": 1000, "mem-mb": 256, "estimated-ms": 1000}},
+		}
+		if err := s.submit("/q/"+jobID(2+n), plain); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(finishTime)
+	broken := false
+	for n := range jobs {
+		if s.awaitState("/q/"+jobID(2+n), "completed", time.Second) == "completed" {
+			continue
+		}
+		lost := s.isIdle(jobID(2+n), 2000, func(string) int64 { return 1000 }, 2*idleTime)
+		broken = broken || lost
+	}
+	s.platform.note()
+	return broken, nil
+}
--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -32,6 +32,8 @@
 	"gang-failures":  playGangFailures,
 	"full-rack":      playFullRack,
 	"replaced-lives": playReplacedLives,
+	"crowded-pool":   playCrowdedPool,
+	"taken-machines": playTakenMachines,
 }
 
 func main() { os.Exit(playCase()) }
--- a/review/scenes/platform.go
+++ b/review/scenes/platform.go
@@ -168,3 +168,12 @@
 	})
 	return ""
 }
+
+// note records which machines serve which pool.
+func (p *platformStandIn) note() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.vms {
+		p.site.record.note("machine %s: pool %s, %s", v.name, v.pool, v.state)
+	}
+}
