--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Plays the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if it
+# could not be played.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/scenes crowded-pool review/8
