--- a/review/scenes/facts.go
+++ b/review/scenes/facts.go
@@ -65,4 +65,16 @@
 	return runs, used, total
 }
 
+// countEnds counts the runs of a job that ended in one way.
+func (s *site) countEnds(job, how string) (n int) {
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	for _, f := range seen.ends {
+		if taskOf(f.task, job) && f.how == how {
+			n++
+		}
+	}
+	return n
+}
+
 func vmName(i int) string { return fmt.Sprintf("m%02d", i) }
--- a/review/scenes/main.go
+++ b/review/scenes/main.go
@@ -34,6 +34,8 @@
 	"replaced-lives": playReplacedLives,
 	"crowded-pool":   playCrowdedPool,
 	"taken-machines": playTakenMachines,
+	"shared-id":      playSharedID,
+	"long-task":      playLongTask,
 }
 
 func main() { os.Exit(playCase()) }
