--- a/review/scenes/cases.go
+++ b/review/scenes/cases.go
@@ -71,7 +71,7 @@
 	time.Sleep(calm)
 	gang := map[string]any{
 		"spec":   payload(taskSpec{MS: taskMS, Gang: members}),
-		"phases": []map[string]any{{"count": members, "cpu": 1000, "mem-mb": 256, "estimated-ms": taskMS, "gang": true}},
+		"phases": []map[string]any{{"count": members, "cpu": 1000, "memory": 256, "estimate": taskMS, "gang": true}},
 	}
 	if err := s.submit("/wide/"+jobID(1), gang); err != nil {
 		return false, err
@@ -79,7 +79,7 @@
 	for n := range jobs {
 		plain := map[string]any{
 			"spec":   payload(taskSpec{MS: 1000}),
-			"phases": []map[string]any{{"count": width, "cpu": 1000, "mem-mb": 256, "estimated-ms": 1000}},
+			"phases": []map[string]any{{"count": width, "cpu": 1000, "memory": 256, "estimate": 1000}},
 		}
 		if err := s.submit("/normal/"+jobID(2+n), plain); err != nil {
 			return false, err
@@ -122,7 +122,7 @@
 	}
 	gang := map[string]any{
 		"spec":   payload(taskSpec{MS: taskMS, Gang: members}),
-		"phases": []map[string]any{{"count": members, "cpu": 8000, "mem-mb": 256, "estimated-ms": taskMS, "gang": true, "anti-affinity": 1}},
+		"phases": []map[string]any{{"count": members, "cpu": 8000, "memory": 256, "estimate": taskMS, "gang": true, "apart": 1}},
 	}
 	job := jobID(1)
 	if err := s.submit("/q/"+job, gang); err != nil {
@@ -149,7 +149,7 @@
 	job := jobID(1)
 	lasting := map[string]any{
 		"spec":   payload(taskSpec{Lasting: true}),
-		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "mem-mb": 4096, "estimated-ms": 1000, "same-rack": true, "long-running": true, "image": "img", "max-unavailable": 1}},
+		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "memory": 4096, "estimate": 1000, "same-rack": true, "long-running": true, "image": "img", "mayMiss": 1}},
 	}
 	if err := s.submit("/q/"+job, lasting); err != nil {
 		return false, err
@@ -213,7 +213,7 @@
 	job := jobID(1)
 	lasting := map[string]any{
 		"spec":   payload(taskSpec{Lasting: true}),
-		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "mem-mb": 4096, "estimated-ms": 1000, "long-running": true, "image": "img", "max-unavailable": 1}},
+		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "memory": 4096, "estimate": 1000, "long-running": true, "image": "img", "mayMiss": 1}},
 	}
 	if err := s.submit("/q/"+job, lasting); err != nil {
 		return false, err
@@ -261,7 +261,7 @@
 	job := jobID(1)
 	plain := map[string]any{
 		"spec":   payload(taskSpec{MS: 1000}),
-		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "mem-mb": 256, "estimated-ms": 1000}},
+		"phases": []map[string]any{{"count": tasks, "cpu": cpu, "memory": 256, "estimate": 1000}},
 	}
 	if err := s.submit("/q/"+job, plain); err != nil {
 		return false, err
@@ -305,7 +305,7 @@
 	time.Sleep(2 * reportInterval)
 	lasting := map[string]any{
 		"spec":   payload(taskSpec{Lasting: true}),
-		"phases": []map[string]any{{"count": 1, "cpu": 2000, "mem-mb": 1024, "estimated-ms": 1000, "long-running": true, "requirements": "b", "image": "img"}},
+		"phases": []map[string]any{{"count": 1, "cpu": 2000, "memory": 1024, "estimate": 1000, "long-running": true, "requirements": "b", "image": "img"}},
 	}
 	if err := s.submit("/p/"+jobID(1), lasting); err != nil {
 		return false, err
@@ -319,7 +319,7 @@
 	for n := range jobs {
 		plain := map[string]any{
 			"spec":   payload(taskSpec{MS: 1000}),
-			"phases": []map[string]any{{"count": 2, "cpu": 1000, "mem-mb": 256, "estimated-ms": 1000}},
+			"phases": []map[string]any{{"count": 2, "cpu": 1000, "memory": 256, "estimate": 1000}},
 		}
 		if err := s.submit("/q/"+jobID(2+n), plain); err != nil {
 			return false, err
--- a/review/scenes/client.go
+++ b/review/scenes/client.go
@@ -22,7 +22,7 @@
 func (s *site) send(client *http.Client, method, address, path, host string, body any) (int, string) {
 	var text io.Reader
 	if body != nil {
-		encoded, err := json.Marshal(body)
+		encoded, err := wire.encode(body)
 		if err != nil {
 			return 0, err.Error()
 		}
@@ -110,7 +110,7 @@
 	status, text := 0, ""
 	for deadline := time.Now().Add(configTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		s.nextCore++
-		if status, text = s.send(client, http.MethodPost, s.core(s.nextCore%coreCount), "/config/replace", "", config); status == http.StatusOK {
+		if status, text = s.send(client, http.MethodPost, s.core(s.nextCore%coreCount), wire.Paths["config"], "", config); status == http.StatusOK {
 			s.record.note("config acknowledged")
 			return s.awaitReady()
 		}
@@ -141,7 +141,7 @@
 // route returns a route of a configuration.
 func route(name, prefix, service string, priority, attempts int) map[string]any {
 	return map[string]any{
-		"name": name, "host": callerHost, "path-prefix": prefix, "type": "unsafe", "timeout-ms": 3000, "target-latency-ms": 600,
+		"name": name, "host": callerHost, "prefix": prefix, "type": "unsafe", "timeout-ms": 3000, "target-latency-ms": 600,
 		"priority": priority, "service": service, "max-attempts": attempts, "target-factor": 1.6,
 	}
 }
--- a/review/scenes/more.go
+++ b/review/scenes/more.go
@@ -6,7 +6,7 @@
 func plainJob(ms int) map[string]any {
 	return map[string]any{
 		"spec":   payload(taskSpec{MS: ms}),
-		"phases": []map[string]any{{"count": 1, "cpu": 1000, "mem-mb": 256, "estimated-ms": ms}},
+		"phases": []map[string]any{{"count": 1, "cpu": 1000, "memory": 256, "estimate": ms}},
 	}
 }
 
--- a/review/scenes/platform.go
+++ b/review/scenes/platform.go
@@ -24,7 +24,7 @@
 }
 
 func (v *vm) room() map[string]int64 {
-	return map[string]int64{"cpu": v.cpu, "mem-mb": v.memory, "gpu": 0}
+	return map[string]int64{"cpu": v.cpu, "memory": v.memory, "gpu": 0}
 }
 
 // platformStandIn is the service that lists machines, moves them and takes them away for
@@ -51,7 +51,7 @@
 		}
 		return p.take(v, "moving", moveTime, o.Pool)
 	}))
-	mux.HandleFunc("POST /machine-upkeep", p.order(func(v *vm, o *vmOrder) string { return p.take(v, "upkeep", maintenanceTime, v.pool) }))
+	mux.HandleFunc("POST "+wire.Paths["upkeep"], p.order(func(v *vm, o *vmOrder) string { return p.take(v, "upkeep", maintenanceTime, v.pool) }))
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = p.server.Serve(listener) }() // close ends it
 	return p, nil
--- a/review/scenes/site.go
+++ b/review/scenes/site.go
@@ -147,7 +147,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	command := exec.Command(program, "serve")
-	command.Env = append(os.Environ(), "COMFREYLOOM_SETTINGS="+file)
+	command.Env = append(os.Environ(), wire.Settings+"="+file)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/review/scenes/worker.go
+++ b/review/scenes/worker.go
@@ -94,7 +94,7 @@
 	s.workers = append(s.workers, w)
 	s.mu.Unlock()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.handle(w.start))
+	mux.HandleFunc("POST "+wire.Paths["start"], w.handle(w.start))
 	mux.HandleFunc("POST /run-stop", w.handle(w.stop))
 	mux.HandleFunc("POST /pace", w.handle(func(*orderBody) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /hold", w.hold)
@@ -144,10 +144,10 @@
 	Task    string `json:"task"`
 	Attempt int    `json:"attempt"`
 	Spec    string `json:"spec"`
-	UntilMS int64  `json:"until-ms"`
-	Fence   uint64 `json:"fencing-token"`
+	UntilMS int64  `json:"until"`
+	Fence   uint64 `json:"fence"`
 	Ticket  string `json:"ticket"`
-	Acked   uint64 `json:"ack-cursor"`
+	Acked   uint64 `json:"acked"`
 	WaitMS  int64  `json:"wait-ms"`
 }
 
@@ -158,7 +158,7 @@
 		return nil, false
 	}
 	var o orderBody
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	if err := wire.decode(r.Body, &o); err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return nil, false
 	}
@@ -191,7 +191,7 @@
 }
 
 func writeJSON(rw http.ResponseWriter, status int, body any) {
-	text, err := json.Marshal(body)
+	text, err := wire.encode(body)
 	if err != nil {
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
