--- a/review/scenes/cases.go
+++ b/review/scenes/cases.go
@@ -14,6 +14,8 @@
 	idleTime    = 3 * time.Second
 	lastingTime = 6 * time.Second
 	sampleEvery = 50 * time.Millisecond
+	// joinTime is the time over which the users' site adds minions.
+	joinTime = 2 * time.Second
 )
 
 // startWith starts the site with a pool of equal machines, four a rack, and a config.
@@ -108,7 +110,7 @@
 // gang with a member on each: one attempt of the gang fails.
 func playGangFailures(s *site) (bool, error) {
 	const members, taskMS, attempts = 20, 2000, 2
-	vms, err := s.startWith(22, 16_000, 65_536, []map[string]any{route("q", "/q/", "p", 0, attempts)})
+	vms, err := s.startWith(24, 16_000, 65_536, []map[string]any{route("q", "/q/", "p", 0, attempts)})
 	if err != nil {
 		return false, err
 	}
@@ -254,6 +256,7 @@
 			if err := s.platform.add(v); err != nil {
 				return false, err
 			}
+			time.Sleep(joinTime / added)
 		}
 		s.record.note("%d minions joined %d", added, before)
 	}
