dispatch: a log line and two counters for the advisor's replies

Logs and metrics could not tell why a job on a queue with an advisor does not start: that the advisor does not answer was logged, what it answered was not. The line says of how many workers of the pool it was asked about how many, and how many of those may run the step; the counters say how many calls were made and how many failed. explain puts the line in words.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -143,11 +143,14 @@
 	defer cancel()
 	requestedAt := d.now()
 	advice, valid, err := d.config.Advisor.Advise(limited, step, workers[:min(len(workers), maxAdviceWorkers)])
+	d.counters.adviceCalls.Inc(1)
 	if err != nil {
+		d.counters.adviceFailures.Inc(1)
 		d.config.Logger.WithField("job", string(step.Job)).WithError(err).Warn("advisor does not answer")
 		steady.Pause(ctx, adviceRetryPause)
 		d.advice.put(step, schedule.Advice{}, 0)
 	} else {
+		d.logAdvice(step, len(workers), min(len(workers), maxAdviceWorkers), len(advice.Tickets), valid, d.now()-requestedAt)
 		d.advice.put(step, advice, requestedAt+valid*8/10)
 	}
 	d.wakeUp()
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -32,7 +32,10 @@
 	// refused calls to stop a run, unplannedRuns the runs that a worker listed and that
 	// were not committed there.
 	uncertainStarts, refusedStops, unplannedRuns metrics.Counter
-	roundTime, firstStart                        metrics.Timer
+	// adviceCalls counts the calls to the advisor, adviceFailures those without a reply
+	// that could be read.
+	adviceCalls, adviceFailures metrics.Counter
+	roundTime, firstStart       metrics.Timer
 
 	queuedJobs, runningJobs, oldestQueued                           metrics.Gauge
 	knownWorkers, usableWorkers, unresponsiveWorkers, closedWorkers metrics.Gauge
@@ -49,6 +52,7 @@
 		contradictions:  counter("contradictions"),
 		unreadableLists: counter("lists_unread"), crashes: counter("crashes"), givenUp: counter("jobs_given_up"),
 		uncertainStarts: counter("starts_unanswered"), refusedStops: counter("stops_refused"), unplannedRuns: counter("runs_unplanned"),
+		adviceCalls: counter("advice.calls"), adviceFailures: counter("advice.failed"),
 		starts: counter("starts"), ends: counter("ends"), releases: counter("releases"), endedWithinLease: counter("runs_ended_within_lease"),
 		roundTime:  metrics.GetOrRegisterTimer("dispatch.round", r),
 		firstStart: metrics.GetOrRegisterTimer("dispatch.first_start", r),
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/capacity"
 	"github.com/comfreyloom/comfreyloom/internal/control"
+	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/workers"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
@@ -126,6 +127,15 @@
 		WithField("attempt", run.Attempt).WithField("refusal", a.Refusal.String()).Info("start refused")
 }
 
+// logAdvice logs the advisor's reply about a step: of how many workers of the pool it was
+// asked about how many, and how many of those may run the step.
+func (d *Dispatcher) logAdvice(step schedule.StepRef, pool, asked, allowed int, valid, took time.Duration) {
+	d.config.Logger.WithFields(log.Fields{
+		"job": string(step.Job), "occurrence": step.Occurrence, "step": step.Step, "pool_workers": pool, "asked": asked,
+		"allowed": allowed, "valid_ms": valid.Milliseconds(), "took_ms": took.Milliseconds(),
+	}).Info("advice received")
+}
+
 // logUncertainStart logs the first call of a start that got no reply. The worker may
 // carry it out later.
 func (d *Dispatcher) logUncertainStart(to workers.Target, run workload.RunRef, err error) {
--- a/internal/explain/describe.go
+++ b/internal/explain/describe.go
@@ -38,6 +38,8 @@
 		return describeEnd(l)
 	case "run released":
 		return describeRelease(l)
+	case "advice received":
+		return fmt.Sprintf("step %s: the advisor allows %s of the %s workers that it was asked about; the pool has %s", l.text("step"), l.text("allowed"), l.text("asked"), l.text("pool_workers"))
 	case "start refused":
 		return fmt.Sprintf("worker %s refused task %s: %s", l.text("worker"), l.text("task"), l.text("refusal"))
 	case "start not answered":
