dispatch, schedule, platform: the advisor is asked about every worker of a pool

Cause: what the advisor said was kept per step, not per worker. A request named the first hundred workers of the pool by ID, the reply counted as the whole answer, and when it had expired the same hundred were named again. A worker beyond them, one that joined after the request, and a new life of one were not asked about while the reply was valid, and the first never. The queue of such requests had the same form: it took 512 steps, and those at its head needed a new reply before the others had got one.

Now each reply is kept per worker of a step: a denial for as long as the worker lives, as it does not change, a permission as well, and a ticket until it expires. The plan places a step on the workers that are not denied, starts what has a ticket, and names the other workers of the placement to the advisor, with up to 30 that were not asked about yet; where known permissions suffice, it names only the expired tickets that it needs. So each request brings news, and all workers are asked about in the end. Steps take turns by how long they wait, and those that could start now come first. A gang's tickets are renewed in consecutive requests, so that all are valid at once. Capacity that only lacks a ticket stays free for others. A worker without a ticket in a reply with an unreadable part counts as denied for 10 s only.

Tests that fail on the old code (the same tests on a scratch copy, the fake advisor adapted to the old signature): TestAdvisorIsAskedAboutEveryWorker with 112, 300 and 1,300 workers, TestGangStartsWithTicketsOfSeveralRequests, TestAdvisorIsAskedAboutNewLives, TestAdvisorIsAskedAboutWorkersThatJoin, TestOnlyTicketsAreRenewed, TestEveryStepGetsAdvice, TestFailedRequestsToTheAdvisorAreRepeated, TestNewLeaderAsksTheAdvisor.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,157 +1,187 @@
 package dispatch
 
 import (
-	"context"
+	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/schedule"
-	"github.com/comfreyloom/comfreyloom/internal/steady"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
-const (
-	// maxAdviceWorkers bounds the workers that one request to the advisor names.
-	maxAdviceWorkers = 100
-	// adviceTimeout bounds one request. The advisor takes some time per worker
-	// named and answers this VM's requests one after another.
-	adviceTimeout = 3 * time.Second
-	// adviceRetryPause is the pause after a request without a reply.
-	adviceRetryPause = 200 * time.Millisecond
-	// maxAdviceQueue bounds the queued requests.
-	maxAdviceQueue = 512
-)
-
-// Advisor is the service that decides which workers may run a step.
-type Advisor interface {
-	// Advise returns the workers that may run the step with their tickets, and for
-	// how long the tickets are valid.
-	Advise(ctx context.Context, step schedule.StepRef, workers []workload.WorkerID) (schedule.Advice, time.Duration, error)
+// adviceCache holds the advisor's replies of a term and the steps that need more of them.
+// Whether a worker may run a step never changes; only its ticket expires.
+type adviceCache struct {
+	mu    sync.Mutex
+	steps map[schedule.StepRef]*stepAdvice
+	// needs are those of the last plan that the advisor has not been asked about since.
+	needs []schedule.AdviceNeed
+	wake  chan struct{}
+	now   func() time.Duration
 }
 
-// adviceCache holds the advisor's replies. A ticket is dropped shortly before
-// it becomes invalid, so that an order can still reach the worker with it.
-type adviceCache struct {
-	mu        sync.Mutex
-	entries   map[schedule.StepRef]cachedAdvice
-	requested map[schedule.StepRef]bool
-	queue     []schedule.StepRef
-	wake      chan struct{}
-	now       func() time.Duration
+// stepAdvice is what is known about one step.
+type stepAdvice struct {
+	permits map[workload.WorkerID]permit
+	// waitingSince is when the advisor was last asked about the step, or when it was
+	// first needed.
+	waitingSince time.Duration
+	// view is what plans read; it is renewed at staleAt, when a ticket expires.
+	view    *schedule.Advice
+	staleAt time.Duration
 }
 
-type cachedAdvice struct {
-	advice schedule.Advice
-	until  time.Duration
+// permit is the reply about one worker. The ticket is empty if the worker must not run
+// the step. Plans rely on it until plannedUntil, orders until validUntil.
+type permit struct {
+	ticket                   string
+	plannedUntil, validUntil time.Duration
 }
 
-func newAdviceCache() *adviceCache {
-	return &adviceCache{
-		entries: map[schedule.StepRef]cachedAdvice{}, requested: map[schedule.StepRef]bool{},
-		wake: make(chan struct{}, 1), now: func() time.Duration { return 0 },
-	}
+const (
+	// forever is the end of what does not expire.
+	forever time.Duration = math.MaxInt64
+	// unclearDenialTime is how long a worker without a ticket counts as denied after an
+	// unclear reply.
+	unclearDenialTime = 10 * time.Second
+)
+
+// plannedShare is the share of a ticket's life in which a plan may rely on it. An order
+// must still reach the worker afterwards.
+const plannedShare = 0.8
+
+func newAdviceCache(now func() time.Duration) *adviceCache {
+	return &adviceCache{steps: map[schedule.StepRef]*stepAdvice{}, wake: make(chan struct{}, 1), now: now}
 }
 
-// get returns valid advice, or nil if there is none.
+// get returns what is known about a step, nil if it is nothing.
 func (a *adviceCache) get(step schedule.StepRef) *schedule.Advice {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	entry, ok := a.entries[step]
-	if !ok || a.now() > entry.until {
+	s := a.steps[step]
+	if s == nil || len(s.permits) == 0 {
 		return nil
 	}
-	return &entry.advice
+	now := a.now()
+	if s.view == nil || now >= s.staleAt {
+		s.renewView(now)
+	}
+	return s.view
 }
 
-func (a *adviceCache) ticket(step schedule.StepRef, worker workload.WorkerID) string {
-	if advice := a.get(step); advice != nil {
-		return advice.Tickets[worker]
+func (s *stepAdvice) renewView(now time.Duration) {
+	s.view = &schedule.Advice{
+		Tickets: map[workload.WorkerID]string{}, Expired: map[workload.WorkerID]time.Duration{}, Denied: map[workload.WorkerID]bool{},
+	}
+	s.staleAt = forever
+	for id, p := range s.permits {
+		valid := now < p.plannedUntil
+		if valid {
+			s.staleAt = min(s.staleAt, p.plannedUntil)
+		}
+		switch {
+		case valid && p.ticket == "":
+			s.view.Denied[id] = true
+		case valid:
+			s.view.Tickets[id] = p.ticket
+		case p.ticket != "":
+			s.view.Expired[id] = p.plannedUntil
+		}
 	}
-	return ""
 }
 
-func (a *adviceCache) request(steps []schedule.StepRef) {
+// ticket returns the ticket for an order, "" if there is no valid one.
+func (a *adviceCache) ticket(step schedule.StepRef, worker workload.WorkerID) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, s := range steps {
-		if !a.requested[s] && len(a.queue) < maxAdviceQueue {
-			a.requested[s] = true
-			a.queue = append(a.queue, s)
-			notify(a.wake)
-		}
+	now := a.now()
+	if s := a.steps[step]; s != nil && now < s.permits[worker].validUntil {
+		return s.permits[worker].ticket
 	}
+	return ""
 }
 
-func (a *adviceCache) next() (schedule.StepRef, bool) {
+// setNeeds replaces the needs by those of a new plan.
+func (a *adviceCache) setNeeds(needs []schedule.AdviceNeed) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.queue) == 0 {
-		return schedule.StepRef{}, false
+	a.needs = needs
+	for i := range needs {
+		a.stepOf(needs[i].Step)
+	}
+	if len(needs) > 0 {
+		notify(a.wake)
+	}
+}
+
+func (a *adviceCache) stepOf(step schedule.StepRef) *stepAdvice {
+	s := a.steps[step]
+	if s == nil {
+		s = &stepAdvice{permits: map[workload.WorkerID]permit{}, waitingSince: a.now()}
+		a.steps[step] = s
 	}
-	s := a.queue[0]
-	a.queue = slices.Delete(a.queue, 0, 1)
-	return s, true
+	return s
 }
 
-func (a *adviceCache) put(step schedule.StepRef, advice schedule.Advice, until time.Duration) {
+// next takes the need of the step that has waited for the longest. Steps that could start
+// now come first.
+func (a *adviceCache) next() (schedule.AdviceNeed, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.requested, step)
-	if advice.Tickets != nil {
-		a.entries[step] = cachedAdvice{advice: advice, until: until}
+	if len(a.needs) == 0 {
+		return schedule.AdviceNeed{}, false
 	}
-	for s, entry := range a.entries {
-		if a.now() > entry.until {
-			delete(a.entries, s)
+	next := slices.MinFunc(a.needs, func(x, y schedule.AdviceNeed) int {
+		switch {
+		case x.Startable && !y.Startable:
+			return -1
+		case y.Startable && !x.Startable:
+			return 1
+		default:
+			return cmp.Compare(a.stepOf(x.Step).waitingSince, a.stepOf(y.Step).waitingSince)
 		}
-	}
+	})
+	a.needs = slices.DeleteFunc(slices.Clone(a.needs), func(n schedule.AdviceNeed) bool { return n.Step == next.Step })
+	a.stepOf(next.Step).waitingSince = a.now()
+	return next, true
 }
 
-// runAdvice sends the queued requests to the advisor, one at a time.
-func (d *Dispatcher) runAdvice(ctx context.Context) {
-	d.advice.now = d.now
-	for ctx.Err() == nil {
-		step, ok := d.advice.next()
-		if !ok {
-			select {
-			case <-d.advice.wake:
-			case <-ctx.Done():
-			}
-			continue
+// put records a reply to a request that was sent at a time about some workers.
+func (a *adviceCache) put(step schedule.StepRef, asked []workload.WorkerID, reply AdvisorReply, sentAt time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := a.stepOf(step)
+	planned := time.Duration(plannedShare * float64(reply.Valid))
+	for _, id := range asked {
+		switch ticket := reply.Tickets[id]; {
+		case ticket != "":
+			s.permits[id] = permit{ticket: ticket, plannedUntil: sentAt + planned, validUntil: sentAt + reply.Valid}
+		case reply.Unclear:
+			s.permits[id] = permit{plannedUntil: sentAt + unclearDenialTime}
+		default:
+			s.permits[id] = permit{plannedUntil: forever}
 		}
-		d.requestAdvice(ctx, step)
 	}
+	s.view, s.waitingSince = nil, a.now()
 }
 
-// requestAdvice requests the advice for one step and caches it for 80 % of the
-// time for which it is valid.
-func (d *Dispatcher) requestAdvice(ctx context.Context, step schedule.StepRef) {
-	var workers []workload.WorkerID
-	d.config.Machine.Read(func(t *workload.Tables) {
+// prune drops the steps and workers that are gone.
+func (a *adviceCache) prune(t *workload.Tables) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for step, s := range a.steps {
 		job := t.Jobs[step.Job]
-		if job == nil || job.State.Final() || t.Queues[job.Queue] == nil {
-			return
+		if job == nil || job.State.Final() || job.Find(step.Occurrence) == nil {
+			delete(a.steps, step)
+			continue
+		}
+		for id := range s.permits {
+			if t.Workers[id] == nil {
+				delete(s.permits, id)
+				s.view = nil
+			}
 		}
-		workers = workersOfPool(t, t.Queues[job.Queue].Pool)
-	})
-	if len(workers) == 0 || d.config.Advisor == nil {
-		d.advice.put(step, schedule.Advice{}, 0)
-		return
-	}
-	limited, cancel := context.WithTimeout(ctx, adviceTimeout)
-	defer cancel()
-	requestedAt := d.now()
-	advice, valid, err := d.config.Advisor.Advise(limited, step, workers[:min(len(workers), maxAdviceWorkers)])
-	d.counters.adviceCalls.Inc(1)
-	if err != nil {
-		d.counters.adviceFailures.Inc(1)
-		d.config.Logger.WithField("job", string(step.Job)).WithError(err).Warn("advisor does not answer")
-		steady.Pause(ctx, adviceRetryPause)
-		d.advice.put(step, schedule.Advice{}, 0)
-	} else {
-		d.logAdvice(step, len(workers), min(len(workers), maxAdviceWorkers), len(advice.Tickets), valid, d.now()-requestedAt)
-		d.advice.put(step, advice, requestedAt+valid*8/10)
 	}
-	d.wakeUp()
 }
--- /dev/null
+++ b/internal/dispatch/advisor_test.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+const (
+	// finishTime is how long after the last submission every job has to be done, lastingTime
+	// how long after the end of its last run a long-running task has to run again.
+	finishTime  = 14 * time.Second
+	lastingTime = 6 * time.Second
+	// ticketLife is how long a ticket is valid.
+	ticketLife = 3 * time.Second
+)
+
+var smallTask = workload.Resources{CPU: 1000, MemoryMB: 1}
+
+// newAdvisedSite returns a site without faults whose workers have joined, and whose
+// advisor allows the workers at some addresses.
+func newAdvisedSite(pool int, valid time.Duration, allows func(address string) bool) (*simulation, *fakeAdvisor) {
+	sim := newSimulation(1)
+	sim.faultPercent = 0
+	a := sim.addAdvisor(pool, valid, allows)
+	sim.run(200 * time.Millisecond)
+	return sim, a
+}
+
+// lastByID returns whether an address is that of one of the last workers by ID.
+func lastByID(sim *simulation, count int) func(string) bool {
+	byID := slices.Clone(sim.workers)
+	slices.SortFunc(byID, func(a, b *fakeWorker) int { return compareText(string(a.worker.ID), string(b.worker.ID)) })
+	last := map[string]bool{}
+	for _, f := range byID[len(byID)-count:] {
+		last[f.address] = true
+	}
+	return func(address string) bool { return last[address] }
+}
+
+func allowAll(string) bool { return true }
+
+// runUntil simulates a site until a condition holds, for a time at most, and returns
+// whether it does.
+func (sim *simulation) runUntil(limit time.Duration, holds func() bool) bool {
+	for until := sim.now + limit; sim.now < until && !holds(); {
+		sim.run(tickInterval)
+	}
+	return holds()
+}
+
+func (sim *simulation) isCompleted(id workload.JobID) func() bool {
+	return func() bool { return sim.stateOf(id) == workload.JobCompleted }
+}
+
+// Guards against a job that never starts: the advisor was asked about the same first
+// workers of a large pool again and again, and none of these may run it.
+func TestAdvisorIsAskedAboutEveryWorker(t *testing.T) {
+	for _, pool := range []int{112, 300, 1300} {
+		t.Run(fmt.Sprint(pool), func(t *testing.T) {
+			is := is.New(t)
+			sim, a := newAdvisedSite(pool, ticketLife, nil)
+			a.allows = lastByID(sim, 2)
+			sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+			is.True(sim.runUntil(finishTime, sim.isCompleted("j")))
+			is.Equal(sim.violations, nil)
+		})
+	}
+}
+
+// Guards against a gang that never starts, as no request to the advisor gives it all the
+// tickets that it needs at once, and those of earlier requests have expired.
+func TestGangStartsWithTicketsOfSeveralRequests(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(300, ticketLife, nil)
+	a.allows = lastByID(sim, 160)
+	for i := range 5 {
+		sim.submitJob(workload.JobID(fmt.Sprintf("other-%d", i)), workload.StepSpec{Count: 3, Need: smallTask})
+	}
+	sim.submitJob("gang", workload.StepSpec{Count: 150, Need: smallTask, Gang: true, MaxPerWorker: 1})
+	is.True(sim.runUntil(finishTime, sim.isCompleted("gang")))
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against a long-running task without a run: its workers began new lives, about
+// which the advisor was not asked before its old reply expired.
+func TestAdvisorIsAskedAboutNewLives(t *testing.T) {
+	is := is.New(t)
+	sim, _ := newAdvisedSite(7, time.Hour, func(address string) bool { return address == "10.0.0.1:80" || address == "10.0.0.2:80" })
+	sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask, LongRunning: true})
+	runs := func() bool { return countRuns(sim.workers) == 2 }
+	is.True(sim.runUntil(lastingTime, runs))
+	for _, f := range sim.workers[1:3] {
+		sim.terminate(f)
+		sim.startIncarnation(f)
+	}
+	is.True(sim.runUntil(lastingTime, runs))
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against a pool whose new workers are never used: they joined after the advisor
+// was asked, and the others were full.
+func TestAdvisorIsAskedAboutWorkersThatJoin(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(4, time.Hour, allowAll)
+	sim.submitJob("j", workload.StepSpec{Count: 10, Need: smallTask, LongRunning: true})
+	is.True(sim.runUntil(lastingTime, func() bool { return countRuns(sim.workers) == 8 }))
+	joined := &fakeWorker{address: "10.0.1.1:80"}
+	sim.workers = append(sim.workers, joined)
+	sim.startIncarnation(joined)
+	named := a.named
+	is.True(sim.runUntil(lastingTime, func() bool { return countRuns(sim.workers) == 10 }))
+	is.Equal(a.named, named+1) // the replies about the others still hold
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against requests that ask again what does not change: only the tickets of the
+// workers that may run a step have to be renewed.
+func TestOnlyTicketsAreRenewed(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(40, ticketLife, nil)
+	a.allows = lastByID(sim, 2)
+	sim.submitJob("j", workload.StepSpec{Count: 1, Need: smallTask, LongRunning: true})
+	is.True(sim.runUntil(lastingTime, func() bool { return countRuns(sim.workers) == 1 }))
+	sim.run(2 * ticketLife)
+	requests, named := a.requests, a.named
+	is.True(named >= 39)
+	for _, f := range sim.workers {
+		for _, run := range f.worker.Running() {
+			f.worker.End(run, workload.EndFailed)
+		}
+	}
+	is.True(sim.runUntil(lastingTime, func() bool { return countRuns(sim.workers) == 1 }))
+	is.Equal(a.requests, requests+1)
+	is.True(a.named-named <= 2)
+}
+
+// Guards against jobs that wait behind others for ever: hundreds of steps that no worker
+// may run needed the advisor again and again before it was asked about the next one.
+func TestEveryStepGetsAdvice(t *testing.T) {
+	const hopeless = 700
+	is := is.New(t)
+	sim, a := newAdvisedSite(4, ticketLife, allowAll)
+	a.decision, a.perWorker = 5*time.Millisecond, time.Millisecond
+	a.allowsJob = func(id workload.JobID) bool { return id == "last" }
+	for i := range hopeless {
+		sim.submitJob(workload.JobID(fmt.Sprintf("hopeless-%d", i)), workload.StepSpec{Count: 1, Need: smallTask})
+	}
+	sim.run(2 * tickInterval)
+	sim.submitJob("last", workload.StepSpec{Count: 1, Need: smallTask})
+	is.True(sim.runUntil(hopeless*2*tickInterval+finishTime, sim.isCompleted("last")))
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against a job that waits for ever after requests to the advisor that failed.
+func TestFailedRequestsToTheAdvisorAreRepeated(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(112, ticketLife, nil)
+	a.allows = lastByID(sim, 2)
+	a.fails = func() bool { return a.requests%3 != 0 }
+	for i := range 4 {
+		sim.submitJob(workload.JobID(fmt.Sprintf("j-%d", i)), workload.StepSpec{Count: 2, Need: smallTask})
+	}
+	for i := range 4 {
+		is.True(sim.runUntil(finishTime, sim.isCompleted(workload.JobID(fmt.Sprintf("j-%d", i)))))
+	}
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against a job that never starts, because replies of the advisor can't be read in
+// part and the workers in that part were taken for denied, or asked about first again.
+func TestWorkersOfAnUnclearReplyAreAskedAboutAgain(t *testing.T) {
+	for name, unclearReplies := range map[string]int{"the first one": 1, "each": 1000} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim, a := newAdvisedSite(300, ticketLife, nil)
+			a.allows = lastByID(sim, 3)
+			a.unclear = func() bool { return a.requests <= unclearReplies }
+			sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+			is.True(sim.runUntil(2*finishTime, sim.isCompleted("j")))
+			is.Equal(sim.violations, nil)
+		})
+	}
+}
+
+// Guards against jobs of other queues that wait while the advisor gives no reply.
+func TestSilentAdvisorHoldsUpNoOtherQueue(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(4, ticketLife, allowAll)
+	a.fails = func() bool { return true }
+	sim.submitJob("advised", workload.StepSpec{Count: 20, Need: smallTask})
+	sim.apply(&workload.Command{AtMS: sim.now.Milliseconds(), Submit: []workload.Submit{{
+		ID: "free", Queue: workload.QueueID{Host: "h", Prefix: "/free/"}, Spec: workload.JobSpec{Steps: []workload.StepSpec{{Count: 8, Need: smallTask}}},
+	}}})
+	is.True(sim.runUntil(lastingTime, sim.isCompleted("free")))
+	is.Equal(sim.stateOf("advised"), workload.JobQueued)
+}
+
+// Guards against a job that never starts after a change of leader in the middle of the
+// requests to the advisor.
+func TestNewLeaderAsksTheAdvisor(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(112, ticketLife, nil)
+	a.allows = lastByID(sim, 2)
+	for range 3 {
+		sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+		sim.run(300 * time.Millisecond)
+		sim.elect()
+	}
+	is.True(sim.runUntil(finishTime, sim.isCompleted("j")))
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against faults that only show together with an advisor: workers crash, leave and
+// join, calls are lost, late or doubled, and leaders change.
+func TestAdvisedStepsKeepTheInvariants(t *testing.T) {
+	simulateFirstSeeds(t, seeds(t)/2, func(sim *simulation) {
+		sim.leaves = true
+		a := sim.addAdvisor(4, ticketLife, func(address string) bool { return address != "10.0.0.0:80" })
+		a.pass = sim.advance
+		a.fails = func() bool { return sim.chance(sim.faultPercent) }
+	})
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -115,6 +115,7 @@
 		}
 	}
 	sim.leader.round(ctx, sim.term)
+	sim.seekAdvice(ctx)
 	for _, l := range sim.leader.links {
 		for c, ok := l.nextCall(); ok; c, ok = l.nextCall() {
 			l.perform(ctx, c)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -177,7 +177,9 @@
 		d.awaitLeadershipLoss(ctx, term)
 	})
 	group.Go(func() { d.runFleet(ctx, term) })
-	group.Go(func() { d.runAdvice(ctx) })
+	if d.config.Advisor != nil {
+		group.Go(func() { d.runAdvice(ctx) })
+	}
 	ticker := time.NewTicker(idleRoundInterval)
 	defer ticker.Stop()
 	for d.awaitLeadership(ctx, term) {
@@ -254,7 +256,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.term, d.leading, d.group = term, ctx, group
-	d.advice = newAdviceCache()
+	d.advice = newAdviceCache(d.now)
 	d.config.Machine.Read(func(t *workload.Tables) {
 		d.fleet = newFleetState(d.now(), capacity.NewDemand(t, d.now(), d.config.WallMS()))
 		for _, w := range t.Workers {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -61,6 +61,9 @@
 	if sim.endsPerList > 0 {
 		f.worker.EndsPerList = sim.endsPerList
 	}
+	if sim.advisor != nil {
+		f.worker.CheckTicket = sim.advisor.checkTicket(id)
+	}
 	f.worker.OnEnd = func(e workload.End) {
 		if e.Kind == workload.EndDone {
 			sim.unackedDone[e.Run.Task] = append(sim.unackedDone[e.Run.Task], e.Run)
--- a/internal/dispatch/late_start_test.go
+++ b/internal/dispatch/late_start_test.go
@@ -55,7 +55,7 @@
 	is := is.New(t)
 	sim, l, run := newQueuedStart(is)
 	step := schedule.StepRef{Job: run.Task.Job}
-	sim.leader.advice.put(step, schedule.Advice{Tickets: map[workload.WorkerID]string{}}, 2*sim.now)
+	sim.leader.advice.put(step, []workload.WorkerID{l.target.ID}, AdvisorReply{}, sim.now)
 	sim.leader.advice.now = func() time.Duration {
 		sim.leader.advice.now = sim.leader.now
 		sim.releaseUnsent(l)
--- a/internal/dispatch/logs.go
+++ b/internal/dispatch/logs.go
@@ -129,10 +129,11 @@
 
 // logAdvice logs the advisor's reply about a step: of how many workers of the pool it was
 // asked about how many, and how many of those may run the step.
-func (d *Dispatcher) logAdvice(step schedule.StepRef, pool, asked, allowed int, valid, took time.Duration) {
+func (d *Dispatcher) logAdvice(step schedule.StepRef, pool, asked int, reply *AdvisorReply, took time.Duration) {
 	d.config.Logger.WithFields(log.Fields{
 		"job": string(step.Job), "occurrence": step.Occurrence, "step": step.Step, "pool_workers": pool, "asked": asked,
-		"allowed": allowed, "valid_ms": valid.Milliseconds(), "took_ms": took.Milliseconds(),
+		"allowed": len(reply.Tickets), "unclear": reply.Unclear,
+		"valid_ms": reply.Valid.Milliseconds(), "took_ms": took.Milliseconds(),
 	}).Info("advice received")
 }
 
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -69,6 +69,7 @@
 	}
 	d.prunedAt = now
 	c.ForgetBeforeMS = d.config.WallMS() - endedJobRetention.Milliseconds()
+	d.config.Machine.Read(d.advice.prune)
 	for id, at := range d.endedIncarnations {
 		if now-at > endedJobRetention {
 			delete(d.endedIncarnations, id)
@@ -283,7 +284,7 @@
 	})
 	d.counters.recordFirstStarts(t, plan.Starts, nowMS)
 	c.Starts, c.Due = plan.Starts, plan.Due
-	d.advice.request(plan.AdviceNeeded)
+	d.advice.setNeeds(plan.AdviceNeeded)
 }
 
 // hasUnplannedRun reports whether the worker lists a run that is not committed
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -94,6 +94,8 @@
 	callsUnderway int
 	// platform carries out orders for VMs, nil without any.
 	platform *fakePlatform
+	// advisor decides which workers may run a step, nil without one.
+	advisor *fakeAdvisor
 	// proposing lets one goroutine at a time use the control log.
 	proposing sync.Mutex
 }
@@ -155,6 +157,9 @@
 	d.launch = func(context.Context, *link) {}
 	d.pause = func(_ context.Context, wait time.Duration) { sim.tick(wait, func(*fakeWorker) {}) }
 	d.skipBudget = sim.skipBudget
+	if sim.advisor != nil {
+		d.config.Advisor = sim.advisor
+	}
 	sim.leader = d
 	sim.apply(&workload.Command{Term: sim.term, StartTerm: true})
 	d.beginTerm(context.Background(), sim.term, &conc.WaitGroup{})
@@ -202,6 +207,7 @@
 		sim.advance(time.Duration(sim.random.IntN(300)) * time.Millisecond)
 	case 2, 3:
 		sim.leader.round(ctx, sim.term)
+		sim.seekAdvice(ctx)
 	case 4, 5, 6:
 		if l := sim.anyLink(); l != nil {
 			if c, ok := l.nextCall(); ok {
--- /dev/null
+++ b/internal/schedule/advice.go
@@ -0,0 +1,170 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/workload"
+)
+
+// Advice is what the advisor has said so far about the workers that may run a step.
+// It is immutable. A worker in none of the maps has not been asked about.
+type Advice struct {
+	// Tickets holds the valid tickets of the workers that may run the step.
+	Tickets map[workload.WorkerID]string
+	// Expired holds the workers that may run the step and whose ticket has expired,
+	// with when it did by the steady clock.
+	Expired map[workload.WorkerID]time.Duration
+	// Denied holds the workers that must not run the step.
+	Denied map[workload.WorkerID]bool
+}
+
+// permission is what is known about whether a worker may run a step. Better ones are
+// higher.
+type permission uint8
+
+const (
+	// denied: the worker must not run the step.
+	denied permission = iota
+	// unknown: the advisor has not been asked about the worker.
+	unknown
+	// expired: the worker may run the step with a new ticket.
+	expired
+	// granted: a task can be started on the worker now.
+	granted
+)
+
+// permissionOf returns the permission of a worker. Without an advisor it is granted.
+func (w *waitingStep) permissionOf(id workload.WorkerID) permission {
+	if w.advice == nil {
+		return granted
+	}
+	if w.advice.Tickets[id] != "" {
+		return granted
+	}
+	if w.advice.Denied[id] {
+		return denied
+	}
+	if _, known := w.advice.Expired[id]; known {
+		return expired
+	}
+	return unknown
+}
+
+// AdviceNeed is a step with waiting tasks and the workers that the advisor is to be
+// asked about.
+type AdviceNeed struct {
+	Step StepRef
+	// Workers are in the order in which they are useful.
+	Workers []workload.WorkerID
+	// Startable is set when a task would start now if the first of the workers had a
+	// ticket.
+	Startable bool
+	// Together is set when the tasks start only while all of the workers have a ticket.
+	Together bool
+}
+
+// workersPerNeed is how many workers a need names beyond those on which tasks would
+// start at once.
+const workersPerNeed = 30
+
+// withAdvice returns a step with what is known of the permissions of its workers.
+func (p *planner) withAdvice(w waitingStep) waitingStep {
+	if w.queue.Advisor == nil {
+		return w
+	}
+	w.advice = p.Advice(w.stepRef())
+	if w.advice == nil {
+		w.advice = &Advice{}
+	}
+	return w
+}
+
+// splitByTicket returns the placements on workers for which the step has a valid ticket,
+// and the others.
+func (w *waitingStep) splitByTicket(placed []placement) (ready, ticketless []placement) {
+	if w.advice == nil {
+		return placed, nil
+	}
+	for _, pl := range placed {
+		if w.permissionOf(pl.candidate.worker.ID) == granted {
+			ready = append(ready, pl)
+		} else {
+			ticketless = append(ticketless, pl)
+		}
+	}
+	return ready, ticketless
+}
+
+// needAdvice has the advisor asked about the workers of the ticketless placements. Unless
+// it is sure that the whole step starts with these tickets, it is also asked about others,
+// the preferred ones first.
+func (p *planner) needAdvice(w waitingStep, ticketless []placement, whole bool, preferred, all []*candidate) {
+	n := &needBuilder{step: &w, need: AdviceNeed{Step: w.stepRef(), Startable: len(ticketless) > 0}, named: map[workload.WorkerID]bool{}}
+	sure := whole && n.need.Startable
+	for _, pl := range ticketless {
+		n.add(pl.candidate)
+		sure = sure && w.permissionOf(pl.candidate.worker.ID) == expired
+	}
+	n.need.Together = sure && w.spec().Gang
+	n.limit = len(n.need.Workers) + workersPerNeed
+	if !sure {
+		hasRoom := func(c *candidate) bool { return w.spec().Charge().Fits(c.free) }
+		n.addUnknown(preferred, hasRoom)
+		n.addUnknown(all, hasRoom)
+		n.addUnknown(all, func(*candidate) bool { return true })
+	}
+	if !n.need.Startable {
+		n.addExpired(all)
+	}
+	if len(n.need.Workers) > 0 {
+		p.plan.AdviceNeeded = append(p.plan.AdviceNeeded, n.need)
+	}
+}
+
+// needBuilder collects the workers of a need.
+type needBuilder struct {
+	step  *waitingStep
+	need  AdviceNeed
+	named map[workload.WorkerID]bool
+	limit int
+}
+
+func (n *needBuilder) add(c *candidate) {
+	if !n.named[c.worker.ID] {
+		n.named[c.worker.ID] = true
+		n.need.Workers = append(n.need.Workers, c.worker.ID)
+	}
+}
+
+// addUnknown adds the workers that meet a condition and have not been asked about.
+func (n *needBuilder) addUnknown(from []*candidate, meets func(*candidate) bool) {
+	for _, c := range from {
+		if len(n.need.Workers) >= n.limit {
+			return
+		}
+		if n.step.permissionOf(c.worker.ID) == unknown && meets(c) {
+			n.add(c)
+		}
+	}
+}
+
+// addExpired adds the workers whose ticket has expired, the longest first. So all of
+// them are renewed in turn if they are more than one need names.
+func (n *needBuilder) addExpired(from []*candidate) {
+	at := n.step.advice.Expired
+	var all []*candidate
+	for _, c := range from {
+		if n.step.permissionOf(c.worker.ID) == expired {
+			all = append(all, c)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *candidate) int { return cmp.Compare(at[a.worker.ID], at[b.worker.ID]) })
+	for _, c := range all {
+		if len(n.need.Workers) >= n.limit {
+			return
+		}
+		n.add(c)
+	}
+}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -18,20 +18,38 @@
 	if p.isUnplaceable(w) {
 		return
 	}
-	fit := p.filter(w)
-	if len(fit) == 0 {
+	w = p.withAdvice(w)
+	all := p.filter(w)
+	if len(all) == 0 {
 		return
 	}
+	fit := all
 	if w.spec().SameRack {
 		fit = p.selectRack(w, fit)
 	}
 	fit = p.preferDataRack(w, fit)
 	placed := p.placeTasks(w, fit)
+	starts, ticketless := p.keepStartable(w, placed)
+	p.addStarts(w, starts)
+	if w.advice != nil && !w.isComplete(len(starts)) {
+		p.needAdvice(w, ticketless, w.isComplete(len(placed)), fit, all)
+	}
+}
+
+// keepStartable returns the placements that start now, and those that only lack a ticket.
+// What does not start now is rolled back, as others may use the capacity meanwhile.
+func (p *planner) keepStartable(w waitingStep, placed []placement) (starts, ticketless []placement) {
 	if w.spec().Gang && len(placed) < w.spec().Count {
 		p.rollBack(w, placed)
-		return
+		return nil, nil
 	}
-	p.addStarts(w, placed)
+	starts, ticketless = w.splitByTicket(placed)
+	if w.spec().Gang && len(ticketless) > 0 {
+		p.rollBack(w, placed)
+		return nil, ticketless
+	}
+	p.rollBack(w, ticketless)
+	return starts, ticketless
 }
 
 // isUnplaceable reports whether a step that needs no more than this one already
@@ -56,26 +74,16 @@
 	}
 }
 
-// filter returns the workers that may run the step, regardless of their free
-// capacity.
+// filter returns the workers that may run the step, as far as the advisor has not denied
+// it, regardless of their free capacity.
 func (p *planner) filter(w waitingStep) []*candidate {
 	spec := w.spec()
 	if spec.Label == "" && w.queue.Advisor == nil && !spec.LongRunning {
 		return p.pools[w.queue.Pool]
 	}
-	allowed := func(workload.WorkerID) bool { return true }
-	if w.queue.Advisor != nil {
-		ref := StepRef{Job: w.job.ID, Occurrence: w.occurrence.K, Step: w.step}
-		advice := p.Advice(ref)
-		if advice == nil {
-			p.plan.AdviceNeeded = append(p.plan.AdviceNeeded, ref)
-			return nil
-		}
-		allowed = func(id workload.WorkerID) bool { return advice.Tickets[id] != "" }
-	}
 	var fit []*candidate
 	for _, c := range p.pools[w.queue.Pool] {
-		if c.worker.HasLabel(spec.Label) && allowed(c.worker.ID) && !(spec.LongRunning && c.state.Evacuating) {
+		if c.worker.HasLabel(spec.Label) && w.permissionOf(c.worker.ID) != denied && !(spec.LongRunning && c.state.Evacuating) {
 			fit = append(fit, c)
 		}
 	}
@@ -86,17 +94,45 @@
 // run already, otherwise the one with free capacity for the most tasks. If no rack
 // fits all tasks, the step uses several racks: it is slower, but it runs.
 func (p *planner) selectRack(w waitingStep, fit []*candidate) []*candidate {
-	racks := map[string][]*candidate{}
-	for _, c := range fit {
-		racks[c.worker.Rack] = append(racks[c.worker.Rack], c)
-	}
+	racks := byRack(w, fit, unknown)
 	if rack := rackOf(p.Tables, w); rack != "" && len(racks[rack]) > 0 {
 		return racks[rack]
 	}
-	best, bestCount := fit, 0
+	for _, least := range w.permissionsToTry() {
+		if best := roomiestRack(byRack(w, fit, least), w.spec()); best != nil {
+			return best
+		}
+	}
+	return fit
+}
+
+// permissionsToTry lists the permissions that a step may be placed with, the best first.
+func (w *waitingStep) permissionsToTry() []permission {
+	if w.advice == nil {
+		return []permission{granted}
+	}
+	return []permission{granted, expired, unknown}
+}
+
+// byRack groups the candidates that have a permission or a better one by their rack.
+func byRack(w waitingStep, fit []*candidate, least permission) map[string][]*candidate {
+	racks := map[string][]*candidate{}
+	for _, c := range fit {
+		if w.permissionOf(c.worker.ID) >= least {
+			racks[c.worker.Rack] = append(racks[c.worker.Rack], c)
+		}
+	}
+	return racks
+}
+
+// roomiestRack returns the candidates of the rack with free capacity for the most tasks
+// of a step, nil if no rack fits all of them.
+func roomiestRack(racks map[string][]*candidate, spec *workload.StepSpec) []*candidate {
+	var best []*candidate
+	bestCount := 0
 	for _, rack := range sortedKeys(racks) {
-		n := countFits(racks[rack], w.spec())
-		if n >= w.spec().Count && n > bestCount {
+		n := countFits(racks[rack], spec)
+		if n >= spec.Count && n > bestCount {
 			best, bestCount = racks[rack], n
 		}
 	}
@@ -192,9 +228,11 @@
 		if susp.isolated && !spec.Gang {
 			continue // started by placeSuspects
 		}
-		best := p.best(spec, fit, onWorker, susp)
+		best := p.best(w, fit, onWorker, susp)
 		if best == nil {
-			p.recordUnplaceable(w, fit)
+			if _, ticketless := w.splitByTicket(placed); len(ticketless) == 0 {
+				p.recordUnplaceable(w, fit)
+			}
 			break // the tasks of a step are identical: the others don't fit either
 		}
 		p.assign(w, best)
@@ -222,14 +260,14 @@
 
 // best returns the candidate with the highest score among those that the task fits
 // on, nil if there is none.
-func (p *planner) best(spec *workload.StepSpec, fit []*candidate, onWorker map[workload.WorkerID]int, susp suspicion) *candidate {
+func (p *planner) best(w waitingStep, fit []*candidate, onWorker map[workload.WorkerID]int, susp suspicion) *candidate {
 	var best *candidate
 	var bestScore score
 	for _, c := range fit {
-		if !p.fits(spec, c, onWorker) || !susp.allows(c) {
+		if !p.fits(w.spec(), c, onWorker) || !susp.allows(c) {
 			continue
 		}
-		s := scoreOf(spec, c, onWorker[c.worker.ID], susp)
+		s := scoreOf(w, c, onWorker[c.worker.ID], susp)
 		if best == nil || s.compare(bestScore) > 0 {
 			best, bestScore = c, s
 		}
@@ -244,6 +282,8 @@
 	reliability int
 	// dataLocal is 1 if the data is on the candidate's rack.
 	dataLocal int
+	// permission is higher where the task can start without asking the advisor first.
+	permission permission
 	// undisturbed is lower where a best-effort task would run beside one with a
 	// latency target.
 	undisturbed int
@@ -268,8 +308,12 @@
 // before another worker is preferred.
 const longRunningPerWorker = 2
 
-func scoreOf(spec *workload.StepSpec, c *candidate, onWorker int, susp suspicion) score {
-	s := score{reliability: -c.state.RecentFailures, isolation: susp.isolationRank(c), packing: spec.Need.CPU - c.free.CPU}
+func scoreOf(w waitingStep, c *candidate, onWorker int, susp suspicion) score {
+	spec := w.spec()
+	s := score{
+		reliability: -c.state.RecentFailures, permission: w.permissionOf(c.worker.ID),
+		isolation: susp.isolationRank(c), packing: spec.Need.CPU - c.free.CPU,
+	}
 	if spec.DataRack != "" && c.worker.Rack == spec.DataRack {
 		s.dataLocal = 1
 	}
@@ -292,6 +336,7 @@
 	return cmp.Or(
 		cmp.Compare(s.reliability, o.reliability),
 		cmp.Compare(s.dataLocal, o.dataLocal),
+		cmp.Compare(s.permission, o.permission),
 		cmp.Compare(s.undisturbed, o.undisturbed),
 		cmp.Compare(s.isolation, o.isolation),
 		cmp.Compare(s.stability, o.stability),
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -34,12 +34,6 @@
 	Isolating bool
 }
 
-// Advice is the reply of a queue's advisor for one step.
-type Advice struct {
-	// Tickets holds the workers that may run the step, with their tickets.
-	Tickets map[workload.WorkerID]string
-}
-
 // StepRef identifies a step of one occurrence of a job.
 type StepRef struct {
 	Job        workload.JobID
@@ -57,7 +51,8 @@
 	// Overdue holds the suspects that have waited long enough for isolation; they
 	// are started like any other task.
 	Overdue map[workload.TaskRef]bool
-	// Advice returns the advisor's reply, nil if it must be requested first.
+	// Advice returns what the advisor has said about a step, nil if it has not been
+	// asked yet.
 	Advice func(StepRef) *Advice
 	// NowMS is the time of day in Unix milliseconds.
 	NowMS int64
@@ -69,8 +64,9 @@
 type Plan struct {
 	Starts []workload.Start
 	Due    []workload.DueOccurrence
-	// AdviceNeeded lists the steps for which advice must be requested.
-	AdviceNeeded []StepRef
+	// AdviceNeeded lists the steps for which the advisor must be asked, the most urgent
+	// first.
+	AdviceNeeded []AdviceNeed
 }
 
 // planner holds the remaining capacity while a plan is made.
@@ -172,6 +168,8 @@
 	// processor time that it still needs.
 	urgency urgency
 	density float64
+	// advice is nil where any worker of the pool may run the step.
+	advice *Advice
 }
 
 // urgency is the rank of a step within its queue, the most urgent first.
@@ -191,6 +189,16 @@
 
 func (w *waitingStep) spec() *workload.StepSpec { return &w.job.Spec.Steps[w.step] }
 
+func (w *waitingStep) stepRef() StepRef {
+	return StepRef{Job: w.job.ID, Occurrence: w.occurrence.K, Step: w.step}
+}
+
+// isComplete reports whether no task of the step waits any more after some starts.
+func (w *waitingStep) isComplete(starts int) bool {
+	step := &w.occurrence.Steps[w.step]
+	return step.Done+step.Active+starts >= len(step.Tasks)
+}
+
 // waiting lists the steps that are ready, the most urgent first. Long-running tasks
 // serve their own users and come before all others.
 func (p *planner) waiting() []waitingStep {
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -61,19 +61,27 @@
 		if len(suspects) == 0 {
 			continue
 		}
+		w = p.withAdvice(w)
 		fit := p.filter(w)
 		if w.spec().Gang {
 			p.reserveFor(w, fit, len(suspects))
 			continue
 		}
 		for _, index := range suspects {
-			if c := p.best(w.spec(), fit, tasksOn(w), p.suspicionOf(w.ref(index))); c != nil {
-				p.assign(w, c)
-				p.addStarts(w, []placement{{index: index, candidate: c}})
-				c.reserved = true
+			c := p.best(w, fit, tasksOn(w), p.suspicionOf(w.ref(index)))
+			if c == nil {
+				p.reserveFor(w, fit, 1)
 				continue
 			}
-			p.reserveFor(w, fit, 1)
+			placed := []placement{{index: index, candidate: c}}
+			if w.permissionOf(c.worker.ID) != granted {
+				p.needAdvice(w, placed, true, fit, fit)
+				p.reserveFor(w, []*candidate{c}, 1)
+				continue
+			}
+			p.assign(w, c)
+			p.addStarts(w, placed)
+			c.reserved = true
 		}
 	}
 }
--- a/internal/workers/standin/worker.go
+++ b/internal/workers/standin/worker.go
@@ -44,6 +44,8 @@
 	StopTime time.Duration
 	// LapseTime is how long a run still runs and is listed after the lease has expired.
 	LapseTime time.Duration
+	// CheckTicket reports whether the ticket of an order is valid; nil accepts any.
+	CheckTicket func(o workers.StartOrder, now time.Duration) bool
 	// OnAck is called for each acknowledged end, with whether the lease was held
 	// from the end until its acknowledgement. If it was not, the
 	// acknowledgement does not count.
@@ -162,6 +164,8 @@
 		reply.Refusal = workers.RefusedLate
 	case o.Run.Attempt <= w.highestAttempt[o.Run.Task]:
 		reply.Refusal = workers.RefusedStale
+	case w.CheckTicket != nil && !w.CheckTicket(o, now):
+		reply.Refusal = workers.RefusedTicket
 	}
 	w.fence = o.Fence
 	w.leaseUntilMS = max(w.leaseUntilMS, o.LeaseUntilMS)
