dispatch: a slow advisor is heard

What callers could have seen: jobs of a queue that never start because its advisor takes long for a worker: one request named as many workers as the protocol allows, and was given up after 3 s, or its tickets had expired by the time of the reply.

Cause: the number of workers of a request and its timeout were fixed, although the configuration says how long the advisor takes for a decision and for each worker, and how long a ticket is valid.

Now a request names at most as many workers as the advisor decides about in half of the time in which a plan may use the tickets, and its timeout is 3 s beyond the time that the advisor says it takes. A reply without the life of its tickets has that of the configuration; it counted as none before.

TestSlowAdvisorIsHeard (200 ms, and 150 ms a worker, 40 workers; tickets of 3 s and of a minute) and TestLifeOfTicketsIsThatOfTheQueueIfTheReplyHasNone failed before.

--- a/internal/dispatch/advisor.go
+++ b/internal/dispatch/advisor.go
@@ -29,9 +29,12 @@
 const (
 	// maxAdviceWorkers bounds the workers that one request to the advisor names.
 	maxAdviceWorkers = 100
-	// adviceTimeout bounds one request. The advisor takes some time per worker
-	// named and answers this VM's requests one after another.
+	// adviceTimeout bounds one request beyond the time that the advisor takes for its
+	// decision. It answers this VM's requests one after another.
 	adviceTimeout = 3 * time.Second
+	// requestShare is the largest share of the time in which a plan may rely on a ticket
+	// that the request for it takes. The rest is for the starts.
+	requestShare = 0.5
 	// adviceRetryPause is the pause after a request without a reply.
 	adviceRetryPause = 200 * time.Millisecond
 )
@@ -57,12 +60,16 @@
 // names, or about all of them if they are needed together. It returns false if a request
 // got no reply.
 func (d *Dispatcher) seekAdvice(ctx context.Context, need schedule.AdviceNeed) bool {
+	terms, ok := d.adviceTermsOf(need.Step)
+	if !ok {
+		return true // the job or its pool is gone since the plan
+	}
 	workers := need.Workers
 	if !need.Together {
-		workers = workers[:min(len(workers), maxAdviceWorkers)]
+		workers = workers[:min(len(workers), terms.maxWorkers())]
 	}
-	for request := range slices.Chunk(workers, maxAdviceWorkers) {
-		if !d.requestAdvice(ctx, need.Step, request) {
+	for request := range slices.Chunk(workers, terms.maxWorkers()) {
+		if !d.requestAdvice(ctx, need.Step, terms, request) {
 			return false
 		}
 		d.wakeUp()
@@ -70,18 +77,52 @@
 	return true
 }
 
-// requestAdvice makes one request. It returns false if it got no reply.
-func (d *Dispatcher) requestAdvice(ctx context.Context, step schedule.StepRef, workers []workload.WorkerID) bool {
-	pool := 0
+// adviceTerms is what the configuration says about the advisor of a queue.
+type adviceTerms struct {
+	decision, perWorker, valid time.Duration
+	// pool counts the workers of the queue's pool.
+	pool int
+}
+
+// adviceTermsOf returns false if the step needs no advice any more.
+func (d *Dispatcher) adviceTermsOf(step schedule.StepRef) (terms adviceTerms, ok bool) {
 	d.config.Machine.Read(func(t *workload.Tables) {
-		if job := t.Jobs[step.Job]; job != nil && !job.State.Final() && t.Queues[job.Queue] != nil {
-			pool = len(workersOfPool(t, t.Queues[job.Queue].Pool))
+		job := t.Jobs[step.Job]
+		if job == nil || job.State.Final() {
+			return
+		}
+		queue := t.Queues[job.Queue]
+		if queue == nil || queue.Advisor == nil {
+			return
 		}
+		a, ms := queue.Advisor, time.Millisecond
+		terms = adviceTerms{
+			decision: time.Duration(a.DecisionMS) * ms, perWorker: time.Duration(a.PerWorkerMS) * ms, valid: time.Duration(a.ValidMS) * ms,
+			pool: len(workersOfPool(t, queue.Pool)),
+		}
+		ok = true
 	})
-	if pool == 0 {
-		return true // the job or its pool is gone since the plan
+	return terms, ok
+}
+
+// duration returns how long the advisor takes for a request about some workers.
+func (t *adviceTerms) duration(workers int) time.Duration {
+	return t.decision + time.Duration(workers)*t.perWorker
+}
+
+// maxWorkers returns how many workers a request may name so that enough of the life of
+// their tickets is left once it is answered.
+func (t *adviceTerms) maxWorkers() int {
+	if t.perWorker <= 0 || t.valid <= 0 {
+		return maxAdviceWorkers
 	}
-	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	longest := time.Duration(requestShare * plannedShare * float64(t.valid))
+	return max(1, min(maxAdviceWorkers, int((longest-t.decision)/t.perWorker)))
+}
+
+// requestAdvice makes one request. It returns false if it got no reply.
+func (d *Dispatcher) requestAdvice(ctx context.Context, step schedule.StepRef, terms adviceTerms, workers []workload.WorkerID) bool {
+	ctx, cancel := context.WithTimeout(ctx, adviceTimeout+terms.duration(len(workers)))
 	defer cancel()
 	sentAt := d.now()
 	reply, err := d.config.Advisor.Advise(ctx, step, workers)
@@ -91,7 +132,10 @@
 		d.config.Logger.WithField("job", string(step.Job)).WithField("step", step.Step).WithError(err).Warn("advisor does not answer")
 		return false
 	}
-	d.logAdvice(step, pool, len(workers), &reply, d.now()-sentAt)
+	if reply.Valid <= 0 {
+		reply.Valid = terms.valid
+	}
+	d.logAdvice(step, terms.pool, len(workers), &reply, d.now()-sentAt)
 	d.advice.put(step, workers, reply, sentAt)
 	return true
 }
--- a/internal/dispatch/advisor_test.go
+++ b/internal/dispatch/advisor_test.go
@@ -217,6 +217,32 @@
 	is.Equal(sim.violations, nil)
 }
 
+// Guards against an advisor that is never heard, because it takes longer than a request
+// may, or than its tickets are valid.
+func TestSlowAdvisorIsHeard(t *testing.T) {
+	for _, valid := range []time.Duration{ticketLife, time.Minute} {
+		t.Run(valid.String(), func(t *testing.T) {
+			is := is.New(t)
+			sim, a := newAdvisedSite(40, valid, allowAll)
+			a.setPace(sim, 200*time.Millisecond, 150*time.Millisecond)
+			sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+			is.True(sim.runUntil(finishTime, sim.isCompleted("j")))
+			is.Equal(sim.violations, nil)
+		})
+	}
+}
+
+// Guards against tickets that count as expired at once, because a reply does not say how
+// long they are valid.
+func TestLifeOfTicketsIsThatOfTheQueueIfTheReplyHasNone(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(4, ticketLife, allowAll)
+	a.omitsLife = true
+	sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+	is.True(sim.runUntil(lastingTime, sim.isCompleted("j")))
+	is.Equal(sim.violations, nil)
+}
+
 // Guards against jobs of other queues that wait while the advisor gives no reply.
 func TestSilentAdvisorHoldsUpNoOtherQueue(t *testing.T) {
 	is := is.New(t)
