--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -110,7 +110,10 @@
 	sim.advance(after)
 	for _, f := range sim.workers {
 		if f.restartAt == 0 {
-			sim.report(f)
+			if sim.now >= f.reportDue {
+				f.reportDue = sim.now + sim.reportInterval
+				sim.report(f)
+			}
 			endRuns(f)
 		}
 	}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -94,6 +94,8 @@
 	callsUnderway int
 	// platform carries out orders for VMs, nil without any.
 	platform *fakePlatform
+	// reportInterval is the time between two reports of a worker, 0 for each round.
+	reportInterval time.Duration
 	// advisor decides which workers may run a step, nil without one.
 	advisor *fakeAdvisor
 	// proposing lets one goroutine at a time use the control log.
