dispatch: an advisor whose decision takes long is asked about many workers at once

With a decision of half of a ticket's life, a request named one worker, and a pass over a large pool took minutes. The bound is now on the time for the workers, half of what is left of the usable life after the decision. A start without a ticket, when refused, says nothing of the advisor's reply.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -172,7 +172,7 @@
 func (a *adviceCache) reject(step schedule.StepRef, worker workload.WorkerID, ticket string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.steps[step]; s != nil && s.permits[worker].ticket == ticket {
+	if s := a.steps[step]; s != nil && ticket != "" && s.permits[worker].ticket == ticket {
 		s.permits[worker] = permit{plannedUntil: a.now() + refusalBackoff}
 		s.view = nil
 	}
--- a/internal/dispatch/advisor.go
+++ b/internal/dispatch/advisor.go
@@ -32,9 +32,10 @@
 	// adviceTimeout bounds one request beyond the time that the advisor takes for its
 	// decision. It answers this VM's requests one after another.
 	adviceTimeout = 3 * time.Second
-	// requestShare is the largest share of the time in which a plan may rely on a ticket
-	// that the request for it takes. The rest is for the starts.
-	requestShare = 0.5
+	// perWorkerShare is the largest share of the time in which a plan may rely on a ticket
+	// that the advisor takes for the workers of a request, after its decision. The rest is
+	// for the starts.
+	perWorkerShare = 0.5
 	// adviceRetryPause is the pause after a request without a reply.
 	adviceRetryPause = 200 * time.Millisecond
 )
@@ -116,8 +117,8 @@
 	if t.perWorker <= 0 || t.valid <= 0 {
 		return maxAdviceWorkers
 	}
-	longest := time.Duration(requestShare * plannedShare * float64(t.valid))
-	return max(1, min(maxAdviceWorkers, int((longest-t.decision)/t.perWorker)))
+	usable := plannedShare*float64(t.valid) - float64(t.decision)
+	return max(1, min(maxAdviceWorkers, int(perWorkerShare*usable/float64(t.perWorker))))
 }
 
 // requestAdvice makes one request. It returns false if it got no reply.
