schedule: a gang that isn't sure to start asks about new workers first

What callers could see since the advisor is asked about every worker: a gang on more workers than one request names that waits long for its turn beside steps that need the advisor too. Its request named the allowed workers whose tickets had expired first, which expire again before the next turn, and hardly any that was not asked about.

Now such a gang names only workers that were not asked about, and renews tickets once it is sure to start with them.

--- a/internal/dispatch/advisor_test.go
+++ b/internal/dispatch/advisor_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/comfreyloom/comfreyloom/internal/schedule"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -32,6 +33,12 @@
 	return sim, a
 }
 
+// firstByID returns whether an address is that of the first worker by ID.
+func firstByID(sim *simulation) func(string) bool {
+	others := lastByID(sim, len(sim.workers)-1)
+	return func(address string) bool { return !others(address) }
+}
+
 // lastByID returns whether an address is that of one of the last workers by ID.
 func lastByID(sim *simulation, count int) func(string) bool {
 	byID := slices.Clone(sim.workers)
@@ -75,14 +82,18 @@
 }
 
 // Guards against a gang that never starts, as no request to the advisor gives it all the
-// tickets that it needs at once, and those of earlier requests have expired.
+// tickets that it needs at once, and those of earlier requests have expired: before each
+// next one it is the turn of other steps.
 func TestGangStartsWithTicketsOfSeveralRequests(t *testing.T) {
+	const others = 50
 	is := is.New(t)
 	sim, a := newAdvisedSite(300, ticketLife, nil)
-	a.allows = lastByID(sim, 160)
-	for i := range 5 {
+	a.allows = lastByID(sim, 280)
+	a.fails = func(id workload.JobID) bool { return id != "gang" }
+	for i := range others {
 		sim.submitJob(workload.JobID(fmt.Sprintf("other-%d", i)), workload.StepSpec{Count: 3, Need: smallTask})
 	}
+	is.True(others*tickInterval > time.Duration(plannedShare*float64(ticketLife)))
 	sim.submitJob("gang", workload.StepSpec{Count: 150, Need: smallTask, Gang: true, MaxPerWorker: 1})
 	is.True(sim.runUntil(finishTime, sim.isCompleted("gang")))
 	is.Equal(sim.violations, nil)
@@ -121,24 +132,30 @@
 }
 
 // Guards against requests that ask again what does not change: only the tickets of the
-// workers that may run a step have to be renewed.
+// workers that a step needs have to be renewed.
 func TestOnlyTicketsAreRenewed(t *testing.T) {
-	is := is.New(t)
-	sim, a := newAdvisedSite(40, ticketLife, nil)
-	a.allows = lastByID(sim, 2)
-	sim.submitJob("j", workload.StepSpec{Count: 1, Need: smallTask, LongRunning: true})
-	is.True(sim.runUntil(lastingTime, func() bool { return countRuns(sim.workers) == 1 }))
-	sim.run(2 * ticketLife)
-	requests, named := a.requests, a.named
-	is.True(named >= 39)
-	for _, f := range sim.workers {
-		for _, run := range f.worker.Running() {
-			f.worker.End(run, workload.EndFailed)
-		}
+	for name, c := range map[string]struct{ pool, allowed int }{
+		"all others are denied":       {40, 1},
+		"others were not asked about": {112, 112},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim, a := newAdvisedSite(c.pool, ticketLife, nil)
+			a.allows = lastByID(sim, c.allowed)
+			sim.submitJob("j", workload.StepSpec{Count: 1, Need: smallTask, LongRunning: true})
+			runs := func() bool { return countRuns(sim.workers) == 1 }
+			is.True(sim.runUntil(lastingTime, runs))
+			sim.run(2 * ticketLife)
+			named := a.named
+			for _, f := range sim.workers {
+				for _, run := range f.worker.Running() {
+					f.worker.End(run, workload.EndStopped)
+				}
+			}
+			is.True(sim.runUntil(lastingTime, runs))
+			is.Equal(a.named, named+1)
+		})
 	}
-	is.True(sim.runUntil(lastingTime, func() bool { return countRuns(sim.workers) == 1 }))
-	is.Equal(a.requests, requests+1)
-	is.True(a.named-named <= 2)
 }
 
 // Guards against jobs that wait behind others for ever: hundreds of steps that no worker
@@ -159,12 +176,14 @@
 	is.Equal(sim.violations, nil)
 }
 
-// Guards against a job that waits for ever after requests to the advisor that failed.
+// Guards against a job that waits for ever after requests to the advisor that failed, its
+// own or those for another job.
 func TestFailedRequestsToTheAdvisorAreRepeated(t *testing.T) {
 	is := is.New(t)
 	sim, a := newAdvisedSite(112, ticketLife, nil)
 	a.allows = lastByID(sim, 2)
-	a.fails = func() bool { return a.requests%3 != 0 }
+	a.fails = func(id workload.JobID) bool { return id == "bad" || a.requests%3 != 0 }
+	sim.submitJob("bad", workload.StepSpec{Count: 2, Need: smallTask})
 	for i := range 4 {
 		sim.submitJob(workload.JobID(fmt.Sprintf("j-%d", i)), workload.StepSpec{Count: 2, Need: smallTask})
 	}
@@ -177,17 +196,25 @@
 // Guards against a job that never starts, because replies of the advisor can't be read in
 // part and the workers in that part were taken for denied, or asked about first again.
 func TestWorkersOfAnUnclearReplyAreAskedAboutAgain(t *testing.T) {
-	for name, unclearReplies := range map[string]int{"the first one": 1, "each": 1000} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			sim, a := newAdvisedSite(300, ticketLife, nil)
-			a.allows = lastByID(sim, 3)
-			a.unclear = func() bool { return a.requests <= unclearReplies }
-			sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
-			is.True(sim.runUntil(2*finishTime, sim.isCompleted("j")))
-			is.Equal(sim.violations, nil)
-		})
-	}
+	t.Run("one reply, one worker", func(t *testing.T) {
+		is := is.New(t)
+		sim, a := newAdvisedSite(4, ticketLife, nil)
+		a.allows = firstByID(sim)
+		a.unclear = func() bool { return a.requests == 1 }
+		sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+		is.True(sim.runUntil(finishTime, sim.isCompleted("j")))
+		is.True(a.requests > 1)
+		is.Equal(sim.violations, nil)
+	})
+	t.Run("each reply", func(t *testing.T) {
+		is := is.New(t)
+		sim, a := newAdvisedSite(300, ticketLife, nil)
+		a.allows = lastByID(sim, 3)
+		a.unclear = func() bool { return true }
+		sim.submitJob("j", workload.StepSpec{Count: 2, Need: smallTask})
+		is.True(sim.runUntil(finishTime, sim.isCompleted("j")))
+		is.Equal(sim.violations, nil)
+	})
 }
 
 // Guards against a start that is refused again and again while its ticket counts as valid,
@@ -249,7 +276,7 @@
 func TestSilentAdvisorHoldsUpNoOtherQueue(t *testing.T) {
 	is := is.New(t)
 	sim, a := newAdvisedSite(4, ticketLife, allowAll)
-	a.fails = func() bool { return true }
+	a.fails = func(workload.JobID) bool { return true }
 	sim.submitJob("advised", workload.StepSpec{Count: 20, Need: smallTask})
 	sim.apply(&workload.Command{AtMS: sim.now.Milliseconds(), Submit: []workload.Submit{{
 		ID: "free", Queue: workload.QueueID{Host: "h", Prefix: "/free/"}, Spec: workload.JobSpec{Steps: []workload.StepSpec{{Count: 8, Need: smallTask}}},
@@ -258,6 +285,48 @@
 	is.Equal(sim.stateOf("advised"), workload.JobQueued)
 }
 
+// Guards against steps that wait behind such as could not start even with a ticket, and
+// behind others that had their turn.
+func TestStepsAreAskedAboutInTurn(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	a := newAdviceCache(func() time.Duration { return now })
+	need := func(id workload.JobID, startable bool) schedule.AdviceNeed {
+		return schedule.AdviceNeed{Step: schedule.StepRef{Job: id}, Workers: []workload.WorkerID{"w"}, Startable: startable}
+	}
+	var order []workload.JobID
+	for range 4 {
+		now += time.Second
+		a.setNeeds([]schedule.AdviceNeed{need("full", false), need("first", true), need("second", true)})
+		now += time.Second
+		next, _ := a.next()
+		order = append(order, next.Step.Job)
+	}
+	is.Equal(order, []workload.JobID{"first", "second", "first", "second"})
+	a.setNeeds([]schedule.AdviceNeed{need("full", false)})
+	next, ok := a.next()
+	is.True(ok)
+	is.Equal(next.Step.Job, workload.JobID("full"))
+	_, ok = a.next() // before the next plan nothing is asked about again
+	is.True(!ok)
+}
+
+// Guards against a start that is sent without its ticket, because plans do not rely on it
+// any more.
+func TestOrdersUseATicketLongerThanPlans(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	a := newAdviceCache(func() time.Duration { return now })
+	step := schedule.StepRef{Job: "j"}
+	a.put(step, []workload.WorkerID{"w"}, AdvisorReply{Tickets: map[workload.WorkerID]string{"w": "t"}, Valid: 10 * time.Second}, now)
+	now += 9 * time.Second
+	is.Equal(len(a.get(step).Tickets), 0)
+	is.Equal(len(a.get(step).Expired), 1)
+	is.Equal(a.ticket(step, "w"), "t")
+	now += time.Second
+	is.Equal(a.ticket(step, "w"), "")
+}
+
 // Guards against a job that never starts after a change of leader in the middle of the
 // requests to the advisor.
 func TestNewLeaderAsksTheAdvisor(t *testing.T) {
@@ -280,6 +349,6 @@
 		sim.leaves = true
 		a := sim.addAdvisor(4, ticketLife, func(address string) bool { return address != "10.0.0.0:80" })
 		a.pass = sim.advance
-		a.fails = func() bool { return sim.chance(sim.faultPercent) }
+		a.fails = func(workload.JobID) bool { return sim.chance(sim.faultPercent) }
 	})
 }
--- a/internal/dispatch/fake_advisor_test.go
+++ b/internal/dispatch/fake_advisor_test.go
@@ -20,8 +20,8 @@
 	allows                     func(address string) bool
 	// allowsJob decides about all steps of a job, nil allows any.
 	allowsJob func(workload.JobID) bool
-	// fails reports whether a request gets no reply; nil for never.
-	fails func() bool
+	// fails reports whether a request about a job gets no reply; nil for never.
+	fails func(workload.JobID) bool
 	// unclear reports whether a reply lacks a part; nil for never.
 	unclear func() bool
 	// lost reports whether the workers don't know the tickets of a reply; nil for never.
@@ -105,7 +105,7 @@
 	if len(about) > 100 {
 		a.sim.reportViolation("a request to the advisor names %d workers", len(about))
 	}
-	if a.fails != nil && a.fails() {
+	if a.fails != nil && a.fails(step.Job) {
 		return AdvisorReply{}, errAdvisorBusy
 	}
 	arrivedAt := a.sim.now
--- a/internal/schedule/advice.go
+++ b/internal/schedule/advice.go
@@ -102,12 +102,14 @@
 // the preferred ones first.
 func (p *planner) needAdvice(w waitingStep, ticketless []placement, whole bool, preferred, all []*candidate) {
 	n := &needBuilder{step: &w, need: AdviceNeed{Step: w.stepRef(), Startable: len(ticketless) > 0}, named: map[workload.WorkerID]bool{}}
-	sure := whole && n.need.Startable
+	sure := whole && w.areAllowed(ticketless)
+	n.need.Together = sure && w.spec().Gang
 	for _, pl := range ticketless {
-		n.add(pl.candidate)
-		sure = sure && w.permissionOf(pl.candidate.worker.ID) == expired
+		// A ticket that a gang gets before it is sure to start would expire.
+		if sure || !w.spec().Gang || w.permissionOf(pl.candidate.worker.ID) == unknown {
+			n.add(pl.candidate)
+		}
 	}
-	n.need.Together = sure && w.spec().Gang
 	n.limit = len(n.need.Workers) + workersPerNeed
 	if !sure {
 		hasRoom := func(c *candidate) bool { return w.spec().Charge().Fits(c.free) }
@@ -123,6 +125,16 @@
 	}
 }
 
+// areAllowed reports whether some placements are known to lack a new ticket only.
+func (w *waitingStep) areAllowed(placed []placement) bool {
+	for _, pl := range placed {
+		if w.permissionOf(pl.candidate.worker.ID) < expired {
+			return false
+		}
+	}
+	return len(placed) > 0
+}
+
 // needBuilder collects the workers of a need.
 type needBuilder struct {
 	step  *waitingStep
