schedule, dispatch: what to ask the advisor is determined for one step at a time

What callers could have seen since the advisor is asked about every worker: everything slow while thousands of steps of a queue with an advisor wait, as each plan placed all of them on workers without tickets.

Cause: the workers to ask about were determined in the plan, for every waiting step, although the advisor is asked about one at a time.

Now a plan only lists the steps that wait for advice, and considers workers without a ticket only where a step would wait for its rack. Whose turn it is, is decided before a request, and only then the step is placed as if it were alone. Where nothing that the advisor could say would help, the step has no turn for a second, or until a ticket expires.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -16,18 +15,19 @@
 type adviceCache struct {
 	mu    sync.Mutex
 	steps map[schedule.StepRef]*stepAdvice
-	// needs are those of the last plan that the advisor has not been asked about since.
-	needs []schedule.AdviceNeed
-	wake  chan struct{}
-	now   func() time.Duration
+	// waiting are the steps of the last plan that need advice and whose need has not been
+	// determined since.
+	waiting []schedule.StepRef
+	wake    chan struct{}
+	now     func() time.Duration
 }
 
 // stepAdvice is what is known about one step.
 type stepAdvice struct {
 	permits map[workload.WorkerID]permit
-	// waitingSince is when the advisor was last asked about the step, or when it was
-	// first needed.
-	waitingSince time.Duration
+	// waitingSince is when the step last had its turn, or when it was first needed.
+	// Before restsUntil it gets none, as the advisor can't help.
+	waitingSince, restsUntil time.Duration
 	// view is what plans read; it is renewed at staleAt, when a ticket expires.
 	view    *schedule.Advice
 	staleAt time.Duration
@@ -46,6 +46,9 @@
 	// unclearDenialTime is how long a worker without a ticket counts as denied after an
 	// unclear reply.
 	unclearDenialTime = 10 * time.Second
+	// adviceRest is how long a step gets no turn after one in which there was nothing to
+	// ask. A worker that has joined is noticed afterwards.
+	adviceRest = time.Second
 )
 
 // plannedShare is the share of a ticket's life in which a plan may rely on it. An order
@@ -103,15 +106,15 @@
 	return ""
 }
 
-// setNeeds replaces the needs by those of a new plan.
-func (a *adviceCache) setNeeds(needs []schedule.AdviceNeed) {
+// setWaiting replaces the steps that need advice by those of a new plan.
+func (a *adviceCache) setWaiting(steps []schedule.StepRef) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.needs = needs
-	for i := range needs {
-		a.stepOf(needs[i].Step)
+	a.waiting = steps
+	for _, step := range steps {
+		a.stepOf(step)
 	}
-	if len(needs) > 0 {
+	if len(steps) > 0 {
 		notify(a.wake)
 	}
 }
@@ -125,27 +128,36 @@
 	return s
 }
 
-// next takes the need of the step that has waited for the longest. Steps that could start
-// now come first.
-func (a *adviceCache) next() (schedule.AdviceNeed, bool) {
+// next returns the step whose turn it is: the one that has waited for the longest. It has
+// no other turn before the next plan.
+func (a *adviceCache) next() (step schedule.StepRef, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.needs) == 0 {
-		return schedule.AdviceNeed{}, false
-	}
-	next := slices.MinFunc(a.needs, func(x, y schedule.AdviceNeed) int {
-		switch {
-		case x.Startable && !y.Startable:
-			return -1
-		case y.Startable && !x.Startable:
-			return 1
-		default:
-			return cmp.Compare(a.stepOf(x.Step).waitingSince, a.stepOf(y.Step).waitingSince)
+	now, at := a.now(), -1
+	for i, candidate := range a.waiting {
+		s := a.stepOf(candidate)
+		if now >= s.restsUntil && (at < 0 || s.waitingSince < a.stepOf(a.waiting[at]).waitingSince) {
+			at = i
 		}
-	})
-	a.needs = slices.DeleteFunc(slices.Clone(a.needs), func(n schedule.AdviceNeed) bool { return n.Step == next.Step })
-	a.stepOf(next.Step).waitingSince = a.now()
-	return next, true
+	}
+	if at < 0 {
+		return schedule.StepRef{}, false
+	}
+	step = a.waiting[at]
+	a.waiting = slices.Concat(a.waiting[:at], a.waiting[at+1:])
+	a.stepOf(step).waitingSince = now
+	return step, true
+}
+
+// rest has a step get no turn for a while, or until a ticket of it expires.
+func (a *adviceCache) rest(step schedule.StepRef) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, now := a.stepOf(step), a.now()
+	s.restsUntil = now + adviceRest
+	if s.view != nil && s.staleAt > now {
+		s.restsUntil = min(s.restsUntil, s.staleAt)
+	}
 }
 
 // put records a reply to a request that was sent at a time about some workers.
--- a/internal/dispatch/advisor.go
+++ b/internal/dispatch/advisor.go
@@ -40,10 +40,13 @@
 	adviceRetryPause = 200 * time.Millisecond
 )
 
+// maxNeedsPerRequest bounds the steps whose need is determined for one request.
+const maxNeedsPerRequest = 8
+
 // runAdvice asks the advisor what the plans need, one request at a time.
 func (d *Dispatcher) runAdvice(ctx context.Context) {
 	for ctx.Err() == nil {
-		need, ok := d.advice.next()
+		need, ok := d.nextNeed()
 		if !ok {
 			select {
 			case <-d.advice.wake:
@@ -57,6 +60,39 @@
 	}
 }
 
+// nextNeed returns what to ask next. Among the steps whose turn is next, one that could
+// start now is preferred.
+func (d *Dispatcher) nextNeed() (need schedule.AdviceNeed, ok bool) {
+	for range maxNeedsPerRequest {
+		step, waits := d.advice.next()
+		if !waits {
+			break
+		}
+		switch of := d.needOf(step); {
+		case len(of.Workers) == 0:
+			d.advice.rest(step)
+		case of.Startable:
+			return of, true
+		case !ok:
+			need, ok = of, true
+		}
+	}
+	return need, ok
+}
+
+func (d *Dispatcher) needOf(step schedule.StepRef) (need schedule.AdviceNeed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.config.Machine.Read(func(t *workload.Tables) {
+		now := d.now()
+		workers, _ := d.workerStates(t, now)
+		need = schedule.Need(schedule.Input{
+			Tables: t, Workers: workers, Advice: d.advice.get, Overdue: d.overdueSuspects(now), NowMS: d.config.WallMS(), MaxStarts: maxStarts,
+		}, step)
+	})
+	return need
+}
+
 // seekAdvice asks the advisor about the workers of a need: about as many as one request
 // names, or about all of them if they are needed together. It returns false if a request
 // got no reply.
--- a/internal/dispatch/advisor_test.go
+++ b/internal/dispatch/advisor_test.go
@@ -285,32 +285,60 @@
 	is.Equal(sim.stateOf("advised"), workload.JobQueued)
 }
 
-// Guards against steps that wait behind such as could not start even with a ticket, and
-// behind others that had their turn.
+// Guards against steps that wait behind others that had their turn.
 func TestStepsAreAskedAboutInTurn(t *testing.T) {
 	is := is.New(t)
 	now := time.Second
 	a := newAdviceCache(func() time.Duration { return now })
-	need := func(id workload.JobID, startable bool) schedule.AdviceNeed {
-		return schedule.AdviceNeed{Step: schedule.StepRef{Job: id}, Workers: []workload.WorkerID{"w"}, Startable: startable}
+	hopeless, first, second := schedule.StepRef{Job: "hopeless"}, schedule.StepRef{Job: "first"}, schedule.StepRef{Job: "second"}
+	plan := []schedule.StepRef{hopeless, first, second}
+	turn := func() schedule.StepRef {
+		now += 10 * time.Millisecond
+		step, _ := a.next()
+		return step
 	}
-	var order []workload.JobID
+	a.setWaiting(plan)
+	is.Equal(turn(), hopeless)
+	a.rest(hopeless)
+	var turns []schedule.StepRef
 	for range 4 {
-		now += time.Second
-		a.setNeeds([]schedule.AdviceNeed{need("full", false), need("first", true), need("second", true)})
-		now += time.Second
-		next, _ := a.next()
-		order = append(order, next.Step.Job)
+		a.setWaiting(plan)
+		turns = append(turns, turn())
 	}
-	is.Equal(order, []workload.JobID{"first", "second", "first", "second"})
-	a.setNeeds([]schedule.AdviceNeed{need("full", false)})
-	next, ok := a.next()
+	is.Equal(turns, []schedule.StepRef{first, second, first, second})
+	now += adviceRest
+	is.Equal(turn(), hopeless)
+	a.put(hopeless, []workload.WorkerID{"w"}, AdvisorReply{Tickets: map[workload.WorkerID]string{"w": "t"}, Valid: 100 * time.Millisecond}, now)
+	is.Equal(len(a.get(hopeless).Tickets), 1)
+	a.rest(hopeless)
+	now += 100 * time.Millisecond
+	a.setWaiting([]schedule.StepRef{hopeless})
+	is.Equal(turn(), hopeless) // its ticket has expired
+	a.setWaiting([]schedule.StepRef{first})
+	_, ok := a.next()
 	is.True(ok)
-	is.Equal(next.Step.Job, workload.JobID("full"))
-	_, ok = a.next() // before the next plan nothing is asked about again
+	_, ok = a.next()
 	is.True(!ok)
 }
 
+// Guards against a step that waits behind others that could not start even with a ticket.
+func TestStepThatCouldStartIsAskedAboutFirst(t *testing.T) {
+	is := is.New(t)
+	sim, a := newAdvisedSite(4, ticketLife, allowAll)
+	var asked []workload.JobID
+	a.fails = func(id workload.JobID) bool {
+		asked = append(asked, id)
+		return false
+	}
+	a.busy = true
+	sim.submitJob("full", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1 << 40}})
+	sim.run(4 * tickInterval) // it has waited for longer
+	a.busy = false
+	sim.submitJob("j", workload.StepSpec{Count: 1, Need: smallTask})
+	is.True(sim.runUntil(lastingTime, sim.isCompleted("j")))
+	is.Equal(asked[0], workload.JobID("j"))
+}
+
 // Guards against a start that is sent without its ticket, because plans do not rely on it
 // any more.
 func TestOrdersUseATicketLongerThanPlans(t *testing.T) {
--- a/internal/dispatch/fake_advisor_test.go
+++ b/internal/dispatch/fake_advisor_test.go
@@ -94,7 +94,7 @@
 	}
 	a.busy = true
 	defer func() { a.busy = false }()
-	if need, ok := sim.leader.advice.next(); ok {
+	if need, ok := sim.leader.nextNeed(); ok {
 		sim.leader.seekAdvice(ctx, need)
 	}
 }
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -253,10 +253,22 @@
 // schedule adds the starts that are decided next.
 func (d *Dispatcher) schedule(t *workload.Tables, c *workload.Command) {
 	now := d.now()
-	workers := make(map[workload.WorkerID]schedule.Worker, len(d.links))
-	unresponsive := 0
+	workers, unresponsive := d.workerStates(t, now)
+	nowMS := d.config.WallMS()
+	d.counters.measure(t, workers, unresponsive, now, nowMS)
+	plan := schedule.Make(schedule.Input{
+		Tables: t, Workers: workers, Freed: freedCapacity(t, c), Advice: d.advice.get, Overdue: d.overdueSuspects(now), NowMS: nowMS, MaxStarts: maxStarts,
+	})
+	d.counters.recordFirstStarts(t, plan.Starts, nowMS)
+	c.Starts, c.Due = plan.Starts, plan.Due
+	d.advice.setWaiting(plan.AdviceNeeded)
+}
+
+// workerStates returns what a plan has to know of the workers beyond the tables, and how
+// many of them do not answer.
+func (d *Dispatcher) workerStates(t *workload.Tables, now time.Duration) (states map[workload.WorkerID]schedule.Worker, unresponsive int) {
+	states = make(map[workload.WorkerID]schedule.Worker, len(d.links))
 	suspects := d.suspectsByWorker(t)
-	overdue := d.overdueSuspects(now)
 	for id, l := range d.links {
 		l.mu.Lock()
 		if l.unresponsive(now) {
@@ -274,17 +286,10 @@
 		if len(d.waitingSuspects) > 0 {
 			w.RecentRuns = l.countOnTrial(t.Runs[id])
 		}
-		workers[id] = w
+		states[id] = w
 		l.mu.Unlock()
 	}
-	nowMS := d.config.WallMS()
-	d.counters.measure(t, workers, unresponsive, now, nowMS)
-	plan := schedule.Make(schedule.Input{
-		Tables: t, Workers: workers, Freed: freedCapacity(t, c), Advice: d.advice.get, Overdue: overdue, NowMS: nowMS, MaxStarts: maxStarts,
-	})
-	d.counters.recordFirstStarts(t, plan.Starts, nowMS)
-	c.Starts, c.Due = plan.Starts, plan.Due
-	d.advice.setNeeds(plan.AdviceNeeded)
+	return states, unresponsive
 }
 
 // hasUnplannedRun reports whether the worker lists a run that is not committed
--- a/internal/schedule/advice.go
+++ b/internal/schedule/advice.go
@@ -52,11 +52,11 @@
 	return unknown
 }
 
-// AdviceNeed is a step with waiting tasks and the workers that the advisor is to be
-// asked about.
+// AdviceNeed says which workers the advisor is to be asked about for a step.
 type AdviceNeed struct {
 	Step StepRef
-	// Workers are in the order in which they are useful.
+	// Workers are in the order in which they are useful. It is empty if nothing that the
+	// advisor could say would help.
 	Workers []workload.WorkerID
 	// Startable is set when a task would start now if the first of the workers had a
 	// ticket.
@@ -69,6 +69,37 @@
 // start at once.
 const workersPerNeed = 30
 
+// Need determines what the advisor is to be asked for a step. The step is placed on the
+// workers that are not denied, as if it were alone.
+func Need(in Input, step StepRef) AdviceNeed {
+	p := newPlanner(in)
+	p.asking = true
+	w, waits := waitingStepOf(in.Tables, step)
+	if !waits || w.queue.Advisor == nil {
+		return AdviceNeed{Step: step}
+	}
+	p.collectCandidates()
+	w = p.withAdvice(w)
+	all, fit := p.candidatesOf(w)
+	placed := p.placeTasks(w, fit)
+	_, ticketless := p.keepStartable(w, placed)
+	return needOf(w, ticketless, w.isComplete(len(placed)), fit, all)
+}
+
+// waitingStepOf returns false if no task of a step waits.
+func waitingStepOf(t *workload.Tables, step StepRef) (waitingStep, bool) {
+	job := t.Jobs[step.Job]
+	if job == nil || job.State.Final() || t.Queues[job.Queue] == nil {
+		return waitingStep{}, false
+	}
+	for _, w := range appendReady(nil, job, t.Queues[job.Queue]) {
+		if w.stepRef() == step {
+			return w, true
+		}
+	}
+	return waitingStep{}, false
+}
+
 // withAdvice returns a step with what is known of the permissions of its workers.
 func (p *planner) withAdvice(w waitingStep) waitingStep {
 	if w.queue.Advisor == nil {
@@ -81,6 +112,17 @@
 	return w
 }
 
+// leastPermission returns the permission that a worker needs to be a candidate. A plan
+// considers workers without a ticket only where the rack counts: a step waits for its
+// better rack rather than start on another one. Considering all of them for each of
+// thousands of waiting steps would take too long.
+func (p *planner) leastPermission(w waitingStep) permission {
+	if p.asking || w.spec().SameRack || w.spec().DataRack != "" {
+		return unknown
+	}
+	return granted
+}
+
 // splitByTicket returns the placements on workers for which the step has a valid ticket,
 // and the others.
 func (w *waitingStep) splitByTicket(placed []placement) (ready, ticketless []placement) {
@@ -97,10 +139,9 @@
 	return ready, ticketless
 }
 
-// needAdvice has the advisor asked about the workers of the ticketless placements. Unless
-// it is sure that the whole step starts with these tickets, it is also asked about others,
-// the preferred ones first.
-func (p *planner) needAdvice(w waitingStep, ticketless []placement, whole bool, preferred, all []*candidate) {
+// needOf names the workers of the ticketless placements. Unless it is sure that the whole
+// step starts with these tickets, it also names others, the preferred ones first.
+func needOf(w waitingStep, ticketless []placement, whole bool, preferred, all []*candidate) AdviceNeed {
 	n := &needBuilder{step: &w, need: AdviceNeed{Step: w.stepRef(), Startable: len(ticketless) > 0}, named: map[workload.WorkerID]bool{}}
 	sure := whole && w.areAllowed(ticketless)
 	n.need.Together = sure && w.spec().Gang
@@ -120,9 +161,7 @@
 	if !n.need.Startable {
 		n.addExpired(all)
 	}
-	if len(n.need.Workers) > 0 {
-		p.plan.AdviceNeeded = append(p.plan.AdviceNeeded, n.need)
-	}
+	return n.need
 }
 
 // areAllowed reports whether some placements are known to lack a new ticket only.
--- a/internal/schedule/advice_test.go
+++ b/internal/schedule/advice_test.go
@@ -32,6 +32,19 @@
 	return plan
 }
 
+// need returns what the advisor is to be asked for a step of job "j".
+func (s *site) need(advice *Advice) (need AdviceNeed) { return s.needOf("j", advice) }
+
+func (s *site) needOf(id workload.JobID, advice *Advice) (need AdviceNeed) {
+	s.machine.Read(func(t *workload.Tables) {
+		need = Need(Input{
+			Tables: t, Workers: s.workers, NowMS: s.nowMS, MaxStarts: 100, Overdue: s.overdue,
+			Advice: func(StepRef) *Advice { return advice },
+		}, StepRef{Job: id})
+	})
+	return need
+}
+
 // tickets returns advice that allows some workers.
 func tickets(ids ...workload.WorkerID) *Advice {
 	a := &Advice{Tickets: map[workload.WorkerID]string{}, Expired: map[workload.WorkerID]time.Duration{}, Denied: map[workload.WorkerID]bool{}}
@@ -50,10 +63,8 @@
 	s.submit("j", tasks(1, 1000))
 	denying := tickets()
 	denying.Denied["w1"] = true
-	plan := s.planAdvised(denying)
-	is.Equal(len(plan.AdviceNeeded), 1)
-	is.True(plan.AdviceNeeded[0].Startable)
-	is.Equal(plan.AdviceNeeded[0].Workers, []workload.WorkerID{"w2", "w3", "w0"})
+	is.Equal(s.planAdvised(denying).AdviceNeeded, []StepRef{{Job: "j"}})
+	is.Equal(s.need(denying), AdviceNeed{Step: StepRef{Job: "j"}, Workers: []workload.WorkerID{"w2", "w3", "w0"}, Startable: true})
 }
 
 // Guards against requests that name many workers where a few new tickets suffice.
@@ -63,9 +74,8 @@
 	s.submit("j", tasks(2, 1000))
 	known := tickets()
 	known.Expired["w3"] = time.Second
-	plan := s.planAdvised(known)
-	is.Equal(len(plan.Starts), 0)
-	is.Equal(plan.AdviceNeeded, []AdviceNeed{{Step: StepRef{Job: "j"}, Workers: []workload.WorkerID{"w3"}, Startable: true}})
+	is.Equal(len(s.planAdvised(known).Starts), 0)
+	is.Equal(s.need(known), AdviceNeed{Step: StepRef{Job: "j"}, Workers: []workload.WorkerID{"w3"}, Startable: true})
 }
 
 // Guards against a gang that starts in part: one of its members would be refused without
@@ -78,29 +88,34 @@
 	s.submit("j", gang)
 	known := tickets("w0", "w1")
 	known.Expired["w2"] = time.Second
-	plan := s.planAdvised(known)
-	is.Equal(len(plan.Starts), 0)
-	is.Equal(plan.AdviceNeeded, []AdviceNeed{{Step: StepRef{Job: "j"}, Workers: []workload.WorkerID{"w2"}, Startable: true, Together: true}})
+	is.Equal(len(s.planAdvised(known).Starts), 0)
+	is.Equal(s.need(known), AdviceNeed{Step: StepRef{Job: "j"}, Workers: []workload.WorkerID{"w2"}, Startable: true, Together: true})
 	is.Equal(len(s.planAdvised(tickets("w0", "w1", "w2")).Starts), 3)
 }
 
 // Guards against jobs that wait behind steps without tickets: what these would take stays
 // free meanwhile.
 func TestStepsWithoutTicketsHoldNoCapacity(t *testing.T) {
-	for name, gang := range map[string]bool{"tasks": false, "gang": true} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			s := newAdvisedSite()
-			step := tasks(4, coresEach)
-			step.Gang = gang
-			s.submit("j", step)
-			more := tasks(8, coresEach)
-			s.submit("more", more)
-			s.apply(&workload.Command{Submit: []workload.Submit{{ID: "free", Queue: queueID("/free/"), Spec: workload.JobSpec{Steps: []workload.StepSpec{tasks(4, coresEach)}}}}})
-			plan := s.planAdvised(nil)
-			is.Equal(len(startsOf(plan, "free")), 4)
-			is.Equal(len(plan.AdviceNeeded), 2)
-		})
+	for name, change := range map[string]func(*workload.StepSpec){
+		"tasks":     func(*workload.StepSpec) {},
+		"gang":      func(step *workload.StepSpec) { step.Gang = true },
+		"same rack": func(step *workload.StepSpec) { step.SameRack = true },
+		"data rack": func(step *workload.StepSpec) { step.Count, step.DataRack = 8, "elsewhere" },
+	} {
+		for some, advice := range map[string]*Advice{"no tickets": nil, "one ticket": tickets("w3")} {
+			t.Run(name+", "+some, func(t *testing.T) {
+				is := is.New(t)
+				s := newAdvisedSite()
+				step := tasks(2, coresEach)
+				change(&step)
+				s.submit("j", step)
+				s.submit("more", tasks(8, coresEach))
+				s.apply(&workload.Command{Submit: []workload.Submit{{ID: "free", Queue: queueID("/free/"), Spec: workload.JobSpec{Steps: []workload.StepSpec{tasks(4, coresEach)}}}}})
+				plan := s.planAdvised(advice)
+				is.Equal(len(plan.Starts), 4) // no worker is idle
+				is.True(len(startsOf(plan, "free")) >= 3)
+			})
+		}
 	}
 }
 
@@ -113,9 +128,33 @@
 	step.SameRack = true
 	s.submit("j", step)
 	is.Equal(counts(s.planAdvised(tickets("w2", "w3"))), map[workload.WorkerID]int{"w2": 1, "w3": 1})
-	plan := s.planAdvised(tickets("w1", "w2")) // neither rack has tickets for both tasks
-	is.Equal(len(plan.Starts), 1)
-	is.Equal(plan.AdviceNeeded[0].Workers[0], workload.WorkerID("w0"))
+	known := tickets("w1", "w2") // neither rack has tickets for both tasks
+	is.Equal(len(s.planAdvised(known).Starts), 1)
+	is.Equal(s.need(known).Workers[0], workload.WorkerID("w0"))
+}
+
+// Guards against a step that runs far from its data although a worker beside it only has to
+// be asked about.
+func TestWorkerBesideTheDataIsAskedAbout(t *testing.T) {
+	is := is.New(t)
+	s := newAdvisedSite()
+	step := tasks(1, 1000)
+	step.DataRack = "r1"
+	s.submit("j", step)
+	known := tickets("w0")
+	is.Equal(len(s.planAdvised(known).Starts), 0)
+	is.Equal(s.need(known).Workers[0], workload.WorkerID("w2"))
+	known.Denied["w2"], known.Denied["w3"] = true, true
+	is.Equal(counts(s.planAdvised(known)), map[workload.WorkerID]int{"w0": 1})
+}
+
+func TestStepThatDoesNotWaitNeedsNoAdvice(t *testing.T) {
+	is := is.New(t)
+	s := newAdvisedSite()
+	s.submit("j", tasks(1, 1000))
+	is.Equal(len(s.needOf("other", nil).Workers), 0)
+	s.apply(&workload.Command{Starts: s.planAdvised(tickets("w0")).Starts})
+	is.Equal(len(s.need(nil).Workers), 0)
 }
 
 // Guards against tickets of a full pool that are never renewed: the same ones are each
@@ -136,9 +175,7 @@
 		known.Denied[id] = true
 	}
 	s.submit("j", tasks(1, 1000))
-	plan := s.planAdvised(known)
-	is.Equal(len(plan.AdviceNeeded), 1)
-	need := plan.AdviceNeeded[0]
+	need := s.need(known)
 	is.True(!need.Startable)
 	is.Equal(len(need.Workers), workersPerNeed)
 	is.Equal(need.Workers[0], workload.WorkerID(fmt.Sprintf("full-%02d", 2*workersPerNeed-1)))
@@ -152,8 +189,14 @@
 	s := newAdvisedSite()
 	s.submit("bad", tasks(1, 1000))
 	s.crashWorkers("bad", 2)
-	plan := s.planAdvised(nil)
-	is.Equal(len(plan.Starts), 0)
-	is.True(plan.AdviceNeeded[0].Startable)
+	is.Equal(len(s.planAdvised(nil).Starts), 0)
+	is.True(s.needOf("bad", nil).Startable)
 	is.Equal(startsOf(s.planAdvised(tickets("w1")), "bad"), []workload.WorkerID{"w1"})
+
+	beside := tasks(1, 1000)
+	beside.DataRack = "r1"
+	s.submit("beside", beside)
+	s.crashWorkers("beside", 2)
+	is.Equal(len(startsOf(s.planAdvised(tickets("w0")), "beside")), 0)
+	is.Equal(s.needOf("beside", tickets("w0")).Workers[0], workload.WorkerID("w2"))
 }
--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -9,7 +9,23 @@
 
 // BenchmarkPlanInAPeak measures a plan for 350 full workers with some 2,000 waiting
 // jobs, when nothing can be started.
-func BenchmarkPlanInAPeak(b *testing.B) {
+func BenchmarkPlanInAPeak(b *testing.B) { benchmarkPlan(b, nil) }
+
+// BenchmarkPlanOfAdvisedSteps measures a plan for 350 idle workers with 2,800 waiting jobs,
+// when the advisor has been asked about none or has denied them all.
+func BenchmarkPlanOfAdvisedSteps(b *testing.B) {
+	deniedAll := &Advice{Denied: map[workload.WorkerID]bool{}}
+	for i := range 350 {
+		deniedAll.Denied[workload.WorkerID(fmt.Sprintf("w%d", i))] = true
+	}
+	for name, advice := range map[string]*Advice{"unknown": {}, "denied": deniedAll} {
+		b.Run(name, func(b *testing.B) { benchmarkPlan(b, advice) })
+	}
+}
+
+// benchmarkPlan measures the plan after all that can be started has been. The queue has an
+// advisor if there is advice.
+func benchmarkPlan(b *testing.B, known *Advice) {
 	m := workload.NewMachine()
 	index := uint64(0)
 	apply := func(c *workload.Command) {
@@ -23,6 +39,9 @@
 	config := &workload.Config{Version: 1, Pools: []workload.Pool{{Name: "p"}}, Queues: []workload.Queue{
 		{ID: queueID("/q/"), Pool: "p", MaxAttempts: 3, TargetFactor: 2, TargetLatencyMS: 600, TimeoutMS: 1},
 	}}
+	if known != nil {
+		config.Queues[0].Advisor = &workload.Advisor{ValidMS: 3000}
+	}
 	states := map[workload.WorkerID]Worker{}
 	var all []workload.Worker
 	for i := range 350 {
@@ -37,7 +56,7 @@
 		apply(&workload.Command{AtMS: 1000, Submit: []workload.Submit{{ID: workload.JobID(fmt.Sprintf("j%d", i)),
 			Queue: queueID("/q/"), Spec: workload.JobSpec{Steps: steps}}}})
 	}
-	advice := func(StepRef) *Advice { return nil }
+	advice := func(StepRef) *Advice { return known }
 	for {
 		var plan Plan
 		m.Read(func(t *workload.Tables) {
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -19,21 +19,27 @@
 		return
 	}
 	w = p.withAdvice(w)
-	all := p.filter(w)
-	if len(all) == 0 {
+	if w.advice != nil && len(w.advice.Tickets) == 0 {
+		p.plan.AdviceNeeded = append(p.plan.AdviceNeeded, w.stepRef())
 		return
 	}
-	fit := all
-	if w.spec().SameRack {
-		fit = p.selectRack(w, fit)
-	}
-	fit = p.preferDataRack(w, fit)
-	placed := p.placeTasks(w, fit)
-	starts, ticketless := p.keepStartable(w, placed)
+	_, fit := p.candidatesOf(w)
+	starts, _ := p.keepStartable(w, p.placeTasks(w, fit))
 	p.addStarts(w, starts)
 	if w.advice != nil && !w.isComplete(len(starts)) {
-		p.needAdvice(w, ticketless, w.isComplete(len(placed)), fit, all)
+		p.plan.AdviceNeeded = append(p.plan.AdviceNeeded, w.stepRef())
+	}
+}
+
+// candidatesOf returns the workers that may run a step, and those of them on the racks
+// that suit it.
+func (p *planner) candidatesOf(w waitingStep) (all, fit []*candidate) {
+	all = p.filter(w)
+	fit = all
+	if w.spec().SameRack {
+		fit = p.selectRack(w, fit)
 	}
+	return all, p.preferDataRack(w, fit)
 }
 
 // keepStartable returns the placements that start now, and those that only lack a ticket.
@@ -74,16 +80,16 @@
 	}
 }
 
-// filter returns the workers that may run the step, as far as the advisor has not denied
-// it, regardless of their free capacity.
+// filter returns the workers that may run the step, regardless of their free capacity.
 func (p *planner) filter(w waitingStep) []*candidate {
 	spec := w.spec()
 	if spec.Label == "" && w.queue.Advisor == nil && !spec.LongRunning {
 		return p.pools[w.queue.Pool]
 	}
+	least := p.leastPermission(w)
 	var fit []*candidate
 	for _, c := range p.pools[w.queue.Pool] {
-		if c.worker.HasLabel(spec.Label) && w.permissionOf(c.worker.ID) != denied && !(spec.LongRunning && c.state.Evacuating) {
+		if c.worker.HasLabel(spec.Label) && w.permissionOf(c.worker.ID) >= least && !(spec.LongRunning && c.state.Evacuating) {
 			fit = append(fit, c)
 		}
 	}
@@ -225,7 +231,7 @@
 			continue
 		}
 		susp := p.suspicionOf(w.ref(i))
-		if susp.isolated && !spec.Gang {
+		if susp.isolated && !spec.Gang && !p.asking {
 			continue // started by placeSuspects
 		}
 		best := p.best(w, fit, onWorker, susp)
--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -192,8 +192,7 @@
 	s.submit("j", tasks(2, 1000))
 	plan := s.plan()
 	is.Equal(len(plan.Starts), 0)
-	is.Equal(len(plan.AdviceNeeded), 1)
-	is.Equal(plan.AdviceNeeded[0].Step, StepRef{Job: "j"})
+	is.Equal(plan.AdviceNeeded, []StepRef{{Job: "j"}})
 	s.machine.Read(func(tables *workload.Tables) {
 		plan = Make(Input{Tables: tables, Workers: s.workers, NowMS: s.nowMS, MaxStarts: 100,
 			Advice: func(StepRef) *Advice { return &Advice{Tickets: map[workload.WorkerID]string{"w2": "t"}} }})
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -64,9 +64,9 @@
 type Plan struct {
 	Starts []workload.Start
 	Due    []workload.DueOccurrence
-	// AdviceNeeded lists the steps for which the advisor must be asked, the most urgent
+	// AdviceNeeded lists the steps that wait and may need the advisor, the most urgent
 	// first.
-	AdviceNeeded []AdviceNeed
+	AdviceNeeded []StepRef
 }
 
 // planner holds the remaining capacity while a plan is made.
@@ -81,6 +81,8 @@
 	// lastChanceCPU is the processor capacity that the steps with
 	// urgencyLastChance need in each pool.
 	lastChanceCPU map[string]int64
+	// asking is set while the need of a step is determined, and not a plan.
+	asking bool
 }
 
 // candidate is a worker that accepts new tasks, with its free capacity.
@@ -103,7 +105,7 @@
 
 // Make computes a plan.
 func Make(in Input) Plan {
-	p := &planner{Input: in, pools: map[string][]*candidate{}, unplaceable: map[string][]workload.Resources{}}
+	p := newPlanner(in)
 	p.collectDue()
 	p.collectCandidates()
 	waiting := p.waiting()
@@ -119,6 +121,10 @@
 	return p.plan
 }
 
+func newPlanner(in Input) *planner {
+	return &planner{Input: in, pools: map[string][]*candidate{}, unplaceable: map[string][]workload.Resources{}}
+}
+
 // collectDue lists the occurrences that are due.
 func (p *planner) collectDue() {
 	for _, jobs := range p.Tables.Live {
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -69,19 +69,13 @@
 		}
 		for _, index := range suspects {
 			c := p.best(w, fit, tasksOn(w), p.suspicionOf(w.ref(index)))
-			if c == nil {
-				p.reserveFor(w, fit, 1)
+			if c != nil && w.permissionOf(c.worker.ID) == granted {
+				p.assign(w, c)
+				p.addStarts(w, []placement{{index: index, candidate: c}})
+				c.reserved = true
 				continue
 			}
-			placed := []placement{{index: index, candidate: c}}
-			if w.permissionOf(c.worker.ID) != granted {
-				p.needAdvice(w, placed, true, fit, fit)
-				p.reserveFor(w, []*candidate{c}, 1)
-				continue
-			}
-			p.assign(w, c)
-			p.addStarts(w, placed)
-			c.reserved = true
+			p.reserveFor(w, fit, 1)
 		}
 	}
 }
