schedule: a step whose tickets suffice needs no advice

What an operator could see: twice the requests to the advisor, each second one about workers that nobody needs. While a request is on its way, plans list its step as waiting; after the reply the step had the next turn, and as its tickets sufficed, 30 workers that had not been asked about were named.

TestStepThatDoesNotWaitNeedsNoAdvice failed before.

--- a/internal/schedule/advice.go
+++ b/internal/schedule/advice.go
@@ -82,7 +82,10 @@
 	w = p.withAdvice(w)
 	all, fit := p.candidatesOf(w)
 	placed := p.placeTasks(w, fit)
-	_, ticketless := p.keepStartable(w, placed)
+	starts, ticketless := p.keepStartable(w, placed)
+	if w.isComplete(len(starts)) {
+		return AdviceNeed{Step: step}
+	}
 	return needOf(w, ticketless, w.isComplete(len(placed)), fit, all)
 }
 
--- a/internal/schedule/advice_test.go
+++ b/internal/schedule/advice_test.go
@@ -153,6 +153,7 @@
 	s := newAdvisedSite()
 	s.submit("j", tasks(1, 1000))
 	is.Equal(len(s.needOf("other", nil).Workers), 0)
+	is.Equal(len(s.need(tickets("w0")).Workers), 0) // its tickets suffice
 	s.apply(&workload.Command{Starts: s.planAdvised(tickets("w0")).Starts})
 	is.Equal(len(s.need(nil).Workers), 0)
 }
