schedule: workers that can't help are not asked about

What an operator could see: requests to the advisor without end for a job that fits on no worker, or for a gang that finds no room: their tickets were kept valid although nothing could start with them. Now workers that are too small even when idle are not named, and a gang's tickets are renewed only once all its members have room.

TestStepThatFitsNowhereNeedsNoAdvice fails without either. Permissions have the prefix that other constants of the package have; docs say what is determined when.

--- a/internal/dispatch/advisor_test.go
+++ b/internal/dispatch/advisor_test.go
@@ -331,8 +331,12 @@
 		return false
 	}
 	a.busy = true
-	sim.submitJob("full", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 1 << 40}})
+	sim.apply(&workload.Command{AtMS: sim.now.Milliseconds(), Submit: []workload.Submit{{
+		ID: "free", Queue: workload.QueueID{Host: "h", Prefix: "/free/"}, Spec: workload.JobSpec{Steps: []workload.StepSpec{{Count: 7, Need: smallTask, LongRunning: true}}},
+	}}})
+	sim.submitJob("full", workload.StepSpec{Count: 1, Need: workload.Resources{CPU: 2000, MemoryMB: 1}})
 	sim.run(4 * tickInterval) // it has waited for longer
+	is.Equal(countRuns(sim.workers), 7)
 	a.busy = false
 	sim.submitJob("j", workload.StepSpec{Count: 1, Need: smallTask})
 	is.True(sim.runUntil(lastingTime, sim.isCompleted("j")))
--- a/internal/schedule/advice.go
+++ b/internal/schedule/advice.go
@@ -25,31 +25,31 @@
 type permission uint8
 
 const (
-	// denied: the worker must not run the step.
-	denied permission = iota
-	// unknown: the advisor has not been asked about the worker.
-	unknown
-	// expired: the worker may run the step with a new ticket.
-	expired
-	// granted: a task can be started on the worker now.
-	granted
+	// permissionDenied: the worker must not run the step.
+	permissionDenied permission = iota
+	// permissionUnknown: the advisor has not been asked about the worker.
+	permissionUnknown
+	// permissionExpired: the worker may run the step with a new ticket.
+	permissionExpired
+	// permissionGranted: a task can be started on the worker now.
+	permissionGranted
 )
 
 // permissionOf returns the permission of a worker. Without an advisor it is granted.
 func (w *waitingStep) permissionOf(id workload.WorkerID) permission {
 	if w.advice == nil {
-		return granted
+		return permissionGranted
 	}
 	if w.advice.Tickets[id] != "" {
-		return granted
+		return permissionGranted
 	}
 	if w.advice.Denied[id] {
-		return denied
+		return permissionDenied
 	}
 	if _, known := w.advice.Expired[id]; known {
-		return expired
+		return permissionExpired
 	}
-	return unknown
+	return permissionUnknown
 }
 
 // AdviceNeed says which workers the advisor is to be asked about for a step.
@@ -121,9 +121,9 @@
 // thousands of waiting steps would take too long.
 func (p *planner) leastPermission(w waitingStep) permission {
 	if p.asking || w.spec().SameRack || w.spec().DataRack != "" {
-		return unknown
+		return permissionUnknown
 	}
-	return granted
+	return permissionGranted
 }
 
 // splitByTicket returns the placements on workers for which the step has a valid ticket,
@@ -133,7 +133,7 @@
 		return placed, nil
 	}
 	for _, pl := range placed {
-		if w.permissionOf(pl.candidate.worker.ID) == granted {
+		if w.permissionOf(pl.candidate.worker.ID) == permissionGranted {
 			ready = append(ready, pl)
 		} else {
 			ticketless = append(ticketless, pl)
@@ -150,7 +150,7 @@
 	n.need.Together = sure && w.spec().Gang
 	for _, pl := range ticketless {
 		// A ticket that a gang gets before it is sure to start would expire.
-		if sure || !w.spec().Gang || w.permissionOf(pl.candidate.worker.ID) == unknown {
+		if sure || !w.spec().Gang || w.permissionOf(pl.candidate.worker.ID) == permissionUnknown {
 			n.add(pl.candidate)
 		}
 	}
@@ -161,7 +161,7 @@
 		n.addUnknown(all, hasRoom)
 		n.addUnknown(all, func(*candidate) bool { return true })
 	}
-	if !n.need.Startable {
+	if !n.need.Startable && !w.spec().Gang {
 		n.addExpired(all)
 	}
 	return n.need
@@ -170,14 +170,15 @@
 // areAllowed reports whether some placements are known to lack a new ticket only.
 func (w *waitingStep) areAllowed(placed []placement) bool {
 	for _, pl := range placed {
-		if w.permissionOf(pl.candidate.worker.ID) < expired {
+		if w.permissionOf(pl.candidate.worker.ID) < permissionExpired {
 			return false
 		}
 	}
 	return len(placed) > 0
 }
 
-// needBuilder collects the workers of a need.
+// needBuilder collects the workers of a need. It leaves out those that are too small for a
+// task even when idle.
 type needBuilder struct {
 	step  *waitingStep
 	need  AdviceNeed
@@ -192,13 +193,17 @@
 	}
 }
 
+func (n *needBuilder) isLargeEnough(c *candidate) bool {
+	return n.step.spec().Charge().Fits(c.worker.Capacity)
+}
+
 // addUnknown adds the workers that meet a condition and have not been asked about.
 func (n *needBuilder) addUnknown(from []*candidate, meets func(*candidate) bool) {
 	for _, c := range from {
 		if len(n.need.Workers) >= n.limit {
 			return
 		}
-		if n.step.permissionOf(c.worker.ID) == unknown && meets(c) {
+		if n.step.permissionOf(c.worker.ID) == permissionUnknown && n.isLargeEnough(c) && meets(c) {
 			n.add(c)
 		}
 	}
@@ -210,7 +215,7 @@
 	at := n.step.advice.Expired
 	var all []*candidate
 	for _, c := range from {
-		if n.step.permissionOf(c.worker.ID) == expired {
+		if n.step.permissionOf(c.worker.ID) == permissionExpired && n.isLargeEnough(c) {
 			all = append(all, c)
 		}
 	}
--- a/internal/schedule/advice_test.go
+++ b/internal/schedule/advice_test.go
@@ -148,6 +148,22 @@
 	is.Equal(counts(s.planAdvised(known)), map[workload.WorkerID]int{"w0": 1})
 }
 
+// Guards against requests without end for a step that fits on no worker.
+func TestStepThatFitsNowhereNeedsNoAdvice(t *testing.T) {
+	is := is.New(t)
+	s := newAdvisedSite()
+	s.submit("j", tasks(1, 2*coresEach))
+	is.Equal(len(s.need(nil).Workers), 0)
+	gang := tasks(5, coresEach)
+	gang.Gang = true
+	s.submit("gang", gang)
+	known := tickets()
+	for _, id := range []workload.WorkerID{"w0", "w1", "w2", "w3"} {
+		known.Expired[id] = time.Second
+	}
+	is.Equal(len(s.needOf("gang", known).Workers), 0)
+}
+
 func TestStepThatDoesNotWaitNeedsNoAdvice(t *testing.T) {
 	is := is.New(t)
 	s := newAdvisedSite()
@@ -164,14 +180,17 @@
 	is := is.New(t)
 	s := newAdvisedSite()
 	var all []workload.Worker
+	var starts []workload.Start
 	known := tickets()
 	for i := range 2 * workersPerNeed {
 		id := workload.WorkerID(fmt.Sprintf("full-%02d", i))
-		all = append(all, workload.Worker{ID: id, Pool: "p", Capacity: workload.Resources{CPU: 1}})
+		all = append(all, workload.Worker{ID: id, Pool: "p", Capacity: workload.Resources{CPU: 1000, MemoryMB: 100}})
+		starts = append(starts, workload.Start{Worker: id, Run: workload.RunRef{Task: workload.TaskRef{Job: "other", Index: i}, Attempt: 1}})
 		s.workers[id] = Worker{Usable: true}
 		known.Expired[id] = time.Duration(2*workersPerNeed-i) * time.Second
 	}
-	s.apply(&workload.Command{Workers: all})
+	s.apply(&workload.Command{Workers: all, Submit: []workload.Submit{{ID: "other", Queue: queueID("/free/"), Spec: workload.JobSpec{Steps: []workload.StepSpec{tasks(len(starts), 1000)}}}}})
+	s.apply(&workload.Command{Starts: starts})
 	for _, id := range []workload.WorkerID{"w0", "w1", "w2", "w3"} {
 		known.Denied[id] = true
 	}
--- a/internal/schedule/place.go
+++ b/internal/schedule/place.go
@@ -100,7 +100,7 @@
 // run already, otherwise the one with free capacity for the most tasks. If no rack
 // fits all tasks, the step uses several racks: it is slower, but it runs.
 func (p *planner) selectRack(w waitingStep, fit []*candidate) []*candidate {
-	racks := byRack(w, fit, unknown)
+	racks := byRack(w, fit, permissionUnknown)
 	if rack := rackOf(p.Tables, w); rack != "" && len(racks[rack]) > 0 {
 		return racks[rack]
 	}
@@ -115,9 +115,9 @@
 // permissionsToTry lists the permissions that a step may be placed with, the best first.
 func (w *waitingStep) permissionsToTry() []permission {
 	if w.advice == nil {
-		return []permission{granted}
+		return []permission{permissionGranted}
 	}
-	return []permission{granted, expired, unknown}
+	return []permission{permissionGranted, permissionExpired, permissionUnknown}
 }
 
 // byRack groups the candidates that have a permission or a better one by their rack.
@@ -236,6 +236,7 @@
 		}
 		best := p.best(w, fit, onWorker, susp)
 		if best == nil {
+			// What only lacks a ticket is rolled back, and its capacity is free again.
 			if _, ticketless := w.splitByTicket(placed); len(ticketless) == 0 {
 				p.recordUnplaceable(w, fit)
 			}
--- a/internal/schedule/suspects.go
+++ b/internal/schedule/suspects.go
@@ -69,7 +69,7 @@
 		}
 		for _, index := range suspects {
 			c := p.best(w, fit, tasksOn(w), p.suspicionOf(w.ref(index)))
-			if c != nil && w.permissionOf(c.worker.ID) == granted {
+			if c != nil && w.permissionOf(c.worker.ID) == permissionGranted {
 				p.assign(w, c)
 				p.addStarts(w, []placement{{index: index, candidate: c}})
 				c.reserved = true
