settings: what the VM grants one process

Until now a core VM took the memory of its VM from the operating system, and nothing bounded descriptors. Without the keys everything is as before. The first use is the memory limit of the collector on core VMs.

--- a/cmd/comfreyloom/member.go
+++ b/cmd/comfreyloom/member.go
@@ -36,7 +36,7 @@
 		return exitUsage
 	}
 	if s.Node.Role == settings.RoleCore {
-		tuneMemory()
+		tuneMemory(s.Limits)
 	}
 	counters := telemetry.NewRegistry()
 	writer := telemetry.NewBoundedHandler(c.out, counters)
--- a/cmd/comfreyloom/memory_test.go
+++ b/cmd/comfreyloom/memory_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/comfreyloom/comfreyloom/internal/settings"
 )
 
 // A core VM that is allowed to keep more garbage must still stay below half of its
@@ -18,7 +20,9 @@
 		debug.SetGCPercent(percent)
 		debug.SetMemoryLimit(limit)
 	}()
-	tuneMemory()
+	tuneMemory(settings.MemberLimits{Memory: 280_000_000})
+	is.True(debug.SetMemoryLimit(-1) < 140_000_000)
+	tuneMemory(settings.MemberLimits{})
 	var info syscall.Sysinfo_t
 	is.NoErr(syscall.Sysinfo(&info))
 	set := debug.SetMemoryLimit(-1)
--- a/internal/settings/member_test.go
+++ b/internal/settings/member_test.go
@@ -27,6 +27,9 @@
 [fleet]
 address = 10.200.0.1:80
 orders_per_second = 64.0
+[limits]
+memory = 280MB
+descriptors = 4096
 `
 
 func TestMemberSettings(t *testing.T) {
@@ -42,8 +45,12 @@
 	is.Equal(m.Bounds.WorkerStopTime, 400*time.Millisecond)
 	is.Equal(m.FleetRate, 64.0)
 	is.Equal(m.Bounds.LostDisks, 2)
+	is.Equal(m.Limits, MemberLimits{Memory: 280_000_000, Descriptors: 4096})
 	without, _ := ParseMember("core.ini", []byte(strings.Replace(coreSettings, "lost_disks = 2\n", "", 1)))
 	is.Equal(without.Bounds.LostDisks, 0) // the seeds alone found the site, as before there was the key
+	unlimited, problems := ParseMember("core.ini", []byte(strings.NewReplacer("memory = 280MB\n", "", "descriptors = 4096\n", "").Replace(coreSettings)))
+	is.Equal(len(problems), 0)
+	is.Equal(unlimited.Limits, MemberLimits{})
 }
 
 func TestMemberProblemsNameTheKey(t *testing.T) {
@@ -54,6 +61,8 @@
 		"bad role":     {"role = core", "role = other", "role"},
 		"unknown key":  {"ip = 10.1.0.9", "ip = 10.1.0.9\nspeed = 3", "speed"},
 		"no unit":      {"6000ms", "6000", "worker_lease_max"},
+		"memory":       {"280MB", "280", "memory"},
+		"descriptors":  {"descriptors = 4096", "descriptors = few", "descriptors"},
 		"too many":     {"lost_disks = 2", "lost_disks = 9", "lost_disks"},
 	} {
 		t.Run(name, func(t *testing.T) {
