--- /dev/null
+++ b/cmd/comfreyloom/crowd_scenes_test.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// The sockets of memberSite.
+const (
+	nodesPort = iota
+	operatorsPort
+	callersPort
+	readinessPort
+	metricsPort
+)
+
+// Sizes of what members send, in bytes. Heads and bodies are within the limits of the
+// configuration; reports and configurations are within those of a core VM.
+const (
+	crowdHead     = 16_000
+	crowdBody     = 262_144
+	crowdReport   = 1 << 20
+	crowdConfig   = 4 << 20
+	endlessBytes  = 1 << 20
+	pipelinedGets = 2000
+)
+
+// crowds returns the crowds at each socket.
+func crowds() []crowd {
+	const jobPath, reportPath = "/q/00000000000000ff", "/instances/i-1/heartbeat"
+	all := []crowd{
+		{name: "bodies stop short", process: "entry0", port: callersPort, send: body(jobPath, crowdBody, 1)},
+		{name: "bodies are whole", process: "entry0", port: callersPort, send: wholeBody(jobPath, `{"phases":[`, `{},`, crowdBody), size: crowdSize / 10, awaitsResponse: true},
+		{name: "bodies are whole lists", process: "entry0", port: callersPort, send: wholeBody(jobPath, `{"phases":[{"depends-on":[`, `0,`, crowdBody), awaitsResponse: true},
+		{name: "chunks stop short", process: "entry0", port: callersPort, send: chunks(jobPath)},
+		{name: "trailers", process: "entry0", port: callersPort, send: trailers(jobPath)},
+		{name: "next heads wait behind a body", process: "entry0", port: callersPort, send: nextHeads(jobPath)},
+		{name: "responses stay unread", process: "entry0", port: callersPort, send: unread(jobPath, pipelinedGets), keepsUnread: true},
+		{name: "reports stop short", process: "core0", port: operatorsPort, send: body(reportPath, crowdReport, 1), size: crowdSize / 2},
+		{name: "configurations are whole", process: "core0", port: operatorsPort, send: wholeBody("/config/replace", `{"version":1,"routes":[`, `{},`, crowdConfig), size: crowdSize / 100, awaitsResponse: true},
+		{name: "waves are whole lists", process: "core0", port: operatorsPort, send: wholeBody("/wave-start", `{"wave":1,"machines":[`, `"",`, crowdConfig), size: crowdSize / 20, awaitsResponse: true},
+		{name: "read configurations stay unread", process: "core0", port: operatorsPort, prepare: manyQueues, send: unread("/config/get", 3), keepsUnread: true, size: crowdSize / 2},
+		{name: "calls stop short", process: atLeader, port: nodesPort, send: calls},
+	}
+	for _, socket := range []struct {
+		name, process string
+		port          int
+	}{
+		{"callers", "entry0", callersPort}, {"readiness", "entry0", readinessPort}, {"metrics", "entry0", metricsPort},
+		{"operators", "core0", operatorsPort}, {"metrics of a core VM", "core0", metricsPort},
+	} {
+		all = append(all,
+			crowd{name: "short lines at " + socket.name, process: socket.process, port: socket.port, send: shortLines},
+			crowd{name: "endless heads at " + socket.name, process: socket.process, port: socket.port, send: endless("GET / HTTP/1.1\r\nHost: plans.example\r\n", "X: 1\r\n")},
+			crowd{name: "endless empty lines at " + socket.name, process: socket.process, port: socket.port, send: endless("", "\r\n")},
+			crowd{name: "nothing is sent at " + socket.name, process: socket.process, port: socket.port, send: nothing, size: emptyCrowdSize},
+		)
+	}
+	all = append(all, crowd{name: "nothing is sent at nodes", process: atLeader, port: nodesPort, send: nothing, size: emptyCrowdSize})
+	for i := range all {
+		if all[i].size == 0 {
+			all[i].size = crowdSize
+		}
+	}
+	return all
+}
+
+func nothing(net.Conn, int) error { return nil }
+
+func head(method, path, rest string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: plans.example\r\nContent-Type: application/json\r\n%s\r\n", method, path, rest)
+}
+
+// body sends a body in pieces and leaves out its end.
+func body(path string, size, missing int) func(net.Conn, int) error {
+	return func(c net.Conn, _ int) error {
+		if _, err := io.WriteString(c, head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", size))); err != nil {
+			return err
+		}
+		rest := []byte(`{"spec":"` + strings.Repeat("x", size))[:size-missing]
+		for len(rest) > 0 {
+			n, err := c.Write(rest[:min(len(rest), 32<<10)])
+			if err != nil {
+				return err
+			}
+			rest = rest[n:]
+		}
+		return nil
+	}
+}
+
+// wholeBody sends a whole JSON body of a size, one element many times.
+func wholeBody(path, start, element string, size int) func(net.Conn, int) error {
+	text := start + strings.Repeat(element, (size-len(start))/len(element)-8)
+	text = strings.TrimSuffix(text, ",") + map[bool]string{true: "]}]}", false: "]}"}[strings.Contains(start, "depends-on")]
+	request := []byte(head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", len(text))) + text)
+	return func(c net.Conn, _ int) error {
+		_, err := c.Write(request)
+		return err
+	}
+}
+
+// chunks sends a body a byte a chunk, and no last chunk.
+func chunks(path string) func(net.Conn, int) error {
+	request := []byte(head("POST", path, "Transfer-Encoding: chunked\r\n") + strings.Repeat("1\r\n \r\n", crowdBody-1))
+	return func(c net.Conn, _ int) error {
+		_, err := c.Write(request)
+		return err
+	}
+}
+
+// trailers sends many short trailers after a chunked body, without an end.
+func trailers(path string) func(net.Conn, int) error {
+	request := []byte(head("POST", path, "Transfer-Encoding: chunked\r\n") + "1\r\n \r\n0\r\n" + lines(endlessBytes))
+	return func(c net.Conn, _ int) error {
+		_, err := c.Write(request)
+		return err
+	}
+}
+
+// lines returns header lines of a few bytes with different names.
+func lines(size int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%c%c%c:\n", letters[i%36], letters[i/36%36], letters[i/1296%36])
+	}
+	return b.String()
+}
+
+// shortLines sends a head of many short lines, and a body without its end.
+func shortLines(c net.Conn, _ int) error {
+	request := head("POST", "/q/00000000000000fe", "Content-Length: 100\r\n"+lines(crowdHead)) + "{"
+	_, err := io.WriteString(c, request)
+	return err
+}
+
+// nextHeads sends a small request together with the head of the next one, whose body
+// never comes.
+func nextHeads(path string) func(net.Conn, int) error {
+	first := head("GET", path, "")
+	next := head("POST", path, "Content-Length: 100\r\n"+lines(3700))
+	return func(c net.Conn, _ int) error {
+		_, err := io.WriteString(c, first+next)
+		return err
+	}
+}
+
+// endless sends a start, and then a piece many times.
+func endless(start, piece string) func(net.Conn, int) error {
+	block := []byte(strings.Repeat(piece, 4096/len(piece)))
+	return func(c net.Conn, _ int) error {
+		if _, err := io.WriteString(c, start); err != nil {
+			return err
+		}
+		for sent := 0; sent < endlessBytes; sent += len(block) {
+			if _, err := c.Write(block); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// unread sends many requests at once, whose responses nobody reads.
+func unread(path string, requests int) func(net.Conn, int) error {
+	text := []byte(strings.Repeat(head("GET", path, ""), requests))
+	return func(c net.Conn, _ int) error {
+		_ = c.(deadlineConn).Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		_, err := c.Write(text)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+			return nil // the peer doesn't read on, as expected
+		}
+		return err
+	}
+}
+
+// manyQueues stores a configuration of more than a megabyte.
+func manyQueues(s *crowdSite) {
+	var prefixes []string
+	for i := range 10_000 {
+		prefixes = append(prefixes, fmt.Sprintf("/more/%d/", i))
+	}
+	s.replaceConfig(prefixes)
+}
+
+// errNotRead ends a body that the peer doesn't read.
+var errNotRead = errors.New("the peer doesn't read")
+
+// calls makes calls to the socket for the site's own processes, over HTTP/2, whose
+// bodies never end.
+func calls(c net.Conn, _ int) error {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil }}
+	for range 4 {
+		reader, writer := io.Pipe()
+		request, err := http.NewRequest(http.MethodPost, "http://"+c.RemoteAddr().String()+"/twirp/comfreyloom.control.Control/Ask", reader)
+		if err != nil {
+			return err
+		}
+		request.Header.Set("Content-Type", "application/protobuf")
+		request.Header.Set("Comfreyloom-Site", "seeded")
+		go func() {
+			if response, err := transport.RoundTrip(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+		timer := time.AfterFunc(crowdWriteTimeout, func() { _ = writer.CloseWithError(errNotRead) })
+		_, err = writer.Write(make([]byte, 256<<10))
+		if timer.Stop(); err != nil && !errors.Is(err, errNotRead) {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/comfreyloom/crowd_test.go
@@ -0,0 +1,319 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/comfreyloom/comfreyloom/platform/standin"
+)
+
+// What the VMs of the test grant each process.
+const (
+	crowdMemory      = 128_000_000 // bytes
+	crowdDescriptors = 700
+)
+
+const (
+	// crowdSize is the number of connections of a crowd; crowds of connections that
+	// send nothing have emptyCrowdSize.
+	crowdSize      = 600
+	emptyCrowdSize = 1500
+	// crowdRounds is how often a member of a crowd connects again after its
+	// connection was closed.
+	crowdRounds = 3
+	// crowdWriteTimeout bounds one write of a member whose peer doesn't read.
+	crowdWriteTimeout = 3 * time.Second
+	// sampleInterval is the time between two counts of a process's descriptors.
+	sampleInterval = 20 * time.Millisecond
+)
+
+// crowd is many clients that don't behave, at one socket of one process.
+type crowd struct {
+	name string
+	// process is the process to which they connect, atLeader for the one that leads,
+	// port its socket (see memberSite).
+	process string
+	port    int
+	size    int
+	// prepare runs before the crowd connects; nil does nothing.
+	prepare func(s *crowdSite)
+	// send writes what one member sends. An error means that the peer has closed.
+	send func(c net.Conn, member int) error
+	// keepsUnread leaves responses unread, awaitsResponse waits for the first byte of
+	// one before the process is checked.
+	keepsUnread, awaitsResponse bool
+}
+
+// atLeader stands for the process that leads. It isn't restarted before the crowd comes;
+// the entry VM is restarted beside the crowd, and has to reach the leader.
+const atLeader = "leader"
+
+// TestCrowds guards against clients that end a process, or keep it from its ordinary
+// clients, by what they send or don't send.
+func TestCrowds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := newCrowdSite(t)
+	for _, c := range crowds() {
+		t.Run(c.name, func(t *testing.T) { s.play(t, c) })
+	}
+}
+
+// crowdSite is a site with small processes.
+type crowdSite struct {
+	*memberSite
+	operators []string
+	version   int
+	jobs      int
+}
+
+// newCrowdSite starts a site of the program as it is built for use: the race detector
+// needs several times as much memory.
+func newCrowdSite(t *testing.T) *crowdSite {
+	s := &crowdSite{memberSite: newSizedMemberSite(t, memberCores, 1, 1)}
+	s.program = filepath.Join(s.folder, "program")
+	if out, err := exec.Command("go", "build", "-o", s.program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	s.limits = fmt.Sprintf("[limits]\nmemory = %dMB\ndescriptors = %d\n", crowdMemory/1_000_000, crowdDescriptors)
+	for i := range memberCores {
+		name := fmt.Sprintf("core%d", i)
+		s.start(name, true)
+		s.operators = append(s.operators, s.address(name, 1))
+	}
+	s.start("entry0", false)
+	s.replaceConfig(nil)
+	return s
+}
+
+// replaceConfig sends a configuration with one more queue for each prefix until it is
+// accepted.
+func (s *crowdSite) replaceConfig(prefixes []string) {
+	s.version++
+	limits := `"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}`
+	body := strings.Replace(standin.ConfigWithQueues(s.version, prefixes), `"limits":{"max-body-bytes":100000}`, limits, 1)
+	attempt := 0
+	s.waitFor("the configuration is accepted", func() bool {
+		attempt++
+		status, _ := s.call(http.MethodPost, s.operators[attempt%len(s.operators)], standin.ConfigPath, body)
+		return status == http.StatusOK
+	})
+}
+
+// play restarts the process, has the crowd connect and checks the process.
+func (s *crowdSite) play(t *testing.T, c crowd) {
+	s.t = t
+	served := c.process
+	if c.process == atLeader {
+		c.process, served = s.leader(), "entry0"
+	} else {
+		s.restart(c.process)
+	}
+	s.awaitOrdinary(served)
+	if c.prepare != nil {
+		c.prepare(s)
+	}
+	watch := s.watchProcess(c.process)
+	members := c.connect(s.address(c.process, c.port))
+	if served != c.process {
+		s.restart(served)
+	}
+	s.awaitOrdinary(served)
+	members.leave()
+	s.awaitOrdinary(served)
+	peak, descriptors, err := watch.end()
+	t.Logf("peak memory %d MB, most descriptors %d", peak/1_000_000, descriptors)
+	switch {
+	case err != nil:
+		t.Fatalf("%s has ended: %v\n%s", c.process, err, s.logTails())
+	case peak > crowdMemory:
+		t.Errorf("%s used %d bytes of memory; it has %d", c.process, peak, crowdMemory)
+	case descriptors > crowdDescriptors:
+		t.Errorf("%s had %d descriptors open; it has %d", c.process, descriptors, crowdDescriptors)
+	}
+}
+
+func (s *crowdSite) restart(process string) {
+	s.kill(process)
+	s.start(process, false)
+}
+
+// awaitOrdinary waits until a process has answered an ordinary request at each of its
+// sockets.
+func (s *crowdSite) awaitOrdinary(process string) {
+	s.t.Helper()
+	s.waitFor("counters are read", func() bool { return s.answers(http.MethodGet, process, 4, "/", "") })
+	if strings.HasPrefix(process, "entry") {
+		s.jobs++
+		path, body := standin.JobPath(fmt.Sprintf("%016x", s.jobs)), standin.Job{Count: 1, MilliCPU: 500, RunMS: 50, EstimateMS: 50}.Body()
+		s.waitFor("a job is accepted", func() bool { return s.answers(http.MethodPost, process, 2, path, body) })
+		s.waitFor("its state is told", func() bool { return s.answers(http.MethodGet, process, 2, path, "") })
+		s.waitFor("the balancer's check passes", func() bool { return s.answers(http.MethodGet, process, 3, "/readyz", "") })
+		return
+	}
+	s.waitFor("a report is acknowledged", func() bool {
+		return s.answers(http.MethodPost, process, 1, "/instances/i-9/heartbeat", reportBody)
+	})
+	s.waitFor("the configuration is read", func() bool { return s.answers(http.MethodGet, process, 1, "/config/get", "") })
+}
+
+// reportBody is the report of a worker on which nothing can run.
+const reportBody = `{"service":"p","address":"127.0.0.1:9","zone":"z","version":"v","capacity":8,"state":"draining",` +
+	`"free-capacity":{"cpu":1,"mem-mb":1},"labels":["a","r1"],"clock-ms":1,"sequence":1}`
+
+func (s *crowdSite) answers(method, process string, port int, path, body string) bool {
+	status, _ := s.call(method, s.address(process, port), path, body)
+	return status == http.StatusOK
+}
+
+// members are the connections of a crowd.
+type members struct {
+	done    chan struct{}
+	running sync.WaitGroup
+}
+
+// connect returns when all members have sent what they send, or gave up. They keep
+// their connections open until leave.
+func (c crowd) connect(address string) *members {
+	m := &members{done: make(chan struct{})}
+	var sent sync.WaitGroup
+	for member := range c.size {
+		sent.Add(1)
+		m.running.Add(1)
+		go func() {
+			defer m.running.Done()
+			c.run(address, member, &sent, m.done)
+		}()
+	}
+	sent.Wait()
+	return m
+}
+
+func (m *members) leave() {
+	close(m.done)
+	m.running.Wait()
+}
+
+// run plays one member: it connects, sends and stays; whenever it is closed it connects
+// again.
+func (c crowd) run(address string, member int, sent *sync.WaitGroup, done chan struct{}) {
+	var once sync.Once
+	defer once.Do(sent.Done)
+	for range crowdRounds {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		stop := make(chan struct{})
+		go func() {
+			select {
+			case <-done:
+			case <-stop:
+			}
+			_ = conn.Close()
+		}()
+		err = c.send(deadlineConn{conn}, member)
+		if err == nil {
+			if c.awaitsResponse {
+				_, _ = conn.Read(make([]byte, 1)) // a response, or the peer has closed
+			}
+			once.Do(sent.Done)
+			c.stay(conn, done)
+		}
+		close(stop)
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
+
+// stay returns when the peer has closed the connection or the crowd leaves.
+func (c crowd) stay(conn net.Conn, done chan struct{}) {
+	if c.keepsUnread {
+		<-done
+		return
+	}
+	buffer := make([]byte, 512)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// deadlineConn bounds each write.
+type deadlineConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c deadlineConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(crowdWriteTimeout))
+	return c.Conn.Write(p)
+}
+
+// resetPeak is what the kernel reads as an order to reset the peak of a process's memory.
+const resetPeak = "5"
+
+// processWatch follows the descriptors of a process.
+type processWatch struct {
+	pid         int
+	stop, ended chan struct{}
+	most        int
+	err         error
+}
+
+func (s *crowdSite) watchProcess(name string) *processWatch {
+	w := &processWatch{pid: s.processes[name].Process.Pid, stop: make(chan struct{}), ended: make(chan struct{})}
+	s.must(os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", w.pid), []byte(resetPeak), 0o200))
+	go w.run()
+	return w
+}
+
+func (w *processWatch) run() {
+	defer close(w.ended)
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(sampleInterval):
+		}
+		names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.pid))
+		if err != nil {
+			w.err = err
+			return
+		}
+		w.most = max(w.most, len(names))
+	}
+}
+
+// end returns the peak of the process's memory in bytes and the most descriptors that
+// were open, or an error if the process has ended.
+func (w *processWatch) end() (peak int64, descriptors int, err error) {
+	close(w.stop)
+	<-w.ended
+	if w.err != nil {
+		return 0, 0, w.err
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.pid))
+	if err != nil {
+		return 0, 0, err
+	}
+	for line := range strings.SplitSeq(string(status), "\n") {
+		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
+			kilobytes, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 10, 64)
+			return kilobytes << 10, w.most, err
+		}
+	}
+	return 0, 0, fmt.Errorf("process %d names no peak of its memory; it has ended", w.pid)
+}
--- a/cmd/comfreyloom/member_test.go
+++ b/cmd/comfreyloom/member_test.go
@@ -55,6 +55,10 @@
 	leaseMax time.Duration
 	// workersPerRelay is how many workers one core VM calls for the leader.
 	workersPerRelay int
+	// program is the name or path of the program to run.
+	program string
+	// limits is the section [limits] of all settings; it may be empty.
+	limits string
 }
 
 // noRelays has the leader call all workers itself.
@@ -67,7 +71,7 @@
 func newSizedMemberSite(t *testing.T, cores, entries, lostDisks int) *memberSite {
 	s := &memberSite{
 		coreCount: cores, entryCount: entries, lostDisks: lostDisks, workersPerRelay: noRelays, leaseMax: memberLeaseMax,
-		t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{},
+		program: "comfreyloom", t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{},
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	s.network = fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, time.Now().UnixNano()/1000%250)
@@ -166,13 +170,13 @@
 worker_lease_max = %v
 [relays]
 workers_per_vm = %d
-`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"), s.lostDisks, s.leaseMax, s.workersPerRelay)
+`, name, role, s.ip(name), data, mayFound, listen, s.nodesAddress(name), s.address(name, 4), s.ip("core0"), s.ip("core1"), s.ip("core2"), s.lostDisks, s.leaseMax, s.workersPerRelay) + s.limits
 	file := filepath.Join(s.folder, name+".ini")
 	s.must(os.WriteFile(file, []byte(text), 0o600))
 	output, err := os.OpenFile(filepath.Join(s.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.must(err)
 	defer func() { _ = output.Close() }()
-	process := exec.Command("comfreyloom", "serve")
+	process := exec.Command(s.program, "serve")
 	process.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "GORACE=log_path="+filepath.Join(s.folder, "race"),
 		durableVariable+"="+s.durableFolder(name))
 	if role == "entry" && s.entryLink > 0 {
