intake, member, platform: what connections hold is bounded

Callers, workers and operators saw a process end: clients that sent bodies without their end, heads of short lines, or nothing at all, took an entry VM to several times the memory and twice the descriptors that it has. The limits of the configuration for heads, their arrival and idle connections were carried to each entry VM and used by nobody.

Cause: each listener bounded one request (a head of 64 KB, a body of the limit, 30 s), and nothing bounded the sum. A head of short lines takes twenty times its length once net/http has parsed it, before a handler could refuse.

Each connection has an account now. What arrives is charged before net/http sees it: the bytes of a head and its lines, the bytes of a body with the buffer that grows for it, a fixed part for a connection and for a request. Listeners have shares of the process's memory and descriptors, so that one peer's flood takes no other peer's. When a share is used up, connections that have stalled are shed, those that wait longest first: bodies and heads that don't arrive, connections never used, responses that nobody reads, idle ones. Who still waits for an answer is told 503 with Retry-After. Requests in progress are never shed; if nothing has stalled, the one that asks is refused. Large requests leave an eighth to small ones. The limits of the configuration are in force for callers. An entry VM collects garbage within its memory, as core VMs did.

--- a/cmd/comfreyloom/member.go
+++ b/cmd/comfreyloom/member.go
@@ -35,9 +35,7 @@
 		fmt.Fprintln(c.err, "comfreyloom serve:", err)
 		return exitUsage
 	}
-	if s.Node.Role == settings.RoleCore {
-		tuneMemory(s.Limits)
-	}
+	tuneMemory(s.Node.Role, s.Limits)
 	counters := telemetry.NewRegistry()
 	writer := telemetry.NewBoundedHandler(c.out, counters)
 	logger := &log.Logger{Handler: writer, Level: level}
--- a/cmd/comfreyloom/memory.go
+++ b/cmd/comfreyloom/memory.go
@@ -2,8 +2,8 @@
 
 import (
 	"runtime/debug"
-	"syscall"
 
+	"github.com/comfreyloom/comfreyloom/internal/member"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 )
 
@@ -17,26 +17,16 @@
 	memoryShare = 0.4
 )
 
-// tuneMemory trades memory for processor time on a core VM, within the limit of
-// the settings.
-func tuneMemory(l settings.MemberLimits) {
-	memory := memoryLimit(l)
-	if memory == 0 {
-		return // without the VM's memory the default is safe
-	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
-	debug.SetGCPercent(collectionPercent)
-}
+// entryMemoryShare is memoryShare of an entry VM, whose heap is what its connections hold.
+const entryMemoryShare = 0.6
 
-// memoryLimit returns the memory that the process may use, in bytes: that of the
-// settings, else that of the VM. It is 0 if neither is known.
-func memoryLimit(l settings.MemberLimits) int64 {
-	if l.Memory > 0 {
-		return l.Memory
-	}
-	var info syscall.Sysinfo_t
-	if err := syscall.Sysinfo(&info); err != nil {
-		return 0
+// tuneMemory bounds the garbage of the process by its memory, and on a core VM trades
+// memory for processor time.
+func tuneMemory(role settings.Role, l settings.MemberLimits) {
+	share := entryMemoryShare
+	if role == settings.RoleCore {
+		share = memoryShare
+		debug.SetGCPercent(collectionPercent)
 	}
-	return int64(info.Totalram) * int64(info.Unit)
+	debug.SetMemoryLimit(int64(share * float64(member.Memory(l))))
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -52,9 +52,12 @@
 	// operators and workers at a core VM.
 	Callers   func(*Member) http.Handler
 	Operators func(*Member) http.Handler
-	Workers   workers.Client
-	Fleet     dispatch.Fleet
-	Advisor   dispatch.Advisor
+	// Refuse writes the response to a request that was not run because of an error of
+	// package intake.
+	Refuse  func(http.ResponseWriter, error)
+	Workers workers.Client
+	Fleet   dispatch.Fleet
+	Advisor dispatch.Advisor
 	Environment
 }
 
--- a/internal/member/run.go
+++ b/internal/member/run.go
@@ -28,11 +28,6 @@
 	// forwardingPeriod is how long a core VM forwards requests after it
 	// transferred leadership, until the others know the new leader.
 	forwardingPeriod = 600 * time.Millisecond
-
-	headerBytes   = 64 << 10
-	headerTimeout = 5 * time.Second
-	readTimeout   = 30 * time.Second
-	idleTimeout   = 90 * time.Second
 )
 
 // stopFlag is set when the process is stopping.
@@ -83,30 +78,30 @@
 // operators, which are drained when the process stops.
 func (m *Member) startServers(p *pool.ContextPool) []*http.Server {
 	var drained []*http.Server
-	serve := func(l net.Listener, s *http.Server) {
+	serve := func(l net.Listener, kind socketKind, h http.Handler) *http.Server {
+		g := m.newGate(kind)
+		s := g.Server(h, m.dependencies.Refuse)
+		p.Go(func(ctx context.Context) error { return ignoreAfterCancel(ctx, g.Run(ctx)) })
 		p.Go(func(ctx context.Context) error {
 			defer context.AfterFunc(ctx, func() { _ = s.Close() })()
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(g.Listen(l)); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
 		})
+		return s
 	}
 	if l := m.sockets.callers; l != nil {
-		s := boundedServer(m.dependencies.Callers(m))
-		drained = append(drained, s)
-		serve(l, s)
+		drained = append(drained, serve(l, callersSocket, m.dependencies.Callers(m)))
 	}
 	if l := m.sockets.operators; l != nil {
-		s := boundedServer(m.dependencies.Operators(m))
-		drained = append(drained, s)
-		serve(l, s)
+		drained = append(drained, serve(l, operatorsSocket, m.dependencies.Operators(m)))
 	}
 	if l := m.sockets.readiness; l != nil {
-		serve(l, boundedServer(http.HandlerFunc(m.readiness)))
+		serve(l, readinessSocket, http.HandlerFunc(m.readiness))
 	}
 	if l := m.sockets.metrics; l != nil {
-		serve(l, boundedServer(http.HandlerFunc(m.serveMetrics)))
+		serve(l, metricsSocket, http.HandlerFunc(m.serveMetrics))
 	}
 	p.Go(func(ctx context.Context) error {
 		s := node.NewHTTPServer(ctx, m.nodeServer.Handler())
@@ -119,13 +114,6 @@
 	return drained
 }
 
-func boundedServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: headerTimeout,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-	}
-}
-
 // readiness handles the readiness check of the balancer.
 func (m *Member) readiness(w http.ResponseWriter, _ *http.Request) {
 	if m.stopping.Load() || !m.HelloClient.Ready() {
