--- a/cmd/comfreyloom/crowd_scenes_test.go
+++ b/cmd/comfreyloom/crowd_scenes_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/comfreyloom/comfreyloom/platform/standin"
 )
 
 // The sockets of memberSite.
@@ -33,19 +35,19 @@
 
 // crowds returns the crowds at each socket.
 func crowds() []crowd {
-	const jobPath, reportPath = "/q/00000000000000ff", "/instances/i-1/heartbeat"
+	jobPath, reportPath := standin.JobPath("00000000000000ff"), standin.ReportPath("i-1")
 	all := []crowd{
 		{name: "bodies stop short", process: "entry0", port: callersPort, send: body(jobPath, crowdBody, 1)},
-		{name: "bodies are whole", process: "entry0", port: callersPort, send: wholeBody(jobPath, `{"phases":[`, `{},`, crowdBody), size: crowdSize / 10, awaitsResponse: true},
-		{name: "bodies are whole lists", process: "entry0", port: callersPort, send: wholeBody(jobPath, `{"phases":[{"depends-on":[`, `0,`, crowdBody), awaitsResponse: true},
+		{name: "bodies are whole", process: "entry0", port: callersPort, send: wholeBody(jobPath, standin.ManySteps(crowdBody)), size: crowdSize / 10, awaitsResponse: true},
+		{name: "bodies are whole lists", process: "entry0", port: callersPort, send: wholeBody(jobPath, standin.ManyDependencies(crowdBody)), awaitsResponse: true},
 		{name: "chunks stop short", process: "entry0", port: callersPort, send: chunks(jobPath)},
 		{name: "trailers", process: "entry0", port: callersPort, send: trailers(jobPath)},
 		{name: "next heads wait behind a body", process: "entry0", port: callersPort, send: nextHeads(jobPath)},
 		{name: "responses stay unread", process: "entry0", port: callersPort, send: unread(jobPath, pipelinedGets), keepsUnread: true},
 		{name: "reports stop short", process: "core0", port: operatorsPort, send: body(reportPath, crowdReport, 1), size: crowdSize / 2},
-		{name: "configurations are whole", process: "core0", port: operatorsPort, send: wholeBody("/config/replace", `{"version":1,"routes":[`, `{},`, crowdConfig), size: crowdSize / 100, awaitsResponse: true},
-		{name: "waves are whole lists", process: "core0", port: operatorsPort, send: wholeBody("/wave-start", `{"wave":1,"machines":[`, `"",`, crowdConfig), size: crowdSize / 20, awaitsResponse: true},
-		{name: "read configurations stay unread", process: "core0", port: operatorsPort, prepare: manyQueues, send: unread("/config/get", 3), keepsUnread: true, size: crowdSize / 2},
+		{name: "configurations are whole", process: "core0", port: operatorsPort, send: wholeBody(standin.ConfigPath, standin.ManyQueues(crowdConfig)), size: crowdSize / 100, awaitsResponse: true},
+		{name: "waves are whole lists", process: "core0", port: operatorsPort, send: wholeBody(standin.WaveStartPath, standin.ManyVMs(crowdConfig)), size: crowdSize / 20, awaitsResponse: true},
+		{name: "read configurations stay unread", process: "core0", port: operatorsPort, prepare: manyQueues, send: unread(standin.ConfigReadPath, 3), keepsUnread: true, size: crowdSize / 2},
 		{name: "calls stop short", process: atLeader, port: nodesPort, send: calls},
 	}
 	for _, socket := range []struct {
@@ -83,7 +85,7 @@
 		if _, err := io.WriteString(c, head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", size))); err != nil {
 			return err
 		}
-		rest := []byte(`{"spec":"` + strings.Repeat("x", size))[:size-missing]
+		rest := []byte(standin.JobStart + strings.Repeat("x", size))[:size-missing]
 		for len(rest) > 0 {
 			n, err := c.Write(rest[:min(len(rest), 32<<10)])
 			if err != nil {
@@ -95,10 +97,8 @@
 	}
 }
 
-// wholeBody sends a whole JSON body of a size, one element many times.
-func wholeBody(path, start, element string, size int) func(net.Conn, int) error {
-	text := start + strings.Repeat(element, (size-len(start))/len(element)-8)
-	text = strings.TrimSuffix(text, ",") + map[bool]string{true: "]}]}", false: "]}"}[strings.Contains(start, "depends-on")]
+// wholeBody sends a whole body.
+func wholeBody(path, text string) func(net.Conn, int) error {
 	request := []byte(head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", len(text))) + text)
 	return func(c net.Conn, _ int) error {
 		_, err := c.Write(request)
@@ -136,7 +136,7 @@
 
 // shortLines sends a head of many short lines, and a body without its end.
 func shortLines(c net.Conn, _ int) error {
-	request := head("POST", "/q/00000000000000fe", "Content-Length: 100\r\n"+lines(crowdHead)) + "{"
+	request := head("POST", standin.JobPath("00000000000000fe"), "Content-Length: 100\r\n"+lines(crowdHead)) + "{"
 	_, err := io.WriteString(c, request)
 	return err
 }
--- a/cmd/comfreyloom/crowd_test.go
+++ b/cmd/comfreyloom/crowd_test.go
@@ -100,8 +100,7 @@
 // accepted.
 func (s *crowdSite) replaceConfig(prefixes []string) {
 	s.version++
-	limits := `"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}`
-	body := strings.Replace(standin.ConfigWithQueues(s.version, prefixes), `"limits":{"max-body-bytes":100000}`, limits, 1)
+	body := standin.ConfigWithLimits(s.version, prefixes)
 	attempt := 0
 	s.waitFor("the configuration is accepted", func() bool {
 		attempt++
@@ -162,15 +161,11 @@
 		return
 	}
 	s.waitFor("a report is acknowledged", func() bool {
-		return s.answers(http.MethodPost, process, 1, "/instances/i-9/heartbeat", reportBody)
+		return s.answers(http.MethodPost, process, 1, standin.ReportPath("i-9"), standin.ReportBody)
 	})
-	s.waitFor("the configuration is read", func() bool { return s.answers(http.MethodGet, process, 1, "/config/get", "") })
+	s.waitFor("the configuration is read", func() bool { return s.answers(http.MethodGet, process, 1, standin.ConfigReadPath, "") })
 }
 
-// reportBody is the report of a worker on which nothing can run.
-const reportBody = `{"service":"p","address":"127.0.0.1:9","zone":"z","version":"v","capacity":8,"state":"draining",` +
-	`"free-capacity":{"cpu":1,"mem-mb":1},"labels":["a","r1"],"clock-ms":1,"sequence":1}`
-
 func (s *crowdSite) answers(method, process string, port int, path, body string) bool {
 	status, _ := s.call(method, s.address(process, port), path, body)
 	return status == http.StatusOK
--- a/internal/workload/objective.go
+++ b/internal/workload/objective.go
@@ -38,7 +38,7 @@
 // criticalPathMS returns the run time of the longest chain of dependent steps.
 // Steps that are done in the occurrence o count as 0; o may be nil.
 func (s *JobSpec) criticalPathMS(o *Occurrence) int64 {
-	var ends [maxSteps]int64
+	var ends [MaxSteps]int64
 	var longest int64
 	for i := range s.Steps {
 		step := &s.Steps[i]
--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -33,7 +33,8 @@
 // Limits of one job. They are far above what callers need and prevent one request
 // from filling the memory of every core VM.
 const (
-	maxSteps       = 64
+	// MaxSteps is the largest number of steps.
+	MaxSteps       = 64
 	maxTasks       = 20_000
 	maxPayload     = 4_000
 	maxOccurrences = 1_000_000
@@ -45,8 +46,8 @@
 	if len(s.Payload) > maxPayload {
 		return fmt.Errorf("the payload has %d bytes; at most %d are allowed", len(s.Payload), maxPayload)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return fmt.Errorf("the job has %d steps; 1 to %d are allowed", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return fmt.Errorf("the job has %d steps; 1 to %d are allowed", len(s.Steps), MaxSteps)
 	}
 	if r := s.Repeat; r != nil && (r.Times < 1 || r.Times > maxOccurrences || r.IntervalMS < 0) {
 		return errors.New("the repetitions are out of bounds")
