intake, node, member: calls between the site's processes are bounded in sum

Operators saw the leader end, and an entry VM that was restarted found no leader for 20 s: a crowd at the socket for the site's own processes took all of its 128 connections until their 10 s had passed, and sent calls over HTTP/2 whose bodies don't end. Each call may hold 10 MB, each connection 256 calls; nothing bounded the sum, and the newest connection was refused, whoever it came from.

Connections there have accounts as well: the ones that never made a call with the name of the site are shed first, then those that were silent for longest. Each call has an account of its own, and calls whose bodies have stalled make room for others. The body of one call of the largest size always fits.

--- a/internal/member/intake.go
+++ b/internal/member/intake.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/intake"
+	"github.com/comfreyloom/comfreyloom/internal/node"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 )
 
@@ -22,6 +23,7 @@
 	operatorsSocket = socketKind{name: "operators", memory: 0.25, descriptors: 0.375}
 	readinessSocket = socketKind{name: "readiness", memory: 0.02, descriptors: 0.0625}
 	metricsSocket   = socketKind{name: "metrics", memory: 0.02, descriptors: 0.0625}
+	nodesSocket     = socketKind{name: "nodes", memory: 0.15, descriptors: 0.125}
 )
 
 const (
@@ -37,15 +39,25 @@
 func (m *Member) newGate(kind socketKind) *intake.Gate {
 	c := intake.Config{
 		Name: kind.name, Logger: m.Logger, Metrics: m.Metrics,
-		Memory:      int64(kind.memory * float64(Memory(m.Settings.Limits))),
-		Connections: int(kind.descriptors * float64(descriptors(m.Settings.Limits)-reservedDescriptors)),
 	}
+	c.Memory, c.Connections = kind.shares(m.Settings.Limits)
 	if kind == callersSocket {
 		c.Limits = m.callerLimits
 	}
 	return intake.New(c)
 }
 
+// newNodeIntake returns the bounds of the listener for the site's other processes.
+func (m *Member) newNodeIntake() *node.Intake {
+	memory, connections := nodesSocket.shares(m.Settings.Limits)
+	return node.NewIntake(memory, connections, m.Logger, m.Metrics)
+}
+
+// shares returns the memory in bytes and the connections of a listener.
+func (k socketKind) shares(l settings.MemberLimits) (memory int64, connections int) {
+	return int64(k.memory * float64(Memory(l))), int(k.descriptors * float64(descriptors(l)-reservedDescriptors))
+}
+
 // callerLimits returns the limits of the configuration.
 func (m *Member) callerLimits() intake.Limits {
 	l, _ := m.HelloClient.Limits() // none while no configuration is known
--- a/internal/member/run.go
+++ b/internal/member/run.go
@@ -103,10 +103,12 @@
 	if l := m.sockets.metrics; l != nil {
 		serve(l, metricsSocket, http.HandlerFunc(m.serveMetrics))
 	}
+	bounds := m.newNodeIntake()
+	p.Go(func(ctx context.Context) error { return ignoreAfterCancel(ctx, bounds.Run(ctx)) })
 	p.Go(func(ctx context.Context) error {
-		s := node.NewHTTPServer(ctx, m.nodeServer.Handler())
+		s := node.NewHTTPServer(ctx, bounds.Handler(m.nodeServer.Handler()))
 		defer context.AfterFunc(ctx, func() { _ = s.Close() })()
-		if err := s.Serve(m.sockets.nodes); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(bounds.Listen(m.sockets.nodes)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -5,18 +5,17 @@
 	"crypto/subtle"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/security"
 	"github.com/rcrowley/go-metrics"
 	"github.com/twitchtv/twirp"
 )
 
 const (
-	// maxServerConnections bounds the open connections of all peers: three
-	// links to each of 18 processes, and more than as many again for reconnects.
-	maxServerConnections = 128
+	// maxCalls bounds the calls in progress on all connections.
+	maxCalls = 4096
 	// maxStreams bounds the calls in progress on one connection.
 	maxStreams = 256
 	// maxHeaderBytes bounds the headers of a call.
@@ -55,6 +54,7 @@
 		_ = twirp.WriteError(w, err) // this fails only if the peer closed the connection
 		return
 	}
+	intake.MarkServed(r)
 	r.Body = http.MaxBytesReader(w, r.Body, maxCallBytes)
 	g.next.ServeHTTP(w, withEnvelope(r))
 }
@@ -79,15 +79,14 @@
 	return nil
 }
 
-// NewHTTPServer returns the HTTP server for the listener of node calls. Its long
-// polls end with ctx, so that a graceful stop does not wait for them.
+// NewHTTPServer returns the HTTP server for the listener of node calls, which an Intake
+// bounds. Its long polls end with ctx, so that a graceful stop does not wait for them.
 func NewHTTPServer(ctx context.Context, handler http.Handler) *http.Server {
-	connections := &connectionLimit{}
 	return &http.Server{
 		Handler:           handler,
 		Protocols:         unencryptedHTTP2(),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ConnState:         connections.track,
+		ConnContext:       intake.ConnContext,
 		ReadHeaderTimeout: callReadTimeout,
 		ReadTimeout:       callReadTimeout,
 		WriteTimeout:      callWriteTimeout,
@@ -101,17 +100,3 @@
 		},
 	}
 }
-
-// connectionLimit closes new connections above maxServerConnections.
-type connectionLimit struct{ open atomic.Int64 }
-
-func (c *connectionLimit) track(conn net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		if c.open.Add(1) > maxServerConnections {
-			_ = conn.Close() // refused; a failure to close needs no handling
-		}
-	case http.StateClosed, http.StateHijacked:
-		c.open.Add(-1)
-	}
-}
