--- a/cmd/comfreyloom/crowd_scenes_test.go
+++ b/cmd/comfreyloom/crowd_scenes_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/comfreyloom/comfreyloom/internal/control/controlpb"
 	"github.com/comfreyloom/comfreyloom/platform/standin"
 )
 
@@ -48,23 +49,30 @@
 		{name: "configurations are whole", process: "core0", port: operatorsPort, send: wholeBody(standin.ConfigPath, standin.ManyQueues(crowdConfig)), size: crowdSize / 100, awaitsResponse: true},
 		{name: "waves are whole lists", process: "core0", port: operatorsPort, send: wholeBody(standin.WaveStartPath, standin.ManyVMs(crowdConfig)), size: crowdSize / 20, awaitsResponse: true},
 		{name: "read configurations stay unread", process: "core0", port: operatorsPort, prepare: manyQueues, send: unread(standin.ConfigReadPath, 3), keepsUnread: true, size: crowdSize / 2},
-		{name: "calls stop short", process: atLeader, port: nodesPort, send: calls},
-	}
-	for _, socket := range []struct {
-		name, process string
-		port          int
-	}{
-		{"callers", "entry0", callersPort}, {"readiness", "entry0", readinessPort}, {"metrics", "entry0", metricsPort},
-		{"operators", "core0", operatorsPort}, {"metrics of a core VM", "core0", metricsPort},
-	} {
-		all = append(all,
-			crowd{name: "short lines at " + socket.name, process: socket.process, port: socket.port, send: shortLines},
-			crowd{name: "endless heads at " + socket.name, process: socket.process, port: socket.port, send: endless("GET / HTTP/1.1\r\nHost: plans.example\r\n", "X: 1\r\n")},
-			crowd{name: "endless empty lines at " + socket.name, process: socket.process, port: socket.port, send: endless("", "\r\n")},
-			crowd{name: "nothing is sent at " + socket.name, process: socket.process, port: socket.port, send: nothing, size: emptyCrowdSize},
-		)
+		{name: "calls stop short", process: atLeader, port: nodesPort, send: calls("seeded", controlpb.ControlPathPrefix+"Ask")},
 	}
+	all = append(all, crowdsAt("callers", "entry0", callersPort)...)
+	all = append(all, crowdsAt("readiness", "entry0", readinessPort)...)
+	all = append(all, crowdsAt("metrics", "entry0", metricsPort)...)
+	all = append(all, crowdsAt("operators", "core0", operatorsPort)...)
+	all = append(all, crowdsAt("metrics of a core VM", "core0", metricsPort)...)
 	all = append(all, crowd{name: "nothing is sent at nodes", process: atLeader, port: nodesPort, send: nothing, size: emptyCrowdSize})
+	return withSizes(all)
+}
+
+// crowdsAt returns the crowds that come to every socket for HTTP/1.1.
+func crowdsAt(socket, process string, port int) []crowd {
+	start := "GET / HTTP/1.1\r\nHost: plans.example\r\n"
+	return []crowd{
+		{name: "short lines at " + socket, process: process, port: port, send: shortLines},
+		{name: "endless heads at " + socket, process: process, port: port, send: endless(start, "X: 1\r\n")},
+		{name: "endless empty lines at " + socket, process: process, port: port, send: endless("", "\r\n")},
+		{name: "nothing is sent at " + socket, process: process, port: port, send: nothing, size: emptyCrowdSize},
+	}
+}
+
+// withSizes sets the size of crowds that have none.
+func withSizes(all []crowd) []crowd {
 	for i := range all {
 		if all[i].size == 0 {
 			all[i].size = crowdSize
@@ -81,20 +89,29 @@
 
 // body sends a body in pieces and leaves out its end.
 func body(path string, size, missing int) func(net.Conn, int) error {
+	return methodBody("POST", path, size, missing)
+}
+
+func methodBody(method, path string, size, missing int) func(net.Conn, int) error {
 	return func(c net.Conn, _ int) error {
-		if _, err := io.WriteString(c, head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", size))); err != nil {
+		return sendBody(c, head(method, path, fmt.Sprintf("Content-Length: %d\r\n", size)), size-missing)
+	}
+}
+
+// sendBody sends a head and then size bytes of a body, in pieces.
+func sendBody(c net.Conn, head string, size int) error {
+	if _, err := io.WriteString(c, head); err != nil {
+		return err
+	}
+	rest := []byte(standin.JobStart + strings.Repeat("x", size))[:size]
+	for len(rest) > 0 {
+		n, err := c.Write(rest[:min(len(rest), 32<<10)])
+		if err != nil {
 			return err
 		}
-		rest := []byte(standin.JobStart + strings.Repeat("x", size))[:size-missing]
-		for len(rest) > 0 {
-			n, err := c.Write(rest[:min(len(rest), 32<<10)])
-			if err != nil {
-				return err
-			}
-			rest = rest[n:]
-		}
-		return nil
+		rest = rest[n:]
 	}
+	return nil
 }
 
 // wholeBody sends a whole body.
@@ -182,41 +199,51 @@
 }
 
 // manyQueues stores a configuration of more than a megabyte.
-func manyQueues(s *crowdSite) {
+func manyQueues(h crowdHost) {
 	var prefixes []string
 	for i := range 10_000 {
 		prefixes = append(prefixes, fmt.Sprintf("/more/%d/", i))
 	}
-	s.replaceConfig(prefixes)
+	h.(*crowdSite).replaceConfig(prefixes)
 }
 
 // errNotRead ends a body that the peer doesn't read.
 var errNotRead = errors.New("the peer doesn't read")
 
-// calls makes calls to the socket for the site's own processes, over HTTP/2, whose
-// bodies never end.
-func calls(c net.Conn, _ int) error {
+// calls makes calls to a socket for the site's own processes, over HTTP/2, whose bodies
+// never end.
+func calls(site, path string) func(net.Conn, int) error {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil }}
-	for range 4 {
-		reader, writer := io.Pipe()
-		request, err := http.NewRequest(http.MethodPost, "http://"+c.RemoteAddr().String()+"/twirp/comfreyloom.control.Control/Ask", reader)
-		if err != nil {
-			return err
-		}
-		request.Header.Set("Content-Type", "application/protobuf")
-		request.Header.Set("Comfreyloom-Site", "seeded")
-		go func() {
-			if response, err := transport.RoundTrip(request); err == nil {
-				_ = response.Body.Close()
+	return func(c net.Conn, _ int) error {
+		transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil }}
+		for range 4 {
+			if err := call(transport, site, "http://"+c.RemoteAddr().String()+path); err != nil {
+				return err
 			}
-		}()
-		timer := time.AfterFunc(crowdWriteTimeout, func() { _ = writer.CloseWithError(errNotRead) })
-		_, err = writer.Write(make([]byte, 256<<10))
-		if timer.Stop(); err != nil && !errors.Is(err, errNotRead) {
-			return err
 		}
+		return nil
+	}
+}
+
+// call makes one call whose body never ends.
+func call(transport *http.Transport, site, url string) error {
+	reader, writer := io.Pipe()
+	request, err := http.NewRequest(http.MethodPost, url, reader)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/protobuf")
+	request.Header.Set("Comfreyloom-Site", site)
+	go func() {
+		if response, err := transport.RoundTrip(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	timer := time.AfterFunc(crowdWriteTimeout, func() { _ = writer.CloseWithError(errNotRead) })
+	_, err = writer.Write(make([]byte, 256<<10))
+	if timer.Stop(); err != nil && !errors.Is(err, errNotRead) {
+		return err
 	}
 	return nil
 }
--- a/cmd/comfreyloom/crowd_test.go
+++ b/cmd/comfreyloom/crowd_test.go
@@ -45,7 +45,7 @@
 	port    int
 	size    int
 	// prepare runs before the crowd connects; nil does nothing.
-	prepare func(s *crowdSite)
+	prepare func(h crowdHost)
 	// send writes what one member sends. An error means that the peer has closed.
 	send func(c net.Conn, member int) error
 	// keepsUnread leaves responses unread, awaitsResponse waits for the first byte of
@@ -65,7 +65,7 @@
 	}
 	s := newCrowdSite(t)
 	for _, c := range crowds() {
-		t.Run(c.name, func(t *testing.T) { s.play(t, c) })
+		t.Run(c.name, func(t *testing.T) { c.play(t, s) })
 	}
 }
 
@@ -77,15 +77,25 @@
 	jobs      int
 }
 
-// newCrowdSite starts a site of the program as it is built for use: the race detector
-// needs several times as much memory.
-func newCrowdSite(t *testing.T) *crowdSite {
-	s := &crowdSite{memberSite: newSizedMemberSite(t, memberCores, 1, 1)}
+// crowdLimits returns the keys of a section [limits].
+func crowdLimits() string {
+	return fmt.Sprintf("memory = %dMB\ndescriptors = %d\n", crowdMemory/1_000_000, crowdDescriptors)
+}
+
+// buildProgram builds the program as it is built for use: the race detector needs several
+// times as much memory.
+func (s *memberSite) buildProgram() {
 	s.program = filepath.Join(s.folder, "program")
 	if out, err := exec.Command("go", "build", "-o", s.program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+		s.t.Fatalf("build: %v\n%s", err, out)
 	}
-	s.limits = fmt.Sprintf("[limits]\nmemory = %dMB\ndescriptors = %d\n", crowdMemory/1_000_000, crowdDescriptors)
+}
+
+// newCrowdSite starts a site.
+func newCrowdSite(t *testing.T) *crowdSite {
+	s := &crowdSite{memberSite: newSizedMemberSite(t, memberCores, 1, 1)}
+	s.buildProgram()
+	s.limits = "[limits]\n" + crowdLimits()
 	for i := range memberCores {
 		name := fmt.Sprintf("core%d", i)
 		s.start(name, true)
@@ -109,27 +119,40 @@
 	})
 }
 
+// crowdHost is a site to which crowds come.
+type crowdHost interface {
+	// site holds the processes.
+	site() *memberSite
+	restart(process string)
+	// socketAddress returns the address of a socket of a process.
+	socketAddress(process string, port int) string
+	// awaitOrdinary waits until a process has answered an ordinary request at each of
+	// its sockets.
+	awaitOrdinary(process string)
+}
+
 // play restarts the process, has the crowd connect and checks the process.
-func (s *crowdSite) play(t *testing.T, c crowd) {
+func (c crowd) play(t *testing.T, h crowdHost) {
+	s := h.site()
 	s.t = t
 	served := c.process
 	if c.process == atLeader {
 		c.process, served = s.leader(), "entry0"
 	} else {
-		s.restart(c.process)
+		h.restart(c.process)
 	}
-	s.awaitOrdinary(served)
+	h.awaitOrdinary(served)
 	if c.prepare != nil {
-		c.prepare(s)
+		c.prepare(h)
 	}
 	watch := s.watchProcess(c.process)
-	members := c.connect(s.address(c.process, c.port))
+	members := c.connect(h.socketAddress(c.process, c.port))
 	if served != c.process {
-		s.restart(served)
+		h.restart(served)
 	}
-	s.awaitOrdinary(served)
+	h.awaitOrdinary(served)
 	members.leave()
-	s.awaitOrdinary(served)
+	h.awaitOrdinary(served)
 	peak, descriptors, err := watch.end()
 	t.Logf("peak memory %d MB, most descriptors %d", peak/1_000_000, descriptors)
 	switch {
@@ -142,13 +165,15 @@
 	}
 }
 
+func (s *crowdSite) site() *memberSite { return s.memberSite }
+
+func (s *crowdSite) socketAddress(process string, port int) string { return s.address(process, port) }
+
 func (s *crowdSite) restart(process string) {
 	s.kill(process)
 	s.start(process, false)
 }
 
-// awaitOrdinary waits until a process has answered an ordinary request at each of its
-// sockets.
 func (s *crowdSite) awaitOrdinary(process string) {
 	s.t.Helper()
 	s.waitFor("counters are read", func() bool { return s.answers(http.MethodGet, process, 4, "/", "") })
@@ -268,7 +293,7 @@
 	err         error
 }
 
-func (s *crowdSite) watchProcess(name string) *processWatch {
+func (s *memberSite) watchProcess(name string) *processWatch {
 	w := &processWatch{pid: s.processes[name].Process.Pid, stop: make(chan struct{}), ended: make(chan struct{})}
 	s.must(os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", w.pid), []byte(resetPeak), 0o200))
 	go w.run()
--- a/cmd/comfreyloom/memory.go
+++ b/cmd/comfreyloom/memory.go
@@ -3,7 +3,6 @@
 import (
 	"runtime/debug"
 
-	"github.com/comfreyloom/comfreyloom/internal/member"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 )
 
@@ -22,11 +21,11 @@
 
 // tuneMemory bounds the garbage of the process by its memory, and on a core VM trades
 // memory for processor time.
-func tuneMemory(role settings.Role, l settings.MemberLimits) {
+func tuneMemory(role settings.Role, l settings.ProcessLimits) {
 	share := entryMemoryShare
 	if role == settings.RoleCore {
 		share = memoryShare
 		debug.SetGCPercent(collectionPercent)
 	}
-	debug.SetMemoryLimit(int64(share * float64(member.Memory(l))))
+	debug.SetMemoryLimit(int64(share * float64(l.MemoryBytes())))
 }
--- a/cmd/comfreyloom/memory_test.go
+++ b/cmd/comfreyloom/memory_test.go
@@ -20,9 +20,9 @@
 		debug.SetGCPercent(percent)
 		debug.SetMemoryLimit(limit)
 	}()
-	tuneMemory(settings.RoleCore, settings.MemberLimits{Memory: 280_000_000})
+	tuneMemory(settings.RoleCore, settings.ProcessLimits{Memory: 280_000_000})
 	is.True(debug.SetMemoryLimit(-1) < 140_000_000)
-	tuneMemory(settings.RoleCore, settings.MemberLimits{})
+	tuneMemory(settings.RoleCore, settings.ProcessLimits{})
 	var info syscall.Sysinfo_t
 	is.NoErr(syscall.Sysinfo(&info))
 	set := debug.SetMemoryLimit(-1)
--- a/internal/member/intake.go
+++ b/internal/member/intake.go
@@ -1,8 +1,6 @@
 package member
 
 import (
-	"math"
-	"syscall"
 	"time"
 
 	"github.com/comfreyloom/comfreyloom/internal/intake"
@@ -26,15 +24,6 @@
 	nodesSocket     = socketKind{name: "nodes", memory: 0.15, descriptors: 0.125}
 )
 
-const (
-	// defaultMemory is assumed if neither the settings nor the operating system tell
-	// how much memory there is, in bytes; defaultDescriptors likewise.
-	defaultMemory      = 256_000_000
-	defaultDescriptors = 4096
-	// reservedDescriptors are for files and for the runtime.
-	reservedDescriptors = 200
-)
-
 // newGate returns the gate of a listener.
 func (m *Member) newGate(kind socketKind) *intake.Gate {
 	c := intake.Config{
@@ -54,8 +43,8 @@
 }
 
 // shares returns the memory in bytes and the connections of a listener.
-func (k socketKind) shares(l settings.MemberLimits) (memory int64, connections int) {
-	return int64(k.memory * float64(Memory(l))), int(k.descriptors * float64(descriptors(l)-reservedDescriptors))
+func (k socketKind) shares(l settings.ProcessLimits) (memory int64, connections int) {
+	return l.Share(k.memory, k.descriptors)
 }
 
 // callerLimits returns the limits of the configuration.
@@ -67,34 +56,3 @@
 		IdleTimeout:   time.Duration(l.IdleTimeoutMS) * time.Millisecond,
 	}
 }
-
-// Memory returns the memory that the process may use, in bytes: that of the settings,
-// else that of the VM.
-func Memory(l settings.MemberLimits) int64 {
-	if l.Memory > 0 {
-		return l.Memory
-	}
-	var info syscall.Sysinfo_t
-	if err := syscall.Sysinfo(&info); err != nil {
-		return defaultMemory
-	}
-	return int64(info.Totalram) * int64(info.Unit)
-}
-
-// descriptors returns how many descriptors the process may have open, twice those that
-// are reserved at least.
-func descriptors(l settings.MemberLimits) int {
-	n := l.Descriptors
-	if n == 0 {
-		n = descriptorLimit()
-	}
-	return max(n, 2*reservedDescriptors)
-}
-
-func descriptorLimit() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return defaultDescriptors
-	}
-	return int(min(limit.Cur, math.MaxInt32))
-}
--- a/internal/settings/member.go
+++ b/internal/settings/member.go
@@ -41,17 +41,9 @@
 	// WorkersPerRelay is how many workers one core VM calls for the leader; a site
 	// with fewer workers has no such VM.
 	WorkersPerRelay int
-	Limits          MemberLimits
-	Log             Log
-}
-
-// MemberLimits holds what the VM grants one process.
-type MemberLimits struct {
-	// Memory is the memory of the process in bytes; 0 means that of the VM.
-	Memory int64
-	// Descriptors is how many file descriptors the process may have open; 0 means
-	// the limit that the operating system sets.
-	Descriptors int
+	// Limits is what the VM grants the process.
+	Limits ProcessLimits
+	Log    Log
 }
 
 // MemberNode identifies this process.
@@ -144,7 +136,7 @@
 		Advisor:   f.Section("advisor").Address("address", ""),
 		// A leader with fewer workers has the processor to call them itself.
 		WorkersPerRelay: int(f.Section("relays").Int("workers_per_vm", "70", 1, maxWorkersPerRelay)),
-		Limits:          readMemberLimits(f.Section("limits")),
+		Limits:          readProcessLimits(f.Section("limits")),
 		Log:             readLog(f.Section("log")),
 	}
 	m.readSeeds(f.Section("seeds"))
@@ -152,26 +144,6 @@
 	return m, f.Problems()
 }
 
-// Bounds of the settings in [limits].
-const (
-	minMemory      = 1_000_000
-	maxMemory      = 1_000_000_000_000
-	minDescriptors = 64
-	maxDescriptors = 100_000_000
-)
-
-// readMemberLimits reads what the VM grants. Both keys may be missing.
-func readMemberLimits(s *inifile.Section) MemberLimits {
-	var l MemberLimits
-	if s.String("memory", "") != "" {
-		l.Memory = s.Bytes("memory", "", minMemory, maxMemory)
-	}
-	if s.String("descriptors", "") != "" {
-		l.Descriptors = int(s.Int("descriptors", "", minDescriptors, maxDescriptors))
-	}
-	return l
-}
-
 // readSeeds accepts IPs and IP:port; only the IP identifies the VM.
 func (m *Member) readSeeds(s *inifile.Section) {
 	for _, seed := range s.List("addresses", "") {
--- a/internal/settings/member_test.go
+++ b/internal/settings/member_test.go
@@ -45,12 +45,12 @@
 	is.Equal(m.Bounds.WorkerStopTime, 400*time.Millisecond)
 	is.Equal(m.FleetRate, 64.0)
 	is.Equal(m.Bounds.LostDisks, 2)
-	is.Equal(m.Limits, MemberLimits{Memory: 280_000_000, Descriptors: 4096})
+	is.Equal(m.Limits, ProcessLimits{Memory: 280_000_000, Descriptors: 4096})
 	without, _ := ParseMember("core.ini", []byte(strings.Replace(coreSettings, "lost_disks = 2\n", "", 1)))
 	is.Equal(without.Bounds.LostDisks, 0) // the seeds alone found the site, as before there was the key
 	unlimited, problems := ParseMember("core.ini", []byte(strings.NewReplacer("memory = 280MB\n", "", "descriptors = 4096\n", "").Replace(coreSettings)))
 	is.Equal(len(problems), 0)
-	is.Equal(unlimited.Limits, MemberLimits{})
+	is.Equal(unlimited.Limits, ProcessLimits{})
 }
 
 func TestMemberProblemsNameTheKey(t *testing.T) {
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -59,6 +59,7 @@
 
 func readLimits(s *inifile.Section) Limits {
 	return Limits{
+		Process:           readProcessLimits(s),
 		RequestBody:       s.Bytes("request_body", "16MB", 1e3, 1e9),
 		CallerConnections: int(s.Int("caller_connections", "4096", 1, 65536)),
 		BalancerDelay:     s.Duration("balancer_delay", "2s", time.Millisecond, time.Minute),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,8 @@
 
 // Limits holds the limits of one process.
 type Limits struct {
+	// Process is what the VM grants the process.
+	Process ProcessLimits
 	// RequestBody bounds a caller's request body, in bytes.
 	RequestBody int64
 	// CallerConnections bounds the open connections of all callers.
