agent, caller: what connections hold is bounded at listed VMs too

At 4,096 connections the listeners for upstreams and operators accepted no more, whoever held them; bodies of callers shared 32 MB with those that had stopped, for 10 s each.

The four listeners get gates with shares of the process's memory and descriptors. Callers' bodies are passed on as they arrive, so what is kept of them is charged by the caller path: a buffered body, a job that is decoded. Their connections keep the verdict and the request ID in every refusal, also of heads that no handler saw, and the socket filter and keepalive of a stop. Responses of upstreams may hold a twentieth of the memory, 32 MB at most as before.

--- a/cmd/comfreyloom/crowd_listed_test.go
+++ b/cmd/comfreyloom/crowd_listed_test.go
@@ -65,6 +65,7 @@
 		{name: "next heads wait behind a body", process: n1, port: listedCallersPort, send: nextHeads(servicePath)},
 		{name: "manifests stop short", process: n1, port: listedOperatorsPort, send: methodBody("PUT", manifestPath, inifile.MaxSize, 1)},
 		{name: "manifests are whole", process: n1, port: listedOperatorsPort, send: invalidManifest, awaitsResponse: true, size: crowdSize / 10},
+		{name: "manifests are whole lists", process: n1, port: listedOperatorsPort, send: emptyServices, awaitsResponse: true, size: crowdSize / 30},
 		{name: "read counters stay unread", process: n1, port: listedOperatorsPort, send: unread("/metrics", 200), keepsUnread: true},
 		{name: "announcements stop short", process: n1, port: listedUpstreamsPort, send: methodBody("PUT", announcementPath, 4000, 1)},
 		{name: "calls stop short", process: n1, port: listedNodesPort, send: calls("crowd", nodepb.NodePathPrefix+"Propose")},
@@ -84,7 +85,20 @@
 
 // invalidManifest sends a manifest of which each line is invalid.
 func invalidManifest(c net.Conn, _ int) error {
-	text := "[site]\n" + strings.Repeat("a\n", inifile.MaxSize/2-10)
+	return sendManifest(c, "[site]\n"+strings.Repeat("a\n", inifile.MaxSize/2-10))
+}
+
+// emptyServices sends a manifest of services without a key.
+func emptyServices(c net.Conn, _ int) error {
+	var text strings.Builder
+	text.WriteString("[site]\nname = crowd\n")
+	for i := 0; text.Len() < inifile.MaxSize-50; i++ {
+		fmt.Fprintf(&text, "[service %x]\n", i)
+	}
+	return sendManifest(c, text.String())
+}
+
+func sendManifest(c net.Conn, text string) error {
 	_, err := c.Write([]byte(head("PUT", manifestPath, fmt.Sprintf("Content-Length: %d\r\n", len(text))) + text))
 	return err
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	logger    log.Interface
 	metrics   metrics.Registry
 	listeners *Listeners
+	intakes   intakes
 	// now is the clock used for announcements.
 	now func() time.Time
 
--- a/internal/agent/listen.go
+++ b/internal/agent/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/samber/oops"
@@ -12,17 +11,8 @@
 	"github.com/comfreyloom/comfreyloom/internal/settings"
 )
 
-// Bounds of the listeners for upstreams and operators. Each kind of peer has its
-// own listener, so that a flood on one can't use the connections of another.
-const (
-	peerHeaderBytes   = 16 << 10
-	peerHeaderTimeout = 5 * time.Second
-	peerReadTimeout   = 30 * time.Second
-	peerIdleTimeout   = 60 * time.Second
-	peerStopTimeout   = 5 * time.Second
-	// peerConnections bounds the open connections of one listener.
-	peerConnections = 4096
-)
+// peerStopTimeout bounds the end of the requests of upstreams and operators at a stop.
+const peerStopTimeout = 5 * time.Second
 
 // Listeners are the listening sockets of one process, one for each kind of peer.
 type Listeners struct {
@@ -59,16 +49,3 @@
 		}
 	}
 }
-
-// boundedServer returns an HTTP server with bounds against slow and endless
-// input. It sets no write timeout, since the audit trail is followed by long
-// polls.
-func boundedServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		MaxHeaderBytes:    peerHeaderBytes,
-		ReadHeaderTimeout: peerHeaderTimeout,
-		ReadTimeout:       peerReadTimeout,
-		IdleTimeout:       peerIdleTimeout,
-	}
-}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/node"
 )
 
@@ -44,8 +45,12 @@
 		withoutError(a.callers.Run),
 		a.serveCallers,
 		a.serveNodes,
-		a.servePeer(a.upstreamHandler(), a.listeners.Upstreams),
-		a.servePeer(a.operatorHandler(), a.listeners.Operators),
+		a.servePeer(a.upstreamHandler(), a.listeners.Upstreams, a.intakes.upstreams),
+		a.servePeer(a.operatorHandler(), a.listeners.Operators, a.intakes.operators),
+		a.intakes.callers.Run,
+		a.intakes.upstreams.Run,
+		a.intakes.operators.Run,
+		a.intakes.nodes.Run,
 	}
 	if a.replica != nil {
 		all = append(all, a.replica.Run, withoutError(a.controller.Run), withoutError(a.runRetention))
@@ -76,16 +81,17 @@
 }
 
 func (a *Agent) serveNodes(ctx context.Context) error {
-	return serveUntil(ctx, node.NewHTTPServer(ctx, a.nodeServer.Handler()), a.listeners.Nodes)
+	server := node.NewHTTPServer(ctx, a.intakes.nodes.Handler(a.nodeServer.Handler()))
+	return serveUntil(ctx, server, a.intakes.nodes.Listen(a.listeners.Nodes))
 }
 
 // servePeer returns a background task that serves one kind of peer until ctx
 // ends.
-func (a *Agent) servePeer(h http.Handler, l net.Listener) backgroundTask {
+func (a *Agent) servePeer(h http.Handler, l net.Listener, g *intake.Gate) backgroundTask {
 	return func(ctx context.Context) error {
-		server := boundedServer(h)
+		server := g.Server(h, refusePeer)
 		server.BaseContext = func(net.Listener) context.Context { return ctx }
-		return serveUntil(ctx, server, &boundedListener{Listener: l, semaphore: make(chan struct{}, peerConnections)})
+		return serveUntil(ctx, server, g.Listen(l))
 	}
 }
 
--- a/internal/agent/wire.go
+++ b/internal/agent/wire.go
@@ -26,6 +26,7 @@
 
 // wire creates and connects the components, those without dependencies first.
 func (a *Agent) wire(o Options) error {
+	a.intakes = a.newIntakes()
 	a.wireNodes()
 	a.wireRequests()
 	a.wireNodeServer()
@@ -104,6 +105,7 @@
 		Registry: a.registry, Services: catalog{a.log}, Peer: slots.NewPeer(a.client.Lend), Metrics: a.metrics, Log: a.logger,
 	})
 	a.transport = upstream.NewTransport(upstream.Options{EntryVMs: len(a.settings.Nodes), Metrics: a.metrics})
+	responses, _ := a.settings.Limits.Process.Share(responseMemory, 0)
 	a.callers = caller.New(caller.Config{
 		Self: a.settings.Node.Name,
 		Log:  a.log, Broker: unreadyCounter{a.dispatcher, a.heartbeats}, BrokerNow: clock, Sender: a.transport,
@@ -111,8 +113,10 @@
 			BodyBytes:   a.settings.Limits.RequestBody,
 			Connections: int64(a.settings.Limits.CallerConnections),
 			// Behind the balancer all callers may have the same address.
-			ConnectionsPerIP: int64(a.settings.Limits.CallerConnections),
+			ConnectionsPerIP:   int64(a.settings.Limits.CallerConnections),
+			TotalBufferedBytes: min(responses, maxResponseMemory),
 		},
+		Gate:          a.intakes.callers,
 		BalancerDelay: a.settings.Limits.BalancerDelay,
 		Metrics:       a.metrics, Logger: a.logger,
 	})
--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 )
 
 // body is a request's body: buffered whole for retries, or streamed and sent
@@ -65,14 +67,40 @@
 	if r.ContentLength > 0 {
 		size = r.ContentLength
 	}
-	if !s.buffers.reserve(size) {
-		return nil, release, overloaded("this entry VM holds too many bodies", 0)
+	if release, f = s.reserveBody(r, size); f != nil {
+		return nil, release, f
 	}
-	release = func() { s.buffers.release(size) }
 	b, f = s.bufferBody(w, limited, r.ContentLength, size, until)
 	return b, release, f
 }
 
+// reserveBody reserves the memory for a body, until release is called. With a gate it is
+// charged to the connection: a sender that stops must not hold what others need.
+func (s *Server) reserveBody(r *http.Request, size int64) (release func(), f *failure) {
+	if s.Gate != nil {
+		return func() {}, intakeFailure(intake.Reserve(r, size))
+	}
+	if !s.buffers.reserve(size) {
+		return func() {}, overloaded("this entry VM holds too many bodies", 0)
+	}
+	return func() { s.buffers.release(size) }, nil
+}
+
+// intakeFailure returns the failure of a request that was not run because of an error of
+// package intake, nil for other errors.
+func intakeFailure(err error) *failure {
+	switch status := intake.Status(err); status {
+	case 0:
+		return nil
+	case http.StatusServiceUnavailable:
+		return overloaded("this entry VM holds too much for other requests", 0)
+	case http.StatusRequestTimeout:
+		return refuse(status, "the body did not arrive in time")
+	default:
+		return refuse(status, "the body is too large for this entry VM")
+	}
+}
+
 // bufferBody reads until the end or until size bytes. The read deadline on the
 // connection stops a caller that sends its body a byte at a time.
 func (s *Server) bufferBody(w http.ResponseWriter, from io.Reader, length, size int64, until time.Time) (*body, *failure) {
@@ -94,6 +122,9 @@
 }
 
 func bodyFailure(err error) *failure {
+	if f := intakeFailure(err); f != nil {
+		return f
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/caller/jobs.go
+++ b/internal/caller/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
 )
@@ -72,9 +73,25 @@
 	}
 }
 
+// jobFactor is what a byte of a job holds while it is decoded: the decoder's buffer, which
+// doubles as it grows, and the job.
+const jobFactor = 4
+
+// jobBytes returns the length of a job's body, at most.
+func (s *Server) jobBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return s.limits.JobBytes
+	}
+	return min(r.ContentLength, s.limits.JobBytes)
+}
+
 // submitJob serves POST /jobs.
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params, id string) {
 	setReadDeadline(w, time.Now().Add(s.limits.BodyTimeout))
+	if f := intakeFailure(intake.Reserve(r, jobFactor*s.jobBytes(r))); f != nil {
+		s.writeFailure(w, id, f)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.limits.DefaultTimeout)
 	defer cancel()
 	spec, f := s.decodeJob(http.MaxBytesReader(w, r.Body, s.limits.JobBytes), r.Header)
@@ -126,6 +143,9 @@
 	d := json.NewDecoder(from)
 	d.DisallowUnknownFields()
 	if err := d.Decode(&in); err != nil {
+		if f := intakeFailure(err); f != nil {
+			return model.JobSpec{}, f
+		}
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			return model.JobSpec{}, tooLarge(large.Limit)
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -57,6 +57,9 @@
 	megabyte = 1 << 20
 )
 
+// DefaultLimits returns the limits of a server whose configuration sets none.
+func DefaultLimits() Limits { return Limits{}.withDefaults() }
+
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.DefaultTimeout, 30*time.Second)
 	setDefault(&l.MinTimeout, time.Millisecond)
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/upstream"
 )
@@ -80,19 +81,25 @@
 	return l, oops.In("caller").Wrapf(err, "listen on %s", address)
 }
 
-// listener accepts connections within the bounds of conns.
+// listener accepts connections within the bounds of a gate and of conns.
 type listener struct {
 	net.Listener
-	conns *connLimiter
-	close func() error
+	// accept is Listener behind the gate.
+	accept net.Listener
+	conns  *connLimiter
+	close  func() error
 }
 
-// newListener bounds l. Its Close may be called more than once: a stop closes
+// newListener bounds l; the gate may be nil. Its Close may be called more than once: a stop closes
 // the listener, and http.Server.Shutdown closes it again unless Serve has
 // returned in between. An error of the second close would turn a clean stop
 // into a failed one.
-func newListener(l net.Listener, conns *connLimiter) *listener {
-	return &listener{Listener: l, conns: conns, close: sync.OnceValue(l.Close)}
+func newListener(l net.Listener, g *intake.Gate, conns *connLimiter) *listener {
+	accept := l
+	if g != nil {
+		accept = g.Listen(l)
+	}
+	return &listener{Listener: l, accept: accept, conns: conns, close: sync.OnceValue(l.Close)}
 }
 
 // Close closes the listener; every call returns the same result.
@@ -101,7 +108,7 @@
 // Accept returns the next connection that the limiter admits.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.accept.Accept()
 		if err != nil {
 			return nil, err
 		}
@@ -129,6 +136,9 @@
 // enableKeepAlive lets the kernel detect connections whose peer has
 // disappeared: until then, a request that runs for such a caller holds a slot.
 func enableKeepAlive(c net.Conn) {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		return
@@ -177,8 +187,7 @@
 	}
 	var out bytes.Buffer
 	out.Write(line)
-	out.WriteString("\r\n" + model.VerdictHeader + ": " + model.NotRun.String())
-	out.WriteString("\r\n" + upstream.RequestIDHeader + ": " + uuid.NewString() + "\r\n")
+	out.WriteString("\r\n" + RefusalHeader())
 	out.Write(rest)
 	if _, err := c.Conn.Write(out.Bytes()); err != nil {
 		return 0, err
@@ -186,9 +195,18 @@
 	return len(p), nil
 }
 
+// RefusalHeader returns the header lines of a response to a request that no handler has
+// seen: it has not run.
+func RefusalHeader() string {
+	return model.VerdictHeader + ": " + model.NotRun.String() + "\r\n" + upstream.RequestIDHeader + ": " + uuid.NewString() + "\r\n"
+}
+
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
+	if cc, ok := c.(*callerConn); ok {
+		ctx = intake.ConnContext(ctx, cc.Conn)
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
@@ -209,5 +227,6 @@
 func onConnState(c net.Conn, state http.ConnState) {
 	if cc, ok := c.(*callerConn); ok && state == http.StateIdle {
 		cc.handlerStarted.Store(false)
+		intake.ConnState(cc.Conn, state)
 	}
 }
--- a/internal/caller/listen_test.go
+++ b/internal/caller/listen_test.go
@@ -14,7 +14,7 @@
 	is := is.New(t)
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := newListener(raw, nil)
+	l := newListener(raw, nil, nil)
 	is.NoErr(l.Close())
 	is.NoErr(l.Close())
 }
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -28,8 +28,12 @@
 )
 
 func (s *Server) newHTTPServer() *http.Server {
+	routes := s.routes()
+	if s.Gate != nil {
+		routes = s.Gate.Handler(routes, s.refuseAtGate)
+	}
 	return &http.Server{
-		Handler:           s.wrapHandler(s.routes()),
+		Handler:           s.wrapHandler(routes),
 		ReadHeaderTimeout: s.limits.HeaderTimeout,
 		IdleTimeout:       s.limits.IdleTimeout,
 		MaxHeaderBytes:    s.limits.MaxHeaderBytes,
@@ -77,7 +81,7 @@
 
 // Serve accepts callers on l until Drain; it returns nil after a drain.
 func (s *Server) Serve(l net.Listener) error {
-	bounded := newListener(l, s.conns)
+	bounded := newListener(l, s.Gate, s.conns)
 	s.mu.Lock()
 	s.listeners = append(s.listeners, bounded)
 	s.mu.Unlock()
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/ring"
 	"github.com/comfreyloom/comfreyloom/internal/slots"
@@ -32,6 +33,8 @@
 	Broker slots.Broker
 	Sender Sender
 	Limits Limits
+	// Gate bounds what connections hold; nil means that only Limits does.
+	Gate *intake.Gate
 	// BalancerDelay is how long connections are still accepted after readiness
 	// turned off, so that the load balancer notices it first.
 	BalancerDelay time.Duration
@@ -164,6 +167,15 @@
 	})
 }
 
+// refuseAtGate responds to a request that the gate refuses.
+func (s *Server) refuseAtGate(w http.ResponseWriter, err error) {
+	f := intakeFailure(err)
+	if f == nil {
+		f = overloaded(err.Error(), 0)
+	}
+	s.writeFailure(w, uuid.NewString(), f)
+}
+
 func (s *Server) fixedFailure(status int, message string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.writeFailure(w, uuid.NewString(), refuse(status, message))
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -118,12 +118,8 @@
 	if c.account.shared || c.phase() != phaseHead {
 		return c.endOfRequests()
 	}
-	response := "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	if !errors.Is(failure, ErrOverloaded) {
-		response = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	}
 	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
-	if _, err := io.WriteString(c.Conn, response); err != nil {
+	if _, err := io.WriteString(c.Conn, c.refusalOfHead(failure)); err != nil {
 		return io.EOF
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
@@ -132,6 +128,22 @@
 	return io.EOF
 }
 
+// refusalOfHead returns the response to a request whose head was not parsed.
+func (c *conn) refusalOfHead(failure error) string {
+	status := "431 Request Header Fields Too Large\r\n"
+	if errors.Is(failure, ErrOverloaded) {
+		status = "503 Service Unavailable\r\nRetry-After: 1\r\n"
+	}
+	header := ""
+	if more := c.gate.config.RefusalHeader; more != nil {
+		header = more()
+	}
+	return "HTTP/1.1 " + status + header + "Content-Length: 0\r\nConnection: close\r\n\r\n"
+}
+
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.account.shared {
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -25,6 +26,21 @@
 // in all. It has not run.
 var ErrTooLarge = errors.New("intake: the request would hold too much memory")
 
+// Status returns the HTTP status of the response to a request that was not run because of
+// an error of this package, or 0 for other errors.
+func Status(err error) int {
+	switch {
+	case errors.Is(err, ErrOverloaded):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, ErrTooSlow):
+		return http.StatusRequestTimeout
+	case errors.Is(err, ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return 0
+	}
+}
+
 // errIdle is why a connection is closed that was idle for too long.
 var errIdle = errors.New("intake: the connection was idle")
 
@@ -43,9 +59,15 @@
 	Memory      int64
 	Connections int
 	// Limits returns the limits in force; nil means the defaults.
-	Limits  func() Limits
-	Logger  log.Interface
-	Metrics metrics.Registry
+	Limits func() Limits
+	// PassesBodies is set if handlers pass bodies on as they arrive. They then charge
+	// by Reserve what they keep.
+	PassesBodies bool
+	// RefusalHeader returns the header lines of responses to requests that no handler
+	// has seen, each with its line end; nil means none.
+	RefusalHeader func() string
+	Logger        log.Interface
+	Metrics       metrics.Registry
 }
 
 // Gate bounds the connections of one listener. Run must run while it is in use.
@@ -171,7 +193,9 @@
 		a.headBytes += int64(len(p))
 		cost = int64(len(p)) + lineBytes*int64(bytes.Count(p, []byte{'\n'}))
 	case phaseBody:
-		cost = bodyFactor * int64(len(p))
+		if !g.config.PassesBodies {
+			cost = bodyFactor * int64(len(p))
+		}
 	}
 	tooLarge := a.phase == phaseHead && a.headBytes > limit
 	shed, ok := g.ledger.charge(a, cost, a.progressAt)
--- a/internal/operator/manifest.go
+++ b/internal/operator/manifest.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/comfreyloom/comfreyloom/internal/inifile"
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/manifest"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/state"
@@ -59,6 +60,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("the manifest has more than %d bytes", tooLarge.Limit)
 	}
+	if status := intake.Status(err); status != 0 {
+		return nil, status, err
+	}
 	if err != nil {
 		return nil, http.StatusBadRequest, errors.New("the manifest did not arrive whole")
 	}
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -10,6 +10,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/model"
 	"github.com/comfreyloom/comfreyloom/internal/registry"
 )
@@ -175,6 +176,9 @@
 }
 
 func statusOfInput(err error) int {
+	if status := intake.Status(err); status != 0 {
+		return status
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return http.StatusRequestEntityTooLarge
