operator, inifile: what a manifest takes to parse is bounded

Operators saw a VM end: a manifest of 1 MB, 87,000 sections without a key, takes 150 MB to parse, and its refusal lists each of 350,000 problems, three times.

Problems are collected up to 1,000, the others are counted. Before a manifest is parsed, what that will hold is estimated from its lines and charged to the connection: beyond the share for operators it is refused with 413, beside others with 503.

--- a/internal/agent/intake.go
+++ b/internal/agent/intake.go
@@ -22,7 +22,7 @@
 const (
 	callerMemory, callerDescriptors     = 0.2, 0.375
 	upstreamMemory, upstreamDescriptors = 0.05, 0.125
-	operatorMemory, operatorDescriptors = 0.1, 0.0625
+	operatorMemory, operatorDescriptors = 0.15, 0.0625
 	nodeMemory, nodeDescriptors         = 0.15, 0.0625
 	// responseMemory is for the responses of upstreams.
 	responseMemory = 0.05
--- a/internal/inifile/file.go
+++ b/internal/inifile/file.go
@@ -43,8 +43,13 @@
 	name     string
 	sections []*Section
 	problems []Problem
+	// omitted counts the problems beyond MaxProblems.
+	omitted int
 }
 
+// MaxProblems bounds the problems that are collected; a short text can hold very many.
+const MaxProblems = 1000
+
 // MaxSize bounds the text of a file, in bytes.
 const MaxSize = 1 << 20
 
@@ -137,15 +142,28 @@
 
 // Report adds a problem.
 func (f *File) Report(section, key, message string) {
+	if len(f.problems) >= MaxProblems {
+		f.omitted++
+		return
+	}
 	f.problems = append(f.problems, Problem{File: f.name, Section: section, Key: key, Message: message})
 }
 
 // Problems returns all problems, including one for each section and key that was
 // never read. Call it after all keys have been read.
 func (f *File) Problems() []Problem {
-	all := append([]Problem(nil), f.problems...)
+	all, omitted := append([]Problem(nil), f.problems...), f.omitted
 	for _, s := range f.sections {
-		all = append(all, s.unknownKeys()...)
+		for _, p := range s.unknownKeys() {
+			if len(all) >= MaxProblems {
+				omitted++
+				continue
+			}
+			all = append(all, p)
+		}
+	}
+	if omitted > 0 {
+		all = append(all, Problem{File: f.name, Message: fmt.Sprintf("has %d problems more", omitted)})
 	}
 	return all
 }
--- a/internal/operator/manifest.go
+++ b/internal/operator/manifest.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -66,9 +67,24 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, errors.New("the manifest did not arrive whole")
 	}
+	if err := intake.Reserve(r, parsedBytes(text)); err != nil {
+		return nil, intake.Status(err), err
+	}
 	return text, http.StatusOK, nil
 }
 
+// Estimates of what a manifest holds while it is parsed and proposed, in bytes, for each
+// byte and for each line of its text: a section or a key.
+const (
+	bytesPerByte = 8
+	bytesPerLine = 1200
+)
+
+// parsedBytes returns what a manifest will hold while it is parsed and proposed.
+func parsedBytes(text []byte) int64 {
+	return bytesPerByte*int64(len(text)) + bytesPerLine*int64(bytes.Count(text, []byte{'\n'}))
+}
+
 // parseManifest checks the text and that it belongs to this site: the manifest
 // of another site would move every VM.
 func (s *server) parseManifest(text []byte) (*model.Site, []manifest.Problem) {
