workload, control, schedule, quorum: what accepted jobs hold is bounded

The state knows an estimate of what its jobs take. A job that doesn't fit a share of the core VM's memory is refused at once, as not run, unless an earlier attempt of it may have been proposed; large ones leave a quarter to small ones. Occurrences that don't fit begin later.

--- a/cmd/comfreyloom/crowd_scenes_test.go
+++ b/cmd/comfreyloom/crowd_scenes_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -60,6 +61,19 @@
 	return withSizes(all)
 }
 
+// jobCrowds returns the crowds whose jobs are accepted and stay.
+func jobCrowds() []crowd {
+	accepted := func(name, body string, size int) crowd {
+		return crowd{name: name, process: atLeader, through: "entry0", port: callersPort, send: wholeJobs(body), size: size}
+	}
+	return []crowd{
+		accepted("many tasks", standin.JobOfManyTasks, jobSenders),
+		accepted("long names", standin.JobWithLongName(crowdBody), jobSenders),
+		accepted("many dependencies", standin.JobWithManyDependencies(crowdBody), jobSenders),
+		accepted("many occurrences", standin.RepeatedJob, 1),
+	}
+}
+
 // crowdsAt returns the crowds that come to every socket for HTTP/1.1.
 func crowdsAt(socket, process string, port int) []crowd {
 	start := "GET / HTTP/1.1\r\nHost: plans.example\r\n"
@@ -123,6 +137,35 @@
 	}
 }
 
+// wholeJobs sends one job after the other, each under an ID of its own.
+func wholeJobs(text string) func(net.Conn, int) error {
+	return func(c net.Conn, member int) error {
+		responses := bufio.NewReader(c)
+		for i := range crowdJobsEach {
+			path := standin.JobPath(fmt.Sprintf("%016x", crowdJobs+member*crowdJobsEach+i))
+			request := head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", len(text))) + text
+			if _, err := io.WriteString(c, request); err != nil {
+				return err
+			}
+			response, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				return err
+			}
+			_, _ = io.Copy(io.Discard, response.Body) // the next response follows
+		}
+		return nil
+	}
+}
+
+// jobSenders is the number of members that send jobs, crowdJobsEach how many each sends.
+const (
+	jobSenders    = 4
+	crowdJobsEach = 100
+)
+
+// crowdJobs is below the IDs of the jobs of crowds.
+const crowdJobs = 1 << 32
+
 // chunks sends a body a byte a chunk, and no last chunk.
 func chunks(path string) func(net.Conn, int) error {
 	request := []byte(head("POST", path, "Transfer-Encoding: chunked\r\n") + strings.Repeat("1\r\n \r\n", crowdBody-1))
--- a/cmd/comfreyloom/crowd_test.go
+++ b/cmd/comfreyloom/crowd_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -44,6 +45,8 @@
 	process string
 	port    int
 	size    int
+	// through is the process to which they connect, if it isn't the one that is checked.
+	through string
 	// prepare runs before the crowd connects; nil does nothing.
 	prepare func(h crowdHost)
 	// send writes what one member sends. An error means that the peer has closed.
@@ -69,6 +72,17 @@
 	}
 }
 
+// TestCrowdsOfJobs guards against jobs that are accepted and fill the memory of the core
+// VMs. Each crowd comes to a site of its own.
+func TestCrowdsOfJobs(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for _, c := range jobCrowds() {
+		t.Run(c.name, func(t *testing.T) { c.play(t, newCrowdSite(t)) })
+	}
+}
+
 // crowdSite is a site with small processes.
 type crowdSite struct {
 	*memberSite
@@ -137,6 +151,7 @@
 	s.t = t
 	served := c.process
 	if c.process == atLeader {
+		s.waitFor("a process leads", func() bool { return s.leader() != "" })
 		c.process, served = s.leader(), "entry0"
 	} else {
 		h.restart(c.process)
@@ -146,7 +161,7 @@
 		c.prepare(h)
 	}
 	watch := s.watchProcess(c.process)
-	members := c.connect(h.socketAddress(c.process, c.port))
+	members := c.connect(h.socketAddress(cmp.Or(c.through, c.process), c.port))
 	if served != c.process {
 		h.restart(served)
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -78,7 +78,7 @@
 		target, turn = c.nextTarget(target, turn)
 		reply, err := c.attempt(ctx, target, r)
 		if err == nil && reply.Outcome == controlpb.Outcome_OUTCOME_DONE {
-			return reply, nil
+			return c.settle(reply, failure)
 		}
 		if err != nil && !node.NeverSent(err) || err == nil && reply.Outcome == controlpb.Outcome_OUTCOME_UNKNOWN {
 			failure = ErrUnknown
@@ -94,6 +94,16 @@
 	return nil, failure
 }
 
+// settle returns the reply to the last attempt. If it is a refusal, an earlier attempt whose
+// outcome is unknown may still take effect.
+func (c *Client) settle(reply *controlpb.Reply, failure error) (*controlpb.Reply, error) {
+	if reply.Finding == controlpb.Finding_FINDING_UNSPECIFIED && errors.Is(failure, ErrUnknown) {
+		c.unknown.Inc(1)
+		return nil, failure
+	}
+	return reply, nil
+}
+
 // shouldPause reports whether there is no other leader to try at once: the
 // target named none, named itself, or named one that is unresponsive.
 func (c *Client) shouldPause(target, leader model.NodeID) bool {
--- a/internal/control/client_test.go
+++ b/internal/control/client_test.go
@@ -1,12 +1,16 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/comfreyloom/comfreyloom/internal/control/controlpb"
 	"github.com/comfreyloom/comfreyloom/internal/model"
+	"github.com/comfreyloom/comfreyloom/internal/steady"
 )
 
 func newTestClient(now *time.Duration, cores ...model.NodeID) *Client {
@@ -48,3 +52,33 @@
 	now += forgetCoreAfter/2 + time.Second
 	is.Equal(d.Cores(), []model.NodeID{"seed", "x"})
 }
+
+// replies is a process that leads and returns one reply after the other.
+type replies []*controlpb.Reply
+
+func (r *replies) Ask(context.Context, *controlpb.Request) (*controlpb.Reply, error) {
+	next := (*r)[0]
+	*r = (*r)[1:]
+	next.Leader = "core"
+	return next, nil
+}
+
+func (r *replies) Hello(context.Context, *controlpb.HelloRequest) (*controlpb.HelloReply, error) {
+	return nil, ErrUnknown
+}
+
+// Guards against a job that is said not to run and runs: the proposal of a first attempt is
+// still under way when a second one finds no room for the job.
+func TestRefusalAfterAnUnknownOutcomeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ask := func(r ...*controlpb.Reply) error {
+		local := replies(r)
+		c := NewClient("core", &local, nil, NewDirectory([]model.NodeID{"core"}, steady.Now), metrics.NewRegistry())
+		_, err := c.Ask(t.Context(), &controlpb.Request{})
+		return err
+	}
+	refused := func() *controlpb.Reply { return &controlpb.Reply{Outcome: controlpb.Outcome_OUTCOME_DONE} }
+	is.NoErr(ask(refused()))
+	is.NoErr(ask(&controlpb.Reply{Outcome: controlpb.Outcome_OUTCOME_NOT_RUN}, refused()))
+	is.Equal(ask(&controlpb.Reply{Outcome: controlpb.Outcome_OUTCOME_UNKNOWN}, refused()), ErrUnknown)
+}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -40,10 +40,20 @@
 		reply.Finding = controlpb.Finding_FINDING_INVALID
 		return nil
 	}
+	if !s.hasRoom(spec.Footprint()) {
+		reply.Finding = controlpb.Finding_FINDING_UNSPECIFIED // not accepted; the caller may retry
+		return nil
+	}
 	accepted := workload.Submit{ID: workload.JobID(name.GetId()), Queue: queue, Spec: spec}
 	return s.log.Propose(ctx, &workload.Command{Submit: []workload.Submit{accepted}})
 }
 
+// hasRoom reports whether the memory of the core VMs has room for a job.
+func (s *Server) hasRoom(footprint int64) (fits bool) {
+	s.machine.Read(func(t *workload.Tables) { fits = s.room.Fits(t.Footprint(), footprint) })
+	return fits
+}
+
 // route returns the queue for a host and path. The part of the path behind the
 // queue's prefix must be the job's ID.
 func route(t *workload.Tables, host, path, id string) (workload.QueueID, controlpb.Finding) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -48,11 +48,12 @@
 	machine    *workload.Machine
 	directory  *Directory
 	dispatcher Dispatcher
+	room       workload.Room
 }
 
-// NewServer returns the server of a core VM.
-func NewServer(l Log, m *workload.Machine, d *Directory, w Dispatcher) *Server {
-	return &Server{log: l, machine: m, directory: d, dispatcher: w}
+// NewServer returns the server of a core VM. Room bounds the jobs that it accepts.
+func NewServer(l Log, m *workload.Machine, d *Directory, w Dispatcher, room workload.Room) *Server {
+	return &Server{log: l, machine: m, directory: d, dispatcher: w, room: room}
 }
 
 var _ controlpb.Control = (*Server)(nil)
--- a/internal/dispatch/counters.go
+++ b/internal/dispatch/counters.go
@@ -38,6 +38,7 @@
 	roundTime, firstStart       metrics.Timer
 
 	queuedJobs, runningJobs, oldestQueued                           metrics.Gauge
+	jobBytes, jobRoom                                               metrics.Gauge
 	knownWorkers, usableWorkers, unresponsiveWorkers, closedWorkers metrics.Gauge
 	// measuredAt is when jobs and workers were last counted.
 	measuredAt time.Duration
@@ -57,6 +58,7 @@
 		roundTime:  metrics.GetOrRegisterTimer("dispatch.round", r),
 		firstStart: metrics.GetOrRegisterTimer("dispatch.first_start", r),
 		queuedJobs: gauge("jobs.queued"), runningJobs: gauge("jobs.running"), oldestQueued: gauge("jobs.oldest_ms"),
+		jobBytes: gauge("jobs.bytes"), jobRoom: gauge("jobs.room"),
 		knownWorkers: gauge("workers.known"), usableWorkers: gauge("workers.usable"), unresponsiveWorkers: gauge("workers.silent"), closedWorkers: gauge("workers.closed"),
 	}
 	for kind := workload.EndDone; kind <= workload.EndGangIncomplete; kind++ {
@@ -142,6 +144,7 @@
 	c.queuedJobs.Update(queued)
 	c.runningJobs.Update(running)
 	c.oldestQueued.Update(oldest)
+	c.jobBytes.Update(t.Footprint())
 	c.knownWorkers.Update(int64(len(t.Workers)))
 	c.usableWorkers.Update(usable)
 	c.unresponsiveWorkers.Update(int64(unresponsive))
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -72,6 +72,8 @@
 	TakeOverDelay time.Duration
 	// FleetRate is how many orders per second the platform accepts from the site.
 	FleetRate float64
+	// Room bounds the occurrences that are begun.
+	Room workload.Room
 	// Now is the steady clock, WallMS the time of day in Unix milliseconds.
 	Now    func() time.Duration
 	WallMS func() int64
@@ -142,6 +144,7 @@
 		pause:          steady.Pause,
 	}
 	d.spawn = func(f func()) { d.group.Go(f) }
+	d.counters.jobRoom.Update(int64(c.Room))
 	return d
 }
 
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -258,6 +258,7 @@
 	d.counters.measure(t, workers, unresponsive, now, nowMS)
 	plan := schedule.Make(schedule.Input{
 		Tables: t, Workers: workers, Freed: freedCapacity(t, c), Advice: d.advice.get, Overdue: d.overdueSuspects(now), NowMS: nowMS, MaxStarts: maxStarts,
+		Room: d.config.Room,
 	})
 	d.counters.recordFirstStarts(t, plan.Starts, nowMS)
 	c.Starts, c.Due = plan.Starts, plan.Due
--- a/internal/member/intake.go
+++ b/internal/member/intake.go
@@ -6,6 +6,7 @@
 	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/node"
 	"github.com/comfreyloom/comfreyloom/internal/settings"
+	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
 // socketKind is a kind of listener of a process.
@@ -24,6 +25,16 @@
 	nodesSocket     = socketKind{name: "nodes", memory: 0.15, descriptors: 0.125}
 )
 
+// jobMemory is the share of a core VM's memory that jobs may take. A snapshot of them
+// takes as much again while it is made, and twice that on the disk.
+const jobMemory = 0.15
+
+// room returns the memory that the jobs of the site may take.
+func (m *Member) room() workload.Room {
+	bytes, _ := m.Settings.Limits.Share(jobMemory, 0)
+	return workload.Room(bytes)
+}
+
 // newGate returns the gate of a listener.
 func (m *Member) newGate(kind socketKind) *intake.Gate {
 	c := intake.Config{
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -149,10 +149,10 @@
 		Workers: m.relays, ListRate: m.relays.ListRate, Fleet: m.dependencies.Fleet, Advisor: m.dependencies.Advisor,
 		Lease:    time.Duration(leaseShare * float64(m.Settings.Bounds.LeaseMax)),
 		LeaseMax: m.Settings.Bounds.LeaseMax, StopTime: m.Settings.Bounds.WorkerStopTime, TakeOverDelay: m.Settings.Bounds.FleetTakeOver,
-		FleetRate: m.Settings.FleetRate,
-		Now:       steady.Now, WallMS: wallMS, Logger: m.Logger, Metrics: m.Metrics,
+		FleetRate: m.Settings.FleetRate, Room: m.room(),
+		Now: steady.Now, WallMS: wallMS, Logger: m.Logger, Metrics: m.Metrics,
 	})
-	server := control.NewServer(controlled, m.machine, m.directory, m.dispatcher)
+	server := control.NewServer(controlled, m.machine, m.directory, m.dispatcher, m.room())
 	m.nodeServer.Handle(controlpb.ControlPathPrefix, controlpb.NewControlServer(server))
 	m.Client = control.NewClient(self, server, m.nodes, m.directory, m.Metrics)
 	m.HelloClient = control.NewHelloClient(m.Client, true)
--- a/internal/quorum/config.go
+++ b/internal/quorum/config.go
@@ -10,6 +10,7 @@
 	defaultMaxUncommitted   = 8 << 20
 	defaultMaxSnapshotBytes = 256 << 20
 	defaultKeepEntries      = 256
+	defaultKeepBytes        = 16 << 20
 	// maxPendingReads is the maximum number of reads that wait for a quorum.
 	maxPendingReads = 4096
 )
@@ -52,6 +53,8 @@
 	// memory, so that a voter that lags slightly needs no snapshot. A negative
 	// value keeps none.
 	KeepEntries int
+	// KeepBytes bounds the size of these entries; 16 MiB by default.
+	KeepBytes int
 	// Faults is set only in tests.
 	Faults Faults
 }
@@ -123,6 +126,7 @@
 	orDefault(&c.SnapshotChunk, defaultSnapshotChunk)
 	orDefault(&c.MaxSnapshotBytes, defaultMaxSnapshotBytes)
 	orDefault(&c.MaxUncommittedBytes, defaultMaxUncommitted)
+	orDefault(&c.KeepBytes, defaultKeepBytes)
 	if c.KeepEntries == 0 {
 		c.KeepEntries = defaultKeepEntries
 	}
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -175,6 +175,19 @@
 	}
 }
 
+// countWithin returns how many of the entries up to an index are within a number of
+// entries and of bytes.
+func (l *entryLog) countWithin(index uint64, entries, bytes int) uint64 {
+	count := 0
+	for i := index; i > l.baseIndex && i <= l.last() && count < entries; i-- {
+		if bytes -= entrySize(&l.entries[i-l.baseIndex-1]); bytes < 0 {
+			break
+		}
+		count++
+	}
+	return uint64(count)
+}
+
 func (l *entryLog) unstable() []Entry {
 	return l.slice(l.stable+1, l.last())
 }
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -31,14 +31,15 @@
 
 // SetSnapshot sets the latest local snapshot; the caller also calls it after a
 // restart. The snapshot is sent to followers that lag too far behind, and
-// entries that it covers are dropped except for the last Config.KeepEntries.
+// entries that it covers are dropped except for the last Config.KeepEntries and
+// Config.KeepBytes.
 // It is ignored unless it is newer than the previous one.
 func (r *Raft) SetSnapshot(s Snapshot) {
 	if r.snapshot != nil && s.Meta.Index <= r.snapshot.Meta.Index || s.Meta.Index > r.log.applying {
 		return
 	}
 	r.snapshot = &outgoingSnapshot{Snapshot: s, sum: xxhash.Sum64(s.Data)}
-	if keep := uint64(max(r.cfg.KeepEntries, 0)); s.Meta.Index > keep {
+	if keep := r.log.countWithin(s.Meta.Index, max(r.cfg.KeepEntries, 0), r.cfg.KeepBytes); s.Meta.Index > keep {
 		r.log.compact(s.Meta.Index - keep)
 	}
 	r.appendDue = r.role == RoleLeader
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -24,6 +24,7 @@
 	defaultSnapshotEntries  = 10_000
 	defaultSnapshotBytes    = 8 << 20
 	defaultKeepEntries      = 1_000
+	defaultKeepBytes        = 16 << 20
 	defaultMessageRingSize  = 256
 	defaultProposalRingSize = 4_096
 	defaultMaxProposalBytes = 8 << 20
@@ -87,6 +88,8 @@
 	// KeepEntries is the number of entries before the snapshot that are kept for
 	// followers; 1,000 by default.
 	KeepEntries int
+	// KeepBytes bounds the size of these entries; 16 MiB by default.
+	KeepBytes int
 	// SegmentBytes is the size of a log segment; 0 selects the log's default.
 	SegmentBytes int
 
@@ -128,6 +131,7 @@
 	orDefault(&c.ReviewTicks, defaultReviewTicks)
 	orDefault(&c.SnapshotEntries, defaultSnapshotEntries)
 	orDefault(&c.SnapshotBytes, defaultSnapshotBytes)
+	orDefault(&c.KeepBytes, defaultKeepBytes)
 	orDefault(&c.KeepEntries, defaultKeepEntries)
 	orDefault(&c.MessageRingSize, defaultMessageRingSize)
 	orDefault(&c.ProposalRingSize, defaultProposalRingSize)
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -97,6 +97,7 @@
 		LeaseTicks:     max(r.config.ElectionTicks/2, 1),
 		Random:         r.config.Random,
 		KeepEntries:    r.config.KeepEntries,
+		KeepBytes:      r.config.KeepBytes,
 
 		PiggybackCommit: r.config.PiggybackCommit,
 	}
--- a/internal/replica/feed.go
+++ b/internal/replica/feed.go
@@ -46,18 +46,23 @@
 }
 
 // compact replaces the snapshot and drops the entries that it covers, except
-// the last keep. The rest is copied, so that the memory of the dropped entries
+// the last keep within keepBytes. The rest is copied, so that the memory of the dropped entries
 // can be freed.
-func (f *feed) compact(s *quorum.Snapshot, keep int) {
+func (f *feed) compact(s *quorum.Snapshot, keep, keepBytes int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.snapshot != nil && f.snapshot.Meta.Index >= s.Meta.Index {
 		return
 	}
 	f.snapshot = s
-	after := int(f.applied - s.Meta.Index)
-	if drop := len(f.entries) - after - keep; drop > 0 {
-		f.entries = append([]quorum.Entry(nil), f.entries[drop:]...)
+	covered := len(f.entries) - int(f.applied-s.Meta.Index)
+	first := max(covered, 0)
+	for first > 0 && covered-first < keep && len(f.entries[first-1].Data) <= keepBytes {
+		first--
+		keepBytes -= len(f.entries[first].Data)
+	}
+	if first > 0 {
+		f.entries = append([]quorum.Entry(nil), f.entries[first:]...)
 	}
 }
 
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -161,7 +161,7 @@
 	d.saving = false
 	d.counters.snapshots.Inc(1)
 	d.raft.SetSnapshot(s)
-	d.feed.compact(&s, d.config.KeepEntries)
+	d.feed.compact(&s, d.config.KeepEntries, d.config.KeepBytes)
 	if err := d.log.Compact(s.Meta.Index + 1); err != nil {
 		d.fatalErr = err
 	}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -58,6 +58,8 @@
 	NowMS int64
 	// MaxStarts limits the starts of one plan; the rest is left to the next plan.
 	MaxStarts int
+	// Room bounds the occurrences that are begun; those that don't fit wait.
+	Room workload.Room
 }
 
 // Plan is what to commit next. Due lists the occurrences that are due.
@@ -127,10 +129,12 @@
 
 // collectDue lists the occurrences that are due.
 func (p *planner) collectDue() {
+	held := p.Tables.Footprint()
 	for _, jobs := range p.Tables.Live {
 		for _, job := range jobs {
 			r := job.Spec.Repeat
-			if r != nil && job.Next < r.Times && r.Due(job.Next) <= p.NowMS {
+			if r != nil && job.Next < r.Times && r.Due(job.Next) <= p.NowMS && p.Room.Fits(held, job.Spec.OccurrenceBytes()) {
+				held += job.Spec.OccurrenceBytes()
 				p.plan.Due = append(p.plan.Due, workload.DueOccurrence{Job: job.ID, K: job.Next})
 			}
 		}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -124,6 +124,7 @@
 		job.Next = 1
 	}
 	t.Jobs[job.ID] = job
+	t.footprint += job.footprint()
 	t.Live[job.Queue] = append(t.Live[job.Queue], job)
 	t.completeIfDone(job, nowMS)
 }
@@ -144,7 +145,7 @@
 	if d.K != job.Next || d.K >= job.Spec.Repeat.Times {
 		return
 	}
-	job.Occurrences = append(job.Occurrences, newOccurrence(&job.Spec, d.K))
+	t.resize(job, func() { job.Occurrences = append(job.Occurrences, newOccurrence(&job.Spec, d.K)) })
 	job.Next++
 }
 
@@ -240,8 +241,10 @@
 	if job.Spec.Repeat == nil {
 		return
 	}
-	job.Occurrences = slices.DeleteFunc(job.Occurrences, func(o *Occurrence) bool {
-		return o.isDone(&job.Spec) && !o.isActive()
+	t.resize(job, func() {
+		job.Occurrences = slices.DeleteFunc(job.Occurrences, func(o *Occurrence) bool {
+			return o.isDone(&job.Spec) && !o.isActive()
+		})
 	})
 }
 
@@ -355,6 +358,7 @@
 	for id, job := range t.Jobs {
 		if job.State.Final() && job.EndedMS < beforeMS && !job.IsActive() {
 			delete(t.Jobs, id)
+			t.footprint -= job.footprint()
 		}
 	}
 }
--- a/internal/workload/tables.go
+++ b/internal/workload/tables.go
@@ -52,6 +52,8 @@
 	// Stopping holds the runs that their task or job no longer needs, with their
 	// workers.
 	Stopping map[RunRef]WorkerID
+	// footprint is the memory that Jobs take by estimate, in bytes.
+	footprint int64
 }
 
 // RunKinds counts the runs on a worker by how they affect other runs there.
@@ -231,8 +233,10 @@
 // only its state is still needed.
 func (t *Tables) compactJob(job *Job) {
 	if job.State.Final() && !job.IsActive() {
-		job.Spec = JobSpec{}
-		job.Occurrences = nil
+		t.resize(job, func() {
+			job.Spec = JobSpec{}
+			job.Occurrences = nil
+		})
 	}
 }
 
@@ -241,6 +245,7 @@
 func (t *Tables) rebuildDerived() {
 	for _, job := range t.sortedJobs() {
 		job.work = job.Spec.work()
+		t.footprint += job.footprint()
 		if !job.State.Final() {
 			t.Live[job.Queue] = append(t.Live[job.Queue], job)
 		}
