workload, platform: a wave of nameless VMs is refused

A wave of 1.4 million empty names, 4 MB of text, was accepted and kept by each core VM for good, where its share of the memory allowed one. A wave has 20,000 VMs at most now, each with a name; the refusal says which has none. TestWavesAreValidated.

--- a/internal/workload/validate.go
+++ b/internal/workload/validate.go
@@ -79,3 +79,19 @@
 	}
 	return nil
 }
+
+// maxWaveVMs is the largest number of VMs of one wave.
+const maxWaveVMs = 20_000
+
+// Validate returns an error that describes what is invalid in a wave, nil if it is valid.
+func (w *Wave) Validate() error {
+	if len(w.VMs) > maxWaveVMs {
+		return fmt.Errorf("the wave has %d VMs; at most %d are allowed", len(w.VMs), maxWaveVMs)
+	}
+	for i := range w.VMs {
+		if w.VMs[i].ID == "" {
+			return fmt.Errorf("VM %d of the wave has no name", i)
+		}
+	}
+	return nil
+}
