intake: accounts to shed are searched for at most every 20 ms

When the share of a listener was used up by senders that made progress, each read of each of them looked through all accounts: 30 us a read at 1,500 connections. A search that didn't find enough isn't repeated within 20 ms; one that did sheds a sixteenth of the share at once, as before.

--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -33,6 +33,9 @@
 	// shedDivisor is the share of the memory or the connections that is shed at once,
 	// so that the accounts aren't searched for each byte.
 	shedDivisor = 16
+	// searchInterval is the least time between two searches for accounts to shed of which
+	// the first did not find enough.
+	searchInterval = 20 * time.Millisecond
 	// leavingDivisor bounds the connections that were shed and are not yet closed.
 	leavingDivisor = 4
 	// stallTime is how long a connection may make no progress before it can be shed,
@@ -88,6 +91,8 @@
 	// charged sums the accounts that stay, leaving those that were shed.
 	charged, leaving int64
 	leavingCount     int
+	// searchAt is when accounts to shed may be searched for again.
+	searchAt time.Duration
 }
 
 func newLedger(memory int64, connections int) *ledger {
@@ -184,30 +189,31 @@
 
 // shedMemory sheds accounts other than but until they have held the given bytes.
 func (l *ledger) shedMemory(but *account, bytes int64, now time.Duration) []*account {
-	return l.shed(now, but, func(a *account) bool {
-		bytes -= a.charged
-		return bytes <= 0
-	})
+	return l.shed(now, but, bytes, func(a *account) int64 { return a.charged })
 }
 
 // shedConnections sheds count accounts.
 func (l *ledger) shedConnections(count int, now time.Duration) []*account {
-	return l.shed(now, nil, func(*account) bool {
-		count--
-		return count <= 0
-	})
+	return l.shed(now, nil, int64(count), func(*account) int64 { return 1 })
 }
 
-// shed sheds accounts in their order until enough reports that it suffices.
-func (l *ledger) shed(now time.Duration, but *account, enough func(*account) bool) []*account {
-	candidates := l.candidates(now, but)
-	for i, a := range candidates {
-		l.leave(a)
-		if enough(a) {
-			return candidates[:i+1]
+// shed sheds accounts in their order until what they held, by a measure, suffices.
+func (l *ledger) shed(now time.Duration, but *account, missing int64, measure func(*account) int64) (shed []*account) {
+	if now < l.searchAt {
+		return nil
+	}
+	for _, a := range l.candidates(now, but) {
+		if missing <= 0 {
+			break
 		}
+		missing -= measure(a)
+		l.leave(a)
+		shed = append(shed, a)
+	}
+	if missing > 0 {
+		l.searchAt = now + searchInterval
 	}
-	return candidates
+	return shed
 }
 
 // leave marks an account that is shed.
