node: what calls hold before they are read is bounded

At the size of a site of the users, 280 MB and 1,500 connections, TestCrowds/calls_stop_short still took 1,531 MB: HTTP/2 receives up to 1 MB a connection before a handler reads it, and 487 connections were allowed. The crowd of 600 at 128 MB hadn't shown it.

--- a/cmd/comfreyloom/crowd_listed_test.go
+++ b/cmd/comfreyloom/crowd_listed_test.go
@@ -58,18 +58,18 @@
 	all := []crowd{
 		{name: "bodies stop short", process: n1, port: listedCallersPort, send: body(servicePath, 60_000, 1)},
 		{name: "keyed bodies stop short", process: n1, port: listedCallersPort, send: keyedBodies},
-		{name: "streamed bodies stop short", process: n1, port: listedCallersPort, send: body(servicePath, streamedBody, streamedBody/2), size: crowdSize / 4},
+		{name: "streamed bodies stop short", process: n1, port: listedCallersPort, send: body(servicePath, streamedBody, streamedBody/2), share: 4},
 		{name: "jobs stop short", process: n1, port: listedCallersPort, send: body(jobsPath, 60_000, 1)},
 		{name: "chunks stop short", process: n1, port: listedCallersPort, send: chunks(servicePath)},
 		{name: "responses stay unread", process: n1, port: listedCallersPort, send: unread(servicePath, pipelinedGets), keepsUnread: true},
 		{name: "next heads wait behind a body", process: n1, port: listedCallersPort, send: nextHeads(servicePath)},
 		{name: "manifests stop short", process: n1, port: listedOperatorsPort, send: methodBody("PUT", manifestPath, inifile.MaxSize, 1)},
-		{name: "manifests are whole", process: n1, port: listedOperatorsPort, send: invalidManifest, awaitsResponse: true, size: crowdSize / 10},
-		{name: "manifests are whole lists", process: n1, port: listedOperatorsPort, send: emptyServices, awaitsResponse: true, size: crowdSize / 30},
+		{name: "manifests are whole", process: n1, port: listedOperatorsPort, send: invalidManifest, awaitsResponse: true, share: 10},
+		{name: "manifests are whole lists", process: n1, port: listedOperatorsPort, send: emptyServices, awaitsResponse: true, share: 30},
 		{name: "read counters stay unread", process: n1, port: listedOperatorsPort, send: unread("/metrics", 200), keepsUnread: true},
 		{name: "announcements stop short", process: n1, port: listedUpstreamsPort, send: methodBody("PUT", announcementPath, 4000, 1)},
 		{name: "calls stop short", process: n1, port: listedNodesPort, send: calls("crowd", nodepb.NodePathPrefix+"Propose")},
-		{name: "nothing is sent at nodes", process: n1, port: listedNodesPort, send: nothing, size: emptyCrowdSize},
+		{name: "nothing is sent at nodes", process: n1, port: listedNodesPort, send: nothing, silent: true},
 	}
 	all = append(all, crowdsAt("callers", n1, listedCallersPort)...)
 	all = append(all, crowdsAt("upstreams", n1, listedUpstreamsPort)...)
--- a/cmd/comfreyloom/crowd_scenes_test.go
+++ b/cmd/comfreyloom/crowd_scenes_test.go
@@ -40,16 +40,16 @@
 	jobPath, reportPath := standin.JobPath("00000000000000ff"), standin.ReportPath("i-1")
 	all := []crowd{
 		{name: "bodies stop short", process: "entry0", port: callersPort, send: body(jobPath, crowdBody, 1)},
-		{name: "bodies are whole", process: "entry0", port: callersPort, send: wholeBody(jobPath, standin.ManySteps(crowdBody)), size: crowdSize / 10, awaitsResponse: true},
+		{name: "bodies are whole", process: "entry0", port: callersPort, send: wholeBody(jobPath, standin.ManySteps(crowdBody)), share: 10, awaitsResponse: true},
 		{name: "bodies are whole lists", process: "entry0", port: callersPort, send: wholeBody(jobPath, standin.ManyDependencies(crowdBody)), awaitsResponse: true},
 		{name: "chunks stop short", process: "entry0", port: callersPort, send: chunks(jobPath)},
 		{name: "trailers", process: "entry0", port: callersPort, send: trailers(jobPath)},
 		{name: "next heads wait behind a body", process: "entry0", port: callersPort, send: nextHeads(jobPath)},
 		{name: "responses stay unread", process: "entry0", port: callersPort, send: unread(jobPath, pipelinedGets), keepsUnread: true},
-		{name: "reports stop short", process: "core0", port: operatorsPort, send: body(reportPath, crowdReport, 1), size: crowdSize / 2},
-		{name: "configurations are whole", process: "core0", port: operatorsPort, send: wholeBody(standin.ConfigPath, standin.ManyQueues(crowdConfig)), size: crowdSize / 100, awaitsResponse: true},
-		{name: "waves are whole lists", process: "core0", port: operatorsPort, send: wholeBody(standin.WaveStartPath, standin.ManyVMs(crowdConfig)), size: crowdSize / 20, awaitsResponse: true},
-		{name: "read configurations stay unread", process: "core0", port: operatorsPort, prepare: manyQueues, send: unread(standin.ConfigReadPath, 3), keepsUnread: true, size: crowdSize / 2},
+		{name: "reports stop short", process: "core0", port: operatorsPort, send: body(reportPath, crowdReport, 1), share: 2},
+		{name: "configurations are whole", process: "core0", port: operatorsPort, send: wholeBody(standin.ConfigPath, standin.ManyQueues(crowdConfig)), share: 100, awaitsResponse: true},
+		{name: "waves are whole lists", process: "core0", port: operatorsPort, send: wholeBody(standin.WaveStartPath, standin.ManyVMs(crowdConfig)), share: 20, awaitsResponse: true},
+		{name: "read configurations stay unread", process: "core0", port: operatorsPort, prepare: manyQueues, send: unread(standin.ConfigReadPath, 3), keepsUnread: true, share: 2},
 		{name: "calls stop short", process: atLeader, port: nodesPort, send: calls("seeded", controlpb.ControlPathPrefix+"Ask")},
 	}
 	all = append(all, crowdsAt("callers", "entry0", callersPort)...)
@@ -57,7 +57,7 @@
 	all = append(all, crowdsAt("metrics", "entry0", metricsPort)...)
 	all = append(all, crowdsAt("operators", "core0", operatorsPort)...)
 	all = append(all, crowdsAt("metrics of a core VM", "core0", metricsPort)...)
-	all = append(all, crowd{name: "nothing is sent at nodes", process: atLeader, port: nodesPort, send: nothing, size: emptyCrowdSize})
+	all = append(all, crowd{name: "nothing is sent at nodes", process: atLeader, port: nodesPort, send: nothing, silent: true})
 	return withSizes(all)
 }
 
@@ -81,15 +81,21 @@
 		{name: "short lines at " + socket, process: process, port: port, send: shortLines},
 		{name: "endless heads at " + socket, process: process, port: port, send: endless(start, "X: 1\r\n")},
 		{name: "endless empty lines at " + socket, process: process, port: port, send: endless("", "\r\n")},
-		{name: "nothing is sent at " + socket, process: process, port: port, send: nothing, size: emptyCrowdSize},
+		{name: "nothing is sent at " + socket, process: process, port: port, send: nothing, silent: true},
 	}
 }
 
 // withSizes sets the size of crowds that have none.
 func withSizes(all []crowd) []crowd {
+	sizes := currentCrowdSizes()
 	for i := range all {
-		if all[i].size == 0 {
-			all[i].size = crowdSize
+		c := &all[i]
+		switch {
+		case c.size > 0:
+		case c.silent:
+			c.size = sizes.emptySize
+		default:
+			c.size = sizes.size / max(c.share, 1)
 		}
 	}
 	return all
--- a/cmd/comfreyloom/crowd_test.go
+++ b/cmd/comfreyloom/crowd_test.go
@@ -17,17 +17,27 @@
 	"github.com/comfreyloom/comfreyloom/platform/standin"
 )
 
-// What the VMs of the test grant each process.
-const (
-	crowdMemory      = 128_000_000 // bytes
-	crowdDescriptors = 700
-)
+// crowdSizes is what the VMs of the test grant each process, and how many come.
+type crowdSizes struct {
+	// memory is in bytes.
+	memory      int64
+	descriptors int
+	// size is the number of connections of a crowd; crowds of connections that send
+	// nothing have emptySize.
+	size, emptySize int
+}
+
+// crowdSizeVariable selects the sizes: "site" for those of a site of the users.
+const crowdSizeVariable = "COMFREYLOOM_CROWD"
+
+func currentCrowdSizes() crowdSizes {
+	if os.Getenv(crowdSizeVariable) == "site" {
+		return crowdSizes{memory: 280_000_000, descriptors: 4096, size: 1500, emptySize: 4500}
+	}
+	return crowdSizes{memory: 128_000_000, descriptors: 700, size: 600, emptySize: 1500}
+}
 
 const (
-	// crowdSize is the number of connections of a crowd; crowds of connections that
-	// send nothing have emptyCrowdSize.
-	crowdSize      = 600
-	emptyCrowdSize = 1500
 	// crowdRounds is how often a member of a crowd connects again after its
 	// connection was closed.
 	crowdRounds = 3
@@ -44,7 +54,10 @@
 	// port its socket (see memberSite).
 	process string
 	port    int
-	size    int
+	// size is the number of connections; 0 stands for that of crowds that send nothing
+	// if silent is set, and for the common one divided by share otherwise.
+	size, share int
+	silent      bool
 	// through is the process to which they connect, if it isn't the one that is checked.
 	through string
 	// prepare runs before the crowd connects; nil does nothing.
@@ -93,7 +106,8 @@
 
 // crowdLimits returns the keys of a section [limits].
 func crowdLimits() string {
-	return fmt.Sprintf("memory = %dMB\ndescriptors = %d\n", crowdMemory/1_000_000, crowdDescriptors)
+	sizes := currentCrowdSizes()
+	return fmt.Sprintf("memory = %dMB\ndescriptors = %d\n", sizes.memory/1_000_000, sizes.descriptors)
 }
 
 // buildProgram builds the program as it is built for use: the race detector needs several
@@ -169,14 +183,15 @@
 	members.leave()
 	h.awaitOrdinary(served)
 	peak, descriptors, err := watch.end()
+	sizes := currentCrowdSizes()
 	t.Logf("peak memory %d MB, most descriptors %d", peak/1_000_000, descriptors)
 	switch {
 	case err != nil:
 		t.Fatalf("%s has ended: %v\n%s", c.process, err, s.logTails())
-	case peak > crowdMemory:
-		t.Errorf("%s used %d bytes of memory; it has %d", c.process, peak, crowdMemory)
-	case descriptors > crowdDescriptors:
-		t.Errorf("%s had %d descriptors open; it has %d", c.process, descriptors, crowdDescriptors)
+	case peak > sizes.memory:
+		t.Errorf("%s used %d bytes of memory; it has %d", c.process, peak, sizes.memory)
+	case descriptors > sizes.descriptors:
+		t.Errorf("%s had %d descriptors open; it has %d", c.process, descriptors, sizes.descriptors)
 	}
 }
 
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -94,9 +94,13 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams,
-			SendPingTimeout:      serverIdleTimeout / 10,
-			PingTimeout:          callReadTimeout,
-			WriteByteTimeout:     callReadTimeout,
+
+			MaxReceiveBufferPerConnection: receiveWindow,
+			MaxReceiveBufferPerStream:     receiveWindow,
+
+			SendPingTimeout:  serverIdleTimeout / 10,
+			PingTimeout:      callReadTimeout,
+			WriteByteTimeout: callReadTimeout,
 		},
 	}
 }
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -18,22 +18,25 @@
 const minCallMemory = 4 * maxCallBytes
 
 // maxServerConnections bounds the open connections of all peers.
-const maxServerConnections = 512
+const maxServerConnections = 256
 
-// connectionMemory is what a connection may hold, in bytes; its calls have accounts of
-// their own.
-const connectionMemory = 64 << 10
+// receiveWindow is what a connection may hold of calls that no handler has read yet, in
+// bytes. connectionMemory is what it may hold in all beside what its calls hold.
+const (
+	receiveWindow    = 128 << 10
+	connectionMemory = receiveWindow + 64<<10
+)
 
 // Intake bounds the connections and calls that other processes open.
 type Intake struct {
 	connections, calls *intake.Gate
 }
 
-// NewIntake returns the bounds of a process. Memory is what all calls may hold, in bytes,
-// connections how many may be open.
+// NewIntake returns the bounds of a process. Memory is what all calls may hold, and all
+// connections as much again, in bytes; connections is how many may be open.
 func NewIntake(memory int64, connections int, logger log.Interface, r metrics.Registry) *Intake {
+	connections = min(connections, maxServerConnections, int(memory/connectionMemory))
 	memory = max(memory, minCallMemory)
-	connections = min(connections, maxServerConnections)
 	return &Intake{
 		connections: intake.New(intake.Config{
 			Name: "nodes", Memory: int64(connections) * connectionMemory, Connections: connections, Logger: logger, Metrics: r,
