intake: a request that has just arrived whole is not cut

The connection ends after its response now. TestRequestInProgressIsNotCut fails on the code before with 'unexpected EOF'.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -59,17 +59,18 @@
 func (c *conn) bind(a *account) { c.account = a }
 
 // interrupt ends the current read or write. A request whose body is arriving still gets
-// a response.
+// a response, and so does one that has arrived since the connection was chosen.
 func (c *conn) interrupt(reason error) {
 	c.refused.Store(&reason)
 	c.gate.mu.Lock()
-	answers := c.account.phase == phaseBody && !c.account.shared
+	phase, leftIn, shared := c.account.phase, c.account.leftIn, c.account.shared
 	c.gate.mu.Unlock()
-	if answers {
+	switch {
+	case shared || phase == phaseIdle || phase == phaseHead || phase == phaseWriting && leftIn == phaseWriting:
+		_ = c.Conn.Close() // the account is closed when net/http notices
+	case phase == phaseBody:
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // the handler's read fails
-		return
 	}
-	_ = c.Conn.Close() // the account is closed when net/http notices
 }
 
 // refusal returns why the connection was shed, nil if it wasn't.
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -62,6 +62,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case errors.Is(err, ErrTooSlow):
 		w.WriteHeader(http.StatusRequestTimeout)
+	case r.URL.Path == "/shed":
+		c := connOf(r)
+		c.gate.mu.Lock()
+		c.gate.ledger.leave(c.account)
+		c.account.leftIn = phaseBody // as it was when it was chosen
+		c.gate.mu.Unlock()
+		c.interrupt(ErrOverloaded)
 	case r.URL.Path == "/large":
 		_, _ = w.Write(make([]byte, largeResponse)) // the peer may close
 	case r.URL.Path == "/reserve" && Reserve(r, testMemory) != nil:
@@ -158,7 +165,11 @@
 		_ = c.SetReadDeadline(time.Now().Add(patience))
 		return status(c) == http.StatusOK
 	})
-	is.Equal(status(stalled[0]), http.StatusServiceUnavailable)
+	first := make(chan int, len(stalled))
+	for _, c := range stalled {
+		go func() { first <- status(c) }()
+	}
+	is.Equal(<-first, http.StatusServiceUnavailable) // whichever arrived first
 	for _, c := range stalled {
 		_ = c.Close()
 	}
@@ -169,6 +180,19 @@
 	})
 }
 
+// A request that has arrived just before its connection is ended has run: it must get its
+// response, and the connection ends after it.
+func TestRequestInProgressIsNotCut(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, Config{})
+	c := s.dial(t, "POST /shed HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	_, err = c.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 // A connection that is kept open must not stay charged for its earlier requests.
 func TestKeptConnectionIsCharged(t *testing.T) {
 	is := is.New(t)
--- a/internal/intake/ledger.go
+++ b/internal/intake/ledger.go
@@ -74,8 +74,10 @@
 	served bool
 	// shared marks a connection whose requests have accounts of their own.
 	shared bool
-	// leaving is set once it was shed: it holds its memory until it is closed.
+	// leaving is set once it was shed, leftIn is its phase at that moment. It holds its
+	// memory until it is closed.
 	leaving bool
+	leftIn  phase
 	// closed is set once it is closed; it holds nothing from then on.
 	closed bool
 	holder holder
@@ -218,7 +220,7 @@
 
 // leave marks an account that is shed.
 func (l *ledger) leave(a *account) {
-	a.leaving = true
+	a.leaving, a.leftIn = true, a.phase
 	l.leavingCount++
 	l.charged -= a.charged
 	l.leaving += a.charged
