--- a/cmd/comfreyloom/crowd_test.go
+++ b/cmd/comfreyloom/crowd_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"cmp"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -85,6 +87,45 @@
 	}
 }
 
+// TestCrowdsLargestRequestsAreServedInCalm guards against bounds that refuse a client inside the
+// limits of the configuration, on the smallest of the VMs.
+func TestCrowdsLargestRequestsAreServedInCalm(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	s := newCrowdSite(t)
+	s.awaitOrdinary("entry0")
+	address, path := s.address("entry0", callersPort), standin.JobPath("00000000000000aa")
+	largestHead := head("GET", path, "")
+	largestHead = strings.TrimSuffix(largestHead, "\r\n") + lines(headLimit-len(largestHead)) + "\r\n"
+	body := standin.JobOfLength(bodyLimit)
+	for name, c := range map[string]struct {
+		request string
+		status  int
+	}{
+		"a head of short lines": {largestHead, http.StatusGone},
+		"a job":                 {head("POST", path, fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body, http.StatusOK},
+	} {
+		conn, err := net.Dial("tcp", address)
+		s.must(err)
+		_, err = io.WriteString(conn, c.request)
+		s.must(err)
+		s.must(conn.SetReadDeadline(time.Now().Add(memberTimeout)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		s.must(err)
+		_ = conn.Close()
+		if response.StatusCode != c.status {
+			t.Errorf("%s: status %d, not %d", name, response.StatusCode, c.status)
+		}
+	}
+}
+
+// The limits of the configuration, in bytes.
+const (
+	headLimit = 16_384
+	bodyLimit = 262_144
+)
+
 // TestCrowdsOfJobs guards against jobs that are accepted and fill the memory of the core
 // VMs. Each crowd comes to a site of its own.
 func TestCrowdsOfJobs(t *testing.T) {
