--- a/internal/member/intake.go
+++ b/internal/member/intake.go
@@ -27,7 +27,7 @@
 
 // jobMemory is the share of a core VM's memory that jobs may take. A snapshot of them
 // takes as much again while it is made, and twice that on the disk.
-const jobMemory = 0.15
+const jobMemory = 0.08
 
 // room returns the memory that the jobs of the site may take.
 func (m *Member) room() workload.Room {
