control: jobs under way take room

Callers of ordinary jobs got 503 for as long as large jobs of others stayed: of four senders the large jobs were each compared with what the tables held, and none was in them yet, so together they took the quarter that is kept for small jobs. Slow commits make it likelier.

A job that is admitted keeps a reservation until it is applied, and for 5 s if that is unknown.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -40,18 +40,22 @@
 		reply.Finding = controlpb.Finding_FINDING_INVALID
 		return nil
 	}
-	if !s.hasRoom(spec.Footprint()) {
+	footprint := spec.Footprint()
+	if !s.admit(footprint) {
 		reply.Finding = controlpb.Finding_FINDING_UNSPECIFIED // not accepted; the caller may retry
 		return nil
 	}
 	accepted := workload.Submit{ID: workload.JobID(name.GetId()), Queue: queue, Spec: spec}
-	return s.log.Propose(ctx, &workload.Command{Submit: []workload.Submit{accepted}})
+	err = s.log.Propose(ctx, &workload.Command{Submit: []workload.Submit{accepted}})
+	s.admission.settle(footprint, err)
+	return err
 }
 
-// hasRoom reports whether the memory of the core VMs has room for a job.
-func (s *Server) hasRoom(footprint int64) (fits bool) {
-	s.machine.Read(func(t *workload.Tables) { fits = s.room.Fits(t.Footprint(), footprint) })
-	return fits
+// admit reserves the memory of the core VMs for a job, and reports false if there is no
+// room for it.
+func (s *Server) admit(footprint int64) (admitted bool) {
+	s.machine.Read(func(t *workload.Tables) { admitted = s.admission.reserve(t.Footprint(), footprint) })
+	return admitted
 }
 
 // route returns the queue for a host and path. The part of the path behind the
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -48,12 +48,12 @@
 	machine    *workload.Machine
 	directory  *Directory
 	dispatcher Dispatcher
-	room       workload.Room
+	admission  admission
 }
 
 // NewServer returns the server of a core VM. Room bounds the jobs that it accepts.
 func NewServer(l Log, m *workload.Machine, d *Directory, w Dispatcher, room workload.Room) *Server {
-	return &Server{log: l, machine: m, directory: d, dispatcher: w, room: room}
+	return &Server{log: l, machine: m, directory: d, dispatcher: w, admission: admission{room: room}}
 }
 
 var _ controlpb.Control = (*Server)(nil)
