--- a/cmd/comfreyloom/crowd_test.go
+++ b/cmd/comfreyloom/crowd_test.go
@@ -96,7 +96,7 @@
 	s := newCrowdSite(t)
 	s.awaitOrdinary("entry0")
 	address, path := s.address("entry0", callersPort), standin.JobPath("00000000000000aa")
-	largestHead := head("GET", path, "")
+	largestHead := head("GET", standin.JobPath("00000000000000ab"), "") // no such job
 	largestHead = strings.TrimSuffix(largestHead, "\r\n") + lines(headLimit-len(largestHead)) + "\r\n"
 	body := standin.JobOfLength(bodyLimit)
 	for name, c := range map[string]struct {
