--- a/internal/member/intake.go
+++ b/internal/member/intake.go
@@ -5,7 +5,6 @@
 
 	"github.com/comfreyloom/comfreyloom/internal/intake"
 	"github.com/comfreyloom/comfreyloom/internal/node"
-	"github.com/comfreyloom/comfreyloom/internal/settings"
 	"github.com/comfreyloom/comfreyloom/internal/workload"
 )
 
@@ -37,10 +36,8 @@
 
 // newGate returns the gate of a listener.
 func (m *Member) newGate(kind socketKind) *intake.Gate {
-	c := intake.Config{
-		Name: kind.name, Logger: m.Logger, Metrics: m.Metrics,
-	}
-	c.Memory, c.Connections = kind.shares(m.Settings.Limits)
+	c := intake.Config{Name: kind.name, Logger: m.Logger, Metrics: m.Metrics}
+	c.Memory, c.Connections = m.Settings.Limits.Share(kind.memory, kind.descriptors)
 	if kind == callersSocket {
 		c.Limits = m.callerLimits
 	}
@@ -49,15 +46,10 @@
 
 // newNodeIntake returns the bounds of the listener for the site's other processes.
 func (m *Member) newNodeIntake() *node.Intake {
-	memory, connections := nodesSocket.shares(m.Settings.Limits)
+	memory, connections := m.Settings.Limits.Share(nodesSocket.memory, nodesSocket.descriptors)
 	return node.NewIntake(memory, connections, m.Logger, m.Metrics)
 }
 
-// shares returns the memory in bytes and the connections of a listener.
-func (k socketKind) shares(l settings.ProcessLimits) (memory int64, connections int) {
-	return l.Share(k.memory, k.descriptors)
-}
-
 // callerLimits returns the limits of the configuration.
 func (m *Member) callerLimits() intake.Limits {
 	l, _ := m.HelloClient.Limits() // none while no configuration is known
